--- /dev/null
+++ b/programs/side_daemon.cc
@@ -0,0 +1,292 @@
+#include "side_daemon.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <unordered_map>
+#include <utility>
+
+#include "wasabiwall/transport/http_client.h"
+#include "wasabiwall/transport/logging.h"
+#include "wasabiwall/transport/vm_list_client.h"
+
+namespace wasabiwall::programs {
+namespace {
+
+namespace gen = protocol::gen;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kPlatformInterval{500};
+constexpr milliseconds kPlatformTimeout{1000};
+constexpr milliseconds kCommitRetryWait{20};
+constexpr milliseconds kIdlePoll{20};
+constexpr milliseconds kPeerReplyTimeout{3000};
+constexpr int kStatusThreads = 8;
+constexpr int kRunnerThreads = 512;
+
+}  // namespace
+
+SideDaemon::SideDaemon(protocol::Settings settings)
+    : m_settings(std::move(settings)),
+      m_self(m_settings.backend_server),
+      m_key_value({m_settings.key_value_url}),
+      m_store(m_key_value.Store()),
+      m_peers(m_settings.connect_timeout, kPeerReplyTimeout),
+      m_runner([this] { return BackendUrl(); }, kRunnerThreads),
+      m_node(m_self, &m_config,
+             {.clock = coordination::SteadyClock(),
+              .run =
+                  [this](const auto& request, const auto& answer) {
+                    const state::AttemptId attempt(request.attempt_id);
+                    m_runner.Run(request, answer, [this, attempt] {
+                      m_node.OnRunEnded(attempt);
+                    });
+                  },
+              .wake_committer =
+                  [this] {
+                    const std::lock_guard lock(m_mutex);
+                    m_commit_wanted = true;
+                    m_changed.notify_all();
+                  }}),
+      m_follower({.reads_key_value = m_settings.reads_configuration,
+                  .peers = m_settings.peers},
+                 m_store, &m_config, &m_peers,
+                 [this] { return MakeEnvelope(); }),
+      m_peer_server(m_settings.peer_address, m_settings.secret,
+                    MakePeerHandlers()),
+      m_http_server({.address = m_settings.http_address,
+                     .http_threads = 1,
+                     .worker_threads = kStatusThreads},
+                    [this](const auto& request, const auto& response) {
+                      HandleHttp(request, response.get());
+                    }) {}
+
+bool SideDaemon::Start() {
+  m_follower.Start();
+  m_commit_thread = std::thread([this] { CommitLoop(); });
+  m_platform_thread = std::thread([this] { PlatformLoop(); });
+  return m_peer_server.Start() && m_http_server.Start();
+}
+
+void SideDaemon::Stop() {
+  m_node.SetDraining(true);
+  WaitUntilIdle();
+  {
+    const std::lock_guard lock(m_mutex);
+    m_stopped = true;
+  }
+  m_changed.notify_all();
+  m_commit_thread.join();
+  m_platform_thread.join();
+  // Gives the shards free for the next owner at once.
+  if (m_lease != 0) m_store.revoke_lease(m_lease);
+  m_peer_server.Stop();
+  m_http_server.Stop(milliseconds(0));
+  m_follower.Stop();
+  m_runner.Stop();
+}
+
+void SideDaemon::CommitLoop() {
+  std::unique_lock lock(m_mutex);
+  while (!m_stopped) {
+    m_changed.wait(lock, [this] { return m_stopped || m_commit_wanted; });
+    m_commit_wanted = false;
+    lock.unlock();
+    while (m_node.CommitOnce(m_store.txn)) {
+    }
+    lock.lock();
+    if (!m_node.Ledger().HasWork()) continue;
+    m_commit_wanted = true;
+    m_changed.wait_for(lock, kCommitRetryWait, [this] { return m_stopped; });
+  }
+}
+
+void SideDaemon::PlatformLoop() {
+  std::unique_lock lock(m_mutex);
+  while (!m_stopped) {
+    lock.unlock();
+    HoldLease();
+    ClaimShards();
+    WatchEngine();
+    const auto list =
+        transport::FetchVmList(m_settings.vm_list_url, kPlatformTimeout);
+    if (list) {
+      const auto self = list->find(m_self);
+      m_node.SetLeaving(self != list->end() &&
+                        self->second == coordination::VmState::kLeaving);
+    }
+    m_node.Sweep();
+    lock.lock();
+    m_changed.wait_for(lock, kPlatformInterval, [this] { return m_stopped; });
+  }
+}
+
+void SideDaemon::HoldLease() {
+  if (m_lease != 0) {
+    const auto left = m_store.renew_lease(m_lease);
+    if (!left || left->count() > 0) return;
+    transport::LogWarn("lease_lapsed", {{"lease", std::to_string(m_lease)}});
+    m_lease = 0;
+  }
+  const auto granted = m_store.grant_lease(
+      std::chrono::ceil<std::chrono::seconds>(m_settings.lease_ttl));
+  if (granted) m_lease = *granted;
+}
+
+void SideDaemon::ClaimShards() {
+  const auto view = m_config.View();
+  const auto self = view->backend_servers.find(m_self.value);
+  if (self == view->backend_servers.end() || m_lease == 0) return;
+  const auto pool = view->pools.find(self->second.pool.value);
+  if (pool == view->pools.end() ||
+      pool->second.kind != state::PoolKind::kService) {
+    return;
+  }
+  if (!m_ownership) {
+    m_ownership =
+        std::make_unique<coordination::ShardOwnership>(pool->second.id, m_self);
+  }
+  const auto owners =
+      m_store.range({.key = m_ownership->OwnerPrefix(), .prefix = true});
+  if (!owners) return;
+  OnOwnersRead(*m_ownership, owners->entries);
+  if (m_node.Draining() || !view->TakesNewWork(m_self)) return;
+  std::vector<state::BackendServerId> candidates;
+  for (const state::BackendServer& member : view->Members(pool->second.id)) {
+    if (view->TakesNewWork(member.id)) candidates.push_back(member.id);
+  }
+  const auto claims = m_ownership->PlanClaims(
+      pool->second.key_shards, candidates, owners->entries, m_lease,
+      coordination::SteadyClock()());
+  for (const coordination::ShardClaim& claim : claims) {
+    const auto result = m_store.txn(claim.txn);
+    if (!result || !result->succeeded) continue;
+    m_node.Ledger().OnShardOwned(claim.shard, claim.owner_key,
+                                 result->revision);
+    transport::LogInfo("shard_claimed",
+                       {{"shard", std::to_string(claim.shard)},
+                        {"revision", std::to_string(result->revision)}});
+  }
+}
+
+void SideDaemon::OnOwnersRead(const coordination::ShardOwnership& ownership,
+                              const std::vector<state::KeyValueEntry>& owners) {
+  std::unordered_map<std::int64_t, state::BackendServerId> by_shard;
+  const std::size_t prefix = ownership.OwnerPrefix().size();
+  for (const state::KeyValueEntry& entry : owners) {
+    const std::int64_t shard =
+        std::strtoll(entry.key.c_str() + prefix, nullptr, 10);
+    by_shard[shard] = state::BackendServerId(entry.value);
+    const bool own = entry.value == m_self.value && entry.lease == m_lease;
+    // A claim whose answer was lost is found here.
+    if (own && !m_node.Ledger().Owns(shard)) {
+      m_node.Ledger().OnShardOwned(shard, entry.key, entry.create_revision);
+    }
+    if (!own) m_node.Ledger().OnShardLost(shard);
+  }
+  m_node.SetOwners(std::move(by_shard));
+}
+
+void SideDaemon::WatchEngine() {
+  const std::string url = BackendUrl();
+  if (url.empty()) return;
+  transport::HttpRequest request;
+  request.url = url + "/load";
+  request.total_timeout = kPlatformTimeout;
+  const auto response = transport::HttpClient::Send(request);
+  if (!response || response->status != 200) return;
+  const auto json = nlohmann::json::parse(response->body, nullptr, false);
+  if (!json.is_object()) return;
+  const std::string incarnation = json.value("incarnation", "");
+  if (incarnation == m_engine_incarnation) return;
+  if (!m_engine_incarnation.empty()) {
+    transport::LogWarn("engine_cold", {{"incarnation", incarnation}});
+  }
+  m_engine_incarnation = incarnation;
+  m_node.OnEngineCold();
+}
+
+void SideDaemon::HandleHttp(const transport::ServerRequest& request,
+                            transport::ServerResponse* response) {
+  if (request.path == "/healthz") {
+    response->Send(200, "text/plain", "ok\n", {});
+    return;
+  }
+  if (request.path == "/readyz") {
+    const bool ready = !m_node.Draining() && m_config.Revision() > 0;
+    response->Send(ready ? 200 : 503, "text/plain",
+                   ready ? "ready\n" : "not ready\n", {});
+    return;
+  }
+  if (request.path == "/metrics") {
+    const auto& admission = m_node.Admission();
+    m_metrics.SetGauge("wasabiwall_load_units",
+                       static_cast<double>(admission.LoadUnits()));
+    m_metrics.SetGauge("wasabiwall_running",
+                       static_cast<double>(admission.Running()));
+    m_metrics.SetGauge("wasabiwall_warmup_limit_units",
+                       static_cast<double>(admission.WarmupUnits()));
+    m_metrics.SetGauge("wasabiwall_config_revision",
+                       static_cast<double>(m_config.Revision()));
+    m_metrics.SetGauge("wasabiwall_key_value_calls",
+                       static_cast<double>(m_key_value.Calls()));
+    response->Send(200, "text/plain; version=0.0.4", m_metrics.Text(), {});
+    return;
+  }
+  const protocol::Error error{protocol::ErrorKind::kNotFound, "", {}};
+  response->Send(404, "application/json", protocol::ErrorBody(error), {});
+}
+
+void SideDaemon::WaitUntilIdle() {
+  const auto end = std::chrono::steady_clock::now() + m_settings.drain_timeout;
+  while (std::chrono::steady_clock::now() < end) {
+    if (m_node.Admission().Running() == 0 && !m_node.Ledger().HasWork()) return;
+    std::this_thread::sleep_for(kIdlePoll);
+  }
+}
+
+std::string SideDaemon::BackendUrl() const {
+  const auto view = m_config.View();
+  const auto self = view->backend_servers.find(m_self.value);
+  return self == view->backend_servers.end() ? "" : self->second.url;
+}
+
+gen::Envelope SideDaemon::MakeEnvelope() const {
+  gen::Envelope envelope;
+  envelope.sender = m_settings.peer_address;
+  envelope.secret = m_settings.secret;
+  envelope.config_revision = m_config.Revision();
+  envelope.loads = m_node.LoadReports();
+  return envelope;
+}
+
+transport::PeerHandlers SideDaemon::MakePeerHandlers() {
+  transport::PeerHandlers handlers;
+  handlers.submit = [this](const auto& request) {
+    return m_node.Submit(request);
+  };
+  handlers.pull = [this](const auto& request) { return m_node.Pull(request); };
+  handlers.tombstone = [this](const auto& request) {
+    return m_node.Tombstone(request);
+  };
+  handlers.items_since = [this](const auto& request) {
+    return m_follower.ItemsSince(request);
+  };
+  handlers.status = [this](const auto&) {
+    gen::StatusReply reply;
+    reply.process = m_settings.name;
+    reply.failure_domain = m_settings.failure_domain;
+    reply.draining = m_node.Draining();
+    reply.load_units = m_node.Admission().LoadUnits();
+    reply.running = m_node.Admission().Running();
+    reply.key_value_calls = m_key_value.Calls();
+    return reply;
+  };
+  handlers.on_envelope = [this](const auto& envelope) {
+    m_follower.OnRevisionHeard(envelope.config_revision, envelope.sender);
+    m_node.ObserveLoads(envelope.loads);
+  };
+  handlers.make_envelope = [this] { return MakeEnvelope(); };
+  return handlers;
+}
+
+}  // namespace wasabiwall::programs
--- /dev/null
+++ b/programs/side_daemon.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "wasabiwall/coordination/shard_ownership.h"
+#include "wasabiwall/coordination/side_node.h"
+#include "wasabiwall/protocol/settings.h"
+#include "wasabiwall/state/config_store.h"
+#include "wasabiwall/transport/backend_runner.h"
+#include "wasabiwall/transport/config_follower.h"
+#include "wasabiwall/transport/http_server.h"
+#include "wasabiwall/transport/key_value_client.h"
+#include "wasabiwall/transport/metrics.h"
+#include "wasabiwall/transport/peer_client.h"
+#include "wasabiwall/transport/peer_server.h"
+
+namespace wasabiwall::programs {
+
+/// The side process: admits, records and runs what reaches its backend server.
+class SideDaemon {
+ public:
+  explicit SideDaemon(protocol::Settings settings);
+
+  /// Starts all servers and loops.
+  /// @return False when an address cannot be listened on.
+  bool Start();
+
+  /// Stops gracefully: no new work, work in progress first, then the lease.
+  void Stop();
+
+ private:
+  void CommitLoop();
+  void PlatformLoop();
+  void HoldLease();
+  void ClaimShards();
+  void OnOwnersRead(const coordination::ShardOwnership& ownership,
+                    const std::vector<state::KeyValueEntry>& owners);
+  void WatchEngine();
+  void HandleHttp(const transport::ServerRequest& request,
+                  transport::ServerResponse* response);
+  void WaitUntilIdle();
+  std::string BackendUrl() const;
+  protocol::gen::Envelope MakeEnvelope() const;
+  transport::PeerHandlers MakePeerHandlers();
+
+  protocol::Settings m_settings;
+  state::BackendServerId m_self;
+  state::ConfigStore m_config;
+  transport::KeyValueClient m_key_value;
+  state::KeyValueStore m_store;
+  transport::PeerClient m_peers;
+  transport::BackendRunner m_runner;
+  coordination::SideNode m_node;
+  transport::ConfigFollower m_follower;
+  transport::Metrics m_metrics;
+  transport::PeerServer m_peer_server;
+  transport::HttpServer m_http_server;
+  std::unique_ptr<coordination::ShardOwnership> m_ownership;
+  std::int64_t m_lease = 0;
+  std::string m_engine_incarnation;
+
+  std::mutex m_mutex;
+  std::condition_variable m_changed;
+  bool m_stopped = false;
+  bool m_commit_wanted = false;
+  std::thread m_commit_thread;
+  std::thread m_platform_thread;
+};
+
+}  // namespace wasabiwall::programs
--- /dev/null
+++ b/src/wasabiwall/coordination/call_plan.cc
@@ -0,0 +1,175 @@
+#include "wasabiwall/coordination/call_plan.h"
+
+#include <utility>
+
+namespace wasabiwall::coordination {
+namespace {
+
+using protocol::Error;
+using protocol::ErrorKind;
+using protocol::RowOf;
+using std::chrono::milliseconds;
+
+constexpr int kMaxAttempts = 6;
+constexpr int kMaxRedirects = 4;
+constexpr int kMaxPullFailures = 3;
+constexpr milliseconds kPullRetryWait{50};
+constexpr milliseconds kResubmitWait{500};
+
+/// Refusals that another backend server would give as well.
+bool FinalRefusal(ErrorKind kind) {
+  switch (kind) {
+    case ErrorKind::kBadRequest:
+    case ErrorKind::kKeyReused:
+    case ErrorKind::kKeyExpired:
+    case ErrorKind::kQuarantined:
+    case ErrorKind::kStoreUnavailable:
+    case ErrorKind::kOutcomeUnknown:
+    case ErrorKind::kWorkspaceLimit:
+    case ErrorKind::kDeadlineTooShort:
+      return true;
+    default:
+      return false;
+  }
+}
+
+}  // namespace
+
+CallPlan::CallPlan(CallSpec spec, std::vector<state::BackendServerId> order,
+                   CallPlanHooks hooks)
+    : m_spec(spec), m_order(std::move(order)), m_hooks(std::move(hooks)) {}
+
+Step CallPlan::Start(TimePoint now) {
+  return NextCandidate(now, Error{ErrorKind::kNoBackendServer, "", {}});
+}
+
+Step CallPlan::OnAdmitted(TimePoint /*now*/) {
+  m_pull_failures = 0;
+  m_current_may_run = true;
+  return Pull();
+}
+
+Step CallPlan::OnRefused(TimePoint now, const Error& error,
+                         const state::BackendServerId& owner) {
+  if (FinalRefusal(error.kind)) return FailWith(error);
+  if (error.kind != ErrorKind::kNotOwner) return NextCandidate(now, error);
+  if (m_redirects++ >= kMaxRedirects) return FailWith(error);
+  if (owner.value.empty() || owner == m_target) {
+    return Wait(kResubmitWait, AfterWait::kResubmit);
+  }
+  return Submit(now, owner);
+}
+
+Step CallPlan::OnSubmitFailed(TimePoint now, DeliveryFailure failure) {
+  const Error unreachable{ErrorKind::kNoBackendServer, "", {}};
+  m_current_may_run = failure == DeliveryFailure::kInDoubt;
+  if (!m_current_may_run || m_spec.idempotent) {
+    return NextCandidate(now, unreachable);
+  }
+  return {
+      .kind = StepKind::kTombstone, .target = m_target, .attempt = m_attempt};
+}
+
+Step CallPlan::OnPart(TimePoint now, std::int64_t offset) {
+  m_offset = offset;
+  m_pull_failures = 0;
+  if (now < m_spec.deadline) return Pull();
+  return FailWith({ErrorKind::kDeadlineExceeded, "", {}});
+}
+
+Step CallPlan::OnEnded(TimePoint now, const std::optional<Error>& error) {
+  if (!error) return {.kind = StepKind::kDone};
+  if (RowOf(error->kind).not_run) m_current_may_run = false;
+  if (FinalRefusal(error->kind)) return FailWith(*error);
+  if (m_offset > 0) {
+    return FailWith({ErrorKind::kAnswerCut, RowOf(error->kind).name, {}});
+  }
+  if (RowOf(error->kind).not_run) return NextCandidate(now, *error);
+  if (!m_spec.idempotent) return FailWith(*error);
+  if (!m_hooks.take_retry()) return FailWith(*error);
+  return NextCandidate(now, *error);
+}
+
+Step CallPlan::OnPullFailed(TimePoint now) {
+  ++m_pull_failures;
+  if (m_pull_failures <= kMaxPullFailures && now < m_spec.deadline) {
+    return Wait(kPullRetryWait, AfterWait::kPull);
+  }
+  return AfterLostAttempt(now);
+}
+
+Step CallPlan::OnTombstone(TimePoint now, bool never_started) {
+  if (!never_started) return Pull();
+  m_current_may_run = false;
+  return NextCandidate(now, {ErrorKind::kTombstoned, "", {}});
+}
+
+Step CallPlan::OnTombstoneFailed(TimePoint now) {
+  return AfterLostAttempt(now);
+}
+
+Step CallPlan::OnWaited(TimePoint now) {
+  if (now >= m_spec.deadline) {
+    return FailWith({ErrorKind::kDeadlineExceeded, "", {}});
+  }
+  if (m_after_wait == AfterWait::kPull) return Pull();
+  return Submit(now, m_target);
+}
+
+Step CallPlan::Submit(TimePoint now, const state::BackendServerId& target) {
+  if (now >= m_spec.deadline) {
+    return FailWith({m_attempts == 0 ? ErrorKind::kDeadlineTooShort
+                                     : ErrorKind::kDeadlineExceeded,
+                     "",
+                     {}});
+  }
+  ++m_attempts;
+  m_earlier_may_run = m_earlier_may_run || m_current_may_run;
+  m_current_may_run = false;
+  m_target = target;
+  m_attempt = m_hooks.new_attempt();
+  m_pull_failures = 0;
+  return {.kind = StepKind::kSubmit, .target = m_target, .attempt = m_attempt};
+}
+
+Step CallPlan::Pull() const {
+  return {.kind = StepKind::kPull,
+          .target = m_target,
+          .attempt = m_attempt,
+          .offset = m_offset};
+}
+
+Step CallPlan::Wait(milliseconds wait, AfterWait after) {
+  m_after_wait = after;
+  return {.kind = StepKind::kWait, .wait = wait};
+}
+
+Step CallPlan::FailWith(const Error& error) const {
+  const bool may_have_run = m_earlier_may_run || m_current_may_run;
+  if (!may_have_run || !RowOf(error.kind).not_run) {
+    return {.kind = StepKind::kFail, .error = error};
+  }
+  const ErrorKind kind = m_spec.idempotent ? ErrorKind::kBackendServerFailed
+                                           : ErrorKind::kOutcomeUnknown;
+  return {.kind = StepKind::kFail,
+          .error = {kind, RowOf(error.kind).name, error.retry_after}};
+}
+
+Step CallPlan::NextCandidate(TimePoint now, const Error& error) {
+  const bool exhausted = m_next >= m_order.size() || m_attempts >= kMaxAttempts;
+  if (exhausted) return FailWith(error);
+  return Submit(now, m_order[m_next++]);
+}
+
+Step CallPlan::AfterLostAttempt(TimePoint now) {
+  if (m_offset > 0) return FailWith({ErrorKind::kAnswerCut, "", {}});
+  if (!MayRunAgain()) return FailWith({ErrorKind::kOutcomeUnknown, "", {}});
+  if (!m_hooks.take_retry()) {
+    return FailWith({ErrorKind::kBackendServerFailed, "", {}});
+  }
+  return NextCandidate(now, {ErrorKind::kBackendServerFailed, "", {}});
+}
+
+bool CallPlan::MayRunAgain() const { return m_spec.idempotent || m_spec.keyed; }
+
+}  // namespace wasabiwall::coordination
--- /dev/null
+++ b/src/wasabiwall/coordination/entry_node.cc
@@ -0,0 +1,201 @@
+#include "wasabiwall/coordination/entry_node.h"
+
+#include <algorithm>
+#include <cinttypes>
+#include <cstdio>
+#include <utility>
+
+#include "wasabiwall/coordination/key_ledger.h"
+#include "wasabiwall/coordination/shard_ownership.h"
+#include "wasabiwall/protocol/chat_request.h"
+#include "wasabiwall/state/digest.h"
+
+namespace wasabiwall::coordination {
+namespace {
+
+using protocol::ErrorKind;
+using protocol::Fail;
+using protocol::gen::LoadReport;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kSuspectTime{2000};
+constexpr milliseconds kLoadMaxAge{2000};
+constexpr std::size_t kLoadsPerMessage = 8;
+constexpr double kRetryShare = 0.1;
+constexpr double kRetryBurst = 10.0;
+constexpr std::size_t kMaxKeyBytes = 255;
+constexpr std::size_t kMaxChatIdBytes = 255;
+constexpr std::int64_t kServiceCostUnits = 1;
+
+std::string RandomHex(const RandomHook& random) {
+  char text[33];
+  std::snprintf(text, sizeof(text), "%016" PRIx64 "%016" PRIx64, random(),
+                random());
+  return text;
+}
+
+const state::ServiceCall* FindCall(const state::Service& service,
+                                   const std::string& name) {
+  for (const state::ServiceCall& call : service.calls) {
+    if (call.name == name) return &call;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+EntryNode::EntryNode(state::ConfigStore* config, milliseconds deadline,
+                     EntryNodeHooks hooks)
+    : m_config(config),
+      m_deadline(deadline),
+      m_hooks(std::move(hooks)),
+      m_membership(kSuspectTime),
+      m_loads(kLoadMaxAge),
+      m_retries(kRetryShare, kRetryBurst) {}
+
+protocol::Result<PlannedCall> EntryNode::PlanChat(const CallerCall& call) {
+  const auto view = m_config->View();
+  const auto workspace = Authenticate(*view, call.token);
+  if (!workspace) return tl::make_unexpected(workspace.error());
+  const auto chat = protocol::ParseChatRequest(call.body);
+  if (!chat) return tl::make_unexpected(chat.error());
+  const auto pool = view->pool_by_model.find(chat->model);
+  if (pool == view->pool_by_model.end()) return Fail(ErrorKind::kUnknownModel);
+  if (call.chat_id.size() > kMaxChatIdBytes) {
+    return Fail(ErrorKind::kBadRequest, "X-Chat-Id: at most 255 bytes");
+  }
+  PlannedCall planned;
+  planned.streaming = chat->streaming;
+  planned.spec = {.idempotent = true, .deadline = m_hooks.clock() + m_deadline};
+  std::string chat_id = call.chat_id.empty() ? chat->chat_id : call.chat_id;
+  if (chat_id.empty()) chat_id = RandomHex(m_hooks.random);
+  RoutingQuery query{*workspace, state::ChatId(chat_id), chat->CostUnits(),
+                     Candidates(*view, pool->second)};
+  planned.order = Order(*view, query);
+  planned.request.workspace = workspace->value;
+  planned.request.pool = pool->second.value;
+  planned.request.chat_id = chat_id;
+  planned.request.path = "/v1/chat/completions";
+  planned.request.method = "POST";
+  planned.request.body = call.body;
+  planned.request.cost_units = chat->CostUnits();
+  planned.request.idempotent = true;
+  planned.request.streaming = chat->streaming;
+  return planned;
+}
+
+protocol::Result<PlannedCall> EntryNode::PlanService(
+    const std::string& service_name, const std::string& call_name,
+    const CallerCall& call) {
+  const auto view = m_config->View();
+  const auto workspace = Authenticate(*view, call.token);
+  if (!workspace) return tl::make_unexpected(workspace.error());
+  const auto service = view->services.find(service_name);
+  if (service == view->services.end()) return Fail(ErrorKind::kUnknownService);
+  const state::ServiceCall* declared = FindCall(service->second, call_name);
+  if (declared == nullptr) return Fail(ErrorKind::kUnknownCall);
+  if (call.idempotency_key.size() > kMaxKeyBytes) {
+    return Fail(ErrorKind::kBadRequest, "Idempotency-Key: at most 255 bytes");
+  }
+  const auto pool = view->pools.find(service->second.pool.value);
+  if (pool == view->pools.end()) return Fail(ErrorKind::kNoBackendServer);
+  PlannedCall planned;
+  const bool keyed = !declared->idempotent && !call.idempotency_key.empty();
+  planned.spec = {.idempotent = declared->idempotent,
+                  .keyed = keyed,
+                  .deadline = m_hooks.clock() + m_deadline};
+  const std::string spread =
+      keyed ? call.idempotency_key : RandomHex(m_hooks.random);
+  RoutingQuery query{*workspace, state::ChatId(spread), kServiceCostUnits,
+                     Candidates(*view, pool->second.id)};
+  planned.order = Order(*view, query);
+  if (keyed) {
+    const std::int64_t shard =
+        ShardOf(*workspace, call.idempotency_key, pool->second.key_shards);
+    planned.order = OwnerOrder(pool->second.id, shard, planned.order);
+  }
+  planned.request.workspace = workspace->value;
+  planned.request.pool = pool->second.id.value;
+  planned.request.path = "/" + service_name + "/" + call_name + call.query;
+  planned.request.method = call.method;
+  planned.request.body = call.body;
+  planned.request.cost_units = kServiceCostUnits;
+  planned.request.idempotent = declared->idempotent;
+  planned.request.idempotency_key = call.idempotency_key;
+  planned.request.body_digest = state::Sha256Hex(
+      call.method + "\n" + planned.request.path + "\n" + call.body);
+  return planned;
+}
+
+CallPlan EntryNode::MakePlan(const PlannedCall& call) {
+  m_retries.OnFirstAttempt();
+  return {call.spec,
+          call.order,
+          {.new_attempt =
+               [this] { return state::AttemptId(RandomHex(m_hooks.random)); },
+           .take_retry = [this] { return m_retries.Take(); }}};
+}
+
+void EntryNode::ObserveLoads(const std::vector<LoadReport>& reports) {
+  const TimePoint now = m_hooks.clock();
+  for (const LoadReport& report : reports) {
+    m_loads.Observe({state::BackendServerId(report.backend_server),
+                     report.load_units, report.warmup_limit_units,
+                     now - milliseconds(report.age_ms)});
+  }
+}
+
+std::vector<LoadReport> EntryNode::LoadReports() const {
+  const TimePoint now = m_hooks.clock();
+  std::vector<LoadReport> reports;
+  for (const LoadObservation& load : m_loads.Newest(kLoadsPerMessage, now)) {
+    LoadReport report;
+    report.backend_server = load.server.value;
+    report.load_units = load.load_units;
+    report.warmup_limit_units = load.warmup_limit_units;
+    report.age_ms =
+        std::chrono::duration_cast<milliseconds>(now - load.observed_at)
+            .count();
+    reports.push_back(report);
+  }
+  return reports;
+}
+
+protocol::Result<state::WorkspaceId> EntryNode::Authenticate(
+    const state::ConfigView& view, const std::string& token) const {
+  if (token.empty()) return Fail(ErrorKind::kUnauthorized);
+  const std::string digest = state::Sha256Hex(token);
+  const auto found = view.workspace_by_digest.find(digest);
+  if (found == view.workspace_by_digest.end()) {
+    return Fail(ErrorKind::kUnauthorized);
+  }
+  return found->second;
+}
+
+std::vector<Candidate> EntryNode::Candidates(const state::ConfigView& view,
+                                             const state::PoolId& pool) const {
+  const TimePoint now = m_hooks.clock();
+  std::vector<Candidate> candidates;
+  for (const state::BackendServer& member : view.Members(pool)) {
+    if (!view.TakesNewWork(member.id)) continue;
+    if (m_membership.Leaving(member.id)) continue;
+    candidates.push_back(
+        {member.id, member.weight, m_loads.LoadOf(member.id, now)});
+  }
+  return candidates;
+}
+
+std::vector<state::BackendServerId> EntryNode::Order(
+    const state::ConfigView& /*view*/, const RoutingQuery& query) const {
+  const TimePoint now = m_hooks.clock();
+  std::vector<state::BackendServerId> order;
+  for (const Candidate& candidate : OrderByRendezvous(query)) {
+    order.push_back(candidate.id);
+  }
+  std::stable_partition(order.begin(), order.end(), [&](const auto& id) {
+    return !m_membership.Suspect(id, now);
+  });
+  return order;
+}
+
+}  // namespace wasabiwall::coordination
--- /dev/null
+++ b/src/wasabiwall/coordination/entry_node.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "wasabiwall/coordination/call_plan.h"
+#include "wasabiwall/coordination/clock.h"
+#include "wasabiwall/coordination/membership.h"
+#include "wasabiwall/coordination/pool_load_estimate.h"
+#include "wasabiwall/coordination/retry_budget.h"
+#include "wasabiwall/coordination/router.h"
+#include "wasabiwall/protocol/gen/wasabiwall_types.h"
+#include "wasabiwall/state/config_store.h"
+
+namespace wasabiwall::coordination {
+
+/// A caller's request after HTTP parsing.
+struct CallerCall {
+  std::string method;
+  std::string body;
+  /// Bearer token; empty when none was sent.
+  std::string token;
+  /// Chat identifier from the header, empty when none was sent.
+  std::string chat_id;
+  std::string idempotency_key;
+  /// Query string with its `?`, for plain services.
+  std::string query;
+};
+
+/// A call that may be sent: its plan and the message for side processes.
+struct PlannedCall {
+  CallSpec spec;
+  std::vector<state::BackendServerId> order;
+  /// Submit message without attempt identifier and envelope.
+  protocol::gen::SubmitRequest request;
+  bool streaming = false;
+};
+
+/// Hooks of an entry node.
+struct EntryNodeHooks {
+  ClockHook clock;
+  RandomHook random;
+};
+
+/// Decides at an entry where a caller's request may go. Does no I/O; safe for
+/// concurrent use.
+class EntryNode {
+ public:
+  /// @param deadline Time a call may take in all.
+  EntryNode(state::ConfigStore* config, std::chrono::milliseconds deadline,
+            EntryNodeHooks hooks);
+
+  /// Plans a chat completion.
+  protocol::Result<PlannedCall> PlanChat(const CallerCall& call);
+
+  /// Plans a call of a plain service.
+  protocol::Result<PlannedCall> PlanService(const std::string& service,
+                                            const std::string& call_name,
+                                            const CallerCall& call);
+
+  /// @return The plan of a call, to be driven by the transport.
+  CallPlan MakePlan(const PlannedCall& call);
+
+  /// Takes in the loads that a reply carried.
+  void ObserveLoads(const std::vector<protocol::gen::LoadReport>& reports);
+
+  /// @return Loads to send along with a message.
+  std::vector<protocol::gen::LoadReport> LoadReports() const;
+
+  Membership& Members() { return m_membership; }
+
+ private:
+  protocol::Result<state::WorkspaceId> Authenticate(
+      const state::ConfigView& view, const std::string& token) const;
+  std::vector<Candidate> Candidates(const state::ConfigView& view,
+                                    const state::PoolId& pool) const;
+  std::vector<state::BackendServerId> Order(const state::ConfigView& view,
+                                            const RoutingQuery& query) const;
+
+  state::ConfigStore* m_config;
+  std::chrono::milliseconds m_deadline;
+  EntryNodeHooks m_hooks;
+  Membership m_membership;
+  PoolLoadEstimate m_loads;
+  RetryBudget m_retries;
+};
+
+}  // namespace wasabiwall::coordination
--- /dev/null
+++ b/src/wasabiwall/coordination/side_node.cc
@@ -0,0 +1,365 @@
+#include "wasabiwall/coordination/side_node.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace wasabiwall::coordination {
+namespace {
+
+using protocol::Error;
+using protocol::ErrorKind;
+using protocol::Fail;
+using protocol::RowOf;
+using protocol::gen::LoadReport;
+using protocol::gen::PullReply;
+using protocol::gen::SubmitReply;
+using protocol::gen::SubmitRequest;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLoadMaxAge{2000};
+constexpr std::chrono::seconds kAttemptRetention{60};
+constexpr std::chrono::minutes kTombstoneRetention{10};
+constexpr std::size_t kLoadsPerMessage = 8;
+constexpr std::size_t kKeysPerTransaction = 32;
+constexpr milliseconds kMaxPullWait{5000};
+constexpr std::int64_t kMaxPullBytes = 1 << 20;
+
+SubmitReply Refused(const Error& error, std::string owner = "") {
+  SubmitReply reply;
+  reply.admitted = false;
+  reply.error_kind = RowOf(error.kind).name;
+  reply.detail = error.detail;
+  reply.retry_after_ms = error.RetryAfter().count();
+  reply.owner = std::move(owner);
+  return reply;
+}
+
+SubmitReply Admitted() {
+  SubmitReply reply;
+  reply.admitted = true;
+  return reply;
+}
+
+KeyedCall ToKeyedCall(const SubmitRequest& request, const state::Pool& pool) {
+  KeyedCall call;
+  call.pool = pool.id;
+  call.workspace = state::WorkspaceId(request.workspace);
+  call.key = request.idempotency_key;
+  call.shard = ShardOf(call.workspace, call.key, pool.key_shards);
+  call.body_digest = request.body_digest;
+  call.attempt = state::AttemptId(request.attempt_id);
+  return call;
+}
+
+}  // namespace
+
+SideNode::SideNode(state::BackendServerId self, state::ConfigStore* config,
+                   SideNodeHooks hooks)
+    : m_self(std::move(self)),
+      m_config(config),
+      m_hooks(std::move(hooks)),
+      m_loads(kLoadMaxAge) {}
+
+SubmitReply SideNode::Submit(const SubmitRequest& request) {
+  ObserveLoads(request.envelope.loads);
+  const state::AttemptId attempt(request.attempt_id);
+  const auto known =
+      m_attempts.WithShard(attempt, [&](auto& table) -> std::optional<bool> {
+        const auto found = table.find(attempt);
+        if (found == table.end()) return std::nullopt;
+        return found->second.tombstoned;
+      });
+  if (known) {
+    return *known ? Refused({ErrorKind::kTombstoned, "", {}}) : Admitted();
+  }
+  const auto pool = CheckPlacement(request);
+  if (!pool) return Refused(pool.error());
+  m_admission.Configure(*pool);
+  const bool keyed = !request.idempotent && !request.idempotency_key.empty();
+  return keyed ? SubmitKeyed(request, *pool) : SubmitPlain(request, *pool);
+}
+
+PullReply SideNode::Pull(const protocol::gen::PullRequest& request) {
+  ObserveLoads(request.envelope.loads);
+  PullReply reply;
+  reply.attempt_id = request.attempt_id;
+  reply.offset = request.offset;
+  const std::shared_ptr<state::Attempt> answer =
+      AnswerOf(state::AttemptId(request.attempt_id));
+  if (!answer) {
+    reply.ended = true;
+    reply.error_kind = RowOf(ErrorKind::kUnknownAttempt).name;
+    return reply;
+  }
+  const milliseconds wait =
+      std::clamp(milliseconds(request.wait_ms), milliseconds(0), kMaxPullWait);
+  state::AttemptPart part = answer->Read(
+      request.offset,
+      std::clamp<std::int64_t>(request.max_bytes, 1, kMaxPullBytes), wait);
+  reply.data = std::move(part.data);
+  reply.ended = part.ended;
+  reply.total_bytes = part.end.total_bytes;
+  reply.digest = part.end.digest;
+  reply.error_kind = part.end.error_kind;
+  reply.detail = part.end.detail;
+  reply.http_status = part.end.http_status;
+  reply.content_type = part.end.content_type;
+  return reply;
+}
+
+protocol::gen::TombstoneReply SideNode::Tombstone(
+    const protocol::gen::TombstoneRequest& request) {
+  protocol::gen::TombstoneReply reply;
+  const state::AttemptId attempt(request.attempt_id);
+  m_attempts.WithShard(attempt, [&](auto& table) {
+    const auto [entry, inserted] = table.try_emplace(attempt);
+    SideAttempt& record = entry->second;
+    if (inserted) {
+      record.tombstoned = true;
+      record.created_at = m_hooks.clock();
+    }
+    reply.never_started = record.tombstoned;
+    if (request.cancel && record.answer) record.answer->Cancel();
+  });
+  return reply;
+}
+
+void SideNode::OnRunEnded(const state::AttemptId& attempt) {
+  const std::shared_ptr<state::Attempt> answer = AnswerOf(attempt);
+  if (!answer) return;
+  const state::AttemptPart whole = answer->Read(0, INT64_MAX, milliseconds(0));
+  const bool completed = whole.end.error_kind.empty();
+  Release(attempt, completed);
+  m_ledger.OnOutcome(attempt, {whole.data, whole.end});
+  if (m_ledger.HasWork()) m_hooks.wake_committer();
+}
+
+void SideNode::OnEngineCold() { m_admission.OnCold(); }
+
+void SideNode::SetDraining(bool draining) {
+  const std::lock_guard lock(m_mutex);
+  m_draining = draining;
+}
+
+void SideNode::SetLeaving(bool leaving) {
+  const std::lock_guard lock(m_mutex);
+  m_leaving = leaving;
+}
+
+void SideNode::SetOwners(
+    std::unordered_map<std::int64_t, state::BackendServerId> owners) {
+  const std::lock_guard lock(m_mutex);
+  m_owners = std::move(owners);
+}
+
+bool SideNode::CommitOnce(
+    const std::function<state::KeyValueResult<state::KeyValueTxnResult>(
+        const state::KeyValueTxn&)>& commit) {
+  const std::optional<LedgerBatch> batch =
+      m_ledger.TakeBatch(kKeysPerTransaction);
+  if (!batch) return false;
+  const auto result = commit(batch->txn);
+  for (const LedgerDecision& decision :
+       m_ledger.OnBatchResult(*batch, result)) {
+    Act(decision);
+  }
+  return true;
+}
+
+void SideNode::Sweep() {
+  const TimePoint now = m_hooks.clock();
+  m_attempts.ForEachShard([&](auto& table) {
+    for (auto entry = table.begin(); entry != table.end();) {
+      const SideAttempt& record = entry->second;
+      const auto age = now - record.created_at;
+      const bool expired =
+          record.tombstoned ? age > kTombstoneRetention
+                            : record.answer->Ended() && age > kAttemptRetention;
+      entry = expired ? table.erase(entry) : std::next(entry);
+    }
+  });
+}
+
+std::vector<LoadReport> SideNode::LoadReports() const {
+  const TimePoint now = m_hooks.clock();
+  std::vector<LoadReport> reports;
+  LoadReport own;
+  own.backend_server = m_self.value;
+  own.load_units = m_admission.LoadUnits();
+  own.warmup_limit_units = m_admission.WarmupUnits();
+  reports.push_back(own);
+  for (const LoadObservation& load : m_loads.Newest(kLoadsPerMessage, now)) {
+    LoadReport report;
+    report.backend_server = load.server.value;
+    report.load_units = load.load_units;
+    report.warmup_limit_units = load.warmup_limit_units;
+    report.age_ms =
+        std::chrono::duration_cast<milliseconds>(now - load.observed_at)
+            .count();
+    reports.push_back(report);
+  }
+  return reports;
+}
+
+void SideNode::ObserveLoads(const std::vector<LoadReport>& reports) {
+  const TimePoint now = m_hooks.clock();
+  for (const LoadReport& report : reports) {
+    if (report.backend_server == m_self.value) continue;
+    m_loads.Observe({state::BackendServerId(report.backend_server),
+                     report.load_units, report.warmup_limit_units,
+                     now - milliseconds(report.age_ms)});
+  }
+}
+
+bool SideNode::Draining() const {
+  const std::lock_guard lock(m_mutex);
+  return m_draining || m_leaving;
+}
+
+protocol::Result<state::Pool> SideNode::CheckPlacement(
+    const SubmitRequest& request) const {
+  const auto view = m_config->View();
+  const auto server = view->backend_servers.find(m_self.value);
+  if (server == view->backend_servers.end() ||
+      server->second.pool.value != request.pool) {
+    return Fail(ErrorKind::kStaleConfiguration);
+  }
+  if (Draining() || !view->TakesNewWork(m_self)) {
+    return Fail(ErrorKind::kDraining);
+  }
+  const auto pool = view->pools.find(request.pool);
+  if (pool == view->pools.end()) return Fail(ErrorKind::kStaleConfiguration);
+  if (request.deadline_ms <= 0) return Fail(ErrorKind::kDeadlineTooShort);
+  return pool->second;
+}
+
+protocol::Result<void> SideNode::AdmitCost(const SubmitRequest& request,
+                                           const state::Pool& pool) {
+  const auto view = m_config->View();
+  const TimePoint now = m_hooks.clock();
+  std::int64_t others_load = 0;
+  std::int64_t others_count = 0;
+  for (const state::BackendServer& member : view->Members(pool.id)) {
+    if (member.id == m_self || !view->TakesNewWork(member.id)) continue;
+    others_load += m_loads.LoadOf(member.id, now);
+    ++others_count;
+  }
+  return m_admission.Admit(request.cost_units, others_load, others_count);
+}
+
+SubmitReply SideNode::SubmitKeyed(const SubmitRequest& request,
+                                  const state::Pool& pool) {
+  const KeyedCall call = ToKeyedCall(request, pool);
+  if (!m_ledger.Owns(call.shard)) {
+    const std::lock_guard lock(m_mutex);
+    const auto owner = m_owners.find(call.shard);
+    return Refused({ErrorKind::kNotOwner, "", {}},
+                   owner == m_owners.end() ? "" : owner->second.value);
+  }
+  const auto admitted = AdmitCost(request, pool);
+  if (!admitted) return Refused(admitted.error());
+  const auto answer = std::make_shared<state::Attempt>();
+  if (!Insert(request, answer, true, true)) {
+    m_admission.Finish(request.cost_units, false);
+    return Refused({ErrorKind::kTombstoned, "", {}});
+  }
+  const LedgerDecision decision = m_ledger.Begin(call);
+  if (decision.action == LedgerDecision::Action::kCommit) {
+    m_hooks.wake_committer();
+    return Admitted();
+  }
+  if (decision.action != LedgerDecision::Action::kRefuse) {
+    Act(decision);
+    return Admitted();
+  }
+  Act(decision);
+  return Refused(decision.error);
+}
+
+SubmitReply SideNode::SubmitPlain(const SubmitRequest& request,
+                                  const state::Pool& pool) {
+  const auto admitted = AdmitCost(request, pool);
+  if (!admitted) return Refused(admitted.error());
+  const auto answer = std::make_shared<state::Attempt>();
+  if (!Insert(request, answer, false, true)) {
+    m_admission.Finish(request.cost_units, false);
+    return Refused({ErrorKind::kTombstoned, "", {}});
+  }
+  m_hooks.run(request, answer);
+  return Admitted();
+}
+
+void SideNode::Act(const LedgerDecision& decision) {
+  using Action = LedgerDecision::Action;
+  const std::shared_ptr<state::Attempt> answer = AnswerOf(decision.attempt);
+  if (!answer) return;
+  switch (decision.action) {
+    case Action::kCommit:
+      return;
+    case Action::kRun: {
+      const SubmitRequest request = m_attempts.WithShard(
+          decision.attempt,
+          [&](auto& table) { return table.at(decision.attempt).request; });
+      m_hooks.run(request, answer);
+      return;
+    }
+    case Action::kJoin: {
+      const std::shared_ptr<state::Attempt> joined = AnswerOf(decision.join);
+      Release(decision.attempt, false);
+      if (!joined) {
+        answer->Finish(RowOf(ErrorKind::kOutcomeUnknown).name, "");
+        return;
+      }
+      m_attempts.WithShard(decision.attempt, [&](auto& table) {
+        table.at(decision.attempt).answer = joined;
+      });
+      return;
+    }
+    case Action::kReplay:
+      Release(decision.attempt, false);
+      answer->Replay(decision.outcome.body, decision.outcome.end);
+      return;
+    case Action::kRefuse:
+      Release(decision.attempt, false);
+      answer->Finish(RowOf(decision.error.kind).name, decision.error.detail);
+      return;
+  }
+}
+
+void SideNode::Release(const state::AttemptId& attempt, bool completed) {
+  const std::int64_t cost = m_attempts.WithShard(attempt, [&](auto& table) {
+    const auto found = table.find(attempt);
+    if (found == table.end() || !found->second.admitted)
+      return std::int64_t{-1};
+    found->second.admitted = false;
+    return std::int64_t{found->second.request.cost_units};
+  });
+  if (cost >= 0) m_admission.Finish(cost, completed);
+}
+
+std::shared_ptr<state::Attempt> SideNode::AnswerOf(
+    const state::AttemptId& attempt) {
+  return m_attempts.WithShard(attempt, [&](auto& table) {
+    const auto found = table.find(attempt);
+    return found == table.end() ? nullptr : found->second.answer;
+  });
+}
+
+bool SideNode::Insert(const SubmitRequest& request,
+                      const std::shared_ptr<state::Attempt>& answer, bool keyed,
+                      bool admitted) {
+  const state::AttemptId attempt(request.attempt_id);
+  return m_attempts.WithShard(attempt, [&](auto& table) {
+    const auto [entry, inserted] = table.try_emplace(attempt);
+    if (!inserted) return false;
+    entry->second.request = request;
+    entry->second.answer = answer;
+    entry->second.keyed = keyed;
+    entry->second.admitted = admitted;
+    entry->second.created_at = m_hooks.clock();
+    return true;
+  });
+}
+
+}  // namespace wasabiwall::coordination
--- /dev/null
+++ b/src/wasabiwall/coordination/side_node.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "wasabiwall/coordination/admission_controller.h"
+#include "wasabiwall/coordination/clock.h"
+#include "wasabiwall/coordination/key_ledger.h"
+#include "wasabiwall/coordination/pool_load_estimate.h"
+#include "wasabiwall/protocol/gen/wasabiwall_types.h"
+#include "wasabiwall/state/attempt.h"
+#include "wasabiwall/state/config_store.h"
+#include "wasabiwall/state/sharded_map.h"
+
+namespace wasabiwall::coordination {
+
+/// Everything the side process keeps about one attempt.
+struct SideAttempt {
+  protocol::gen::SubmitRequest request;
+  std::shared_ptr<state::Attempt> answer;
+  /// Called off before it started; never runs.
+  bool tombstoned = false;
+  bool keyed = false;
+  /// Whether its cost is booked at the admission.
+  bool admitted = false;
+  TimePoint created_at;
+};
+
+/// Hooks of a side node.
+struct SideNodeHooks {
+  ClockHook clock;
+  /// Starts an attempt at the backend server; returns at once. The runner
+  /// calls SideNode::OnRunEnded exactly once.
+  std::function<void(const protocol::gen::SubmitRequest& request,
+                     const std::shared_ptr<state::Attempt>& answer)>
+      run;
+  /// Tells the committer that the ledger has work.
+  std::function<void()> wake_committer;
+};
+
+/// Decides at a side process what its backend server runs: draining,
+/// admission, tombstones and idempotency keys. Does no I/O; safe for
+/// concurrent use.
+class SideNode {
+ public:
+  /// @param self Backend server beside which this process stands.
+  SideNode(state::BackendServerId self, state::ConfigStore* config,
+           SideNodeHooks hooks);
+
+  /// Admits or refuses one attempt.
+  protocol::gen::SubmitReply Submit(
+      const protocol::gen::SubmitRequest& request);
+
+  /// Reads a part of an attempt's answer, waiting as asked.
+  protocol::gen::PullReply Pull(const protocol::gen::PullRequest& request);
+
+  /// Calls an attempt off unless it has started.
+  protocol::gen::TombstoneReply Tombstone(
+      const protocol::gen::TombstoneRequest& request);
+
+  /// The backend server is done with an attempt; its answer has ended.
+  void OnRunEnded(const state::AttemptId& attempt);
+
+  /// The engine lost its warmth.
+  void OnEngineCold();
+
+  /// Stops or resumes taking new work.
+  void SetDraining(bool draining);
+  /// Records what the VM list says of this VM.
+  void SetLeaving(bool leaving);
+  /// Records the owners of the pool's shards, for redirects.
+  void SetOwners(
+      std::unordered_map<std::int64_t, state::BackendServerId> owners);
+
+  /// Sends the next batch of the ledger through `commit` and acts on the
+  /// result.
+  /// @return Whether there was a batch.
+  bool CommitOnce(
+      const std::function<state::KeyValueResult<state::KeyValueTxnResult>(
+          const state::KeyValueTxn&)>& commit);
+
+  /// Forgets ended attempts and tombstones that are old enough.
+  void Sweep();
+
+  KeyLedger& Ledger() { return m_ledger; }
+  PoolLoadEstimate& Loads() { return m_loads; }
+  const AdmissionController& Admission() const { return m_admission; }
+
+  /// @return Loads to send along with a message, this one's first.
+  std::vector<protocol::gen::LoadReport> LoadReports() const;
+
+  /// Takes in the loads that a message carried.
+  void ObserveLoads(const std::vector<protocol::gen::LoadReport>& reports);
+
+  bool Draining() const;
+
+ private:
+  using Attempts = state::ShardedMap<state::AttemptId, SideAttempt>;
+
+  struct Refusal {
+    protocol::Error error;
+    std::string owner;
+  };
+
+  protocol::Result<state::Pool> CheckPlacement(
+      const protocol::gen::SubmitRequest& request) const;
+  protocol::Result<void> AdmitCost(const protocol::gen::SubmitRequest& request,
+                                   const state::Pool& pool);
+  protocol::gen::SubmitReply SubmitKeyed(
+      const protocol::gen::SubmitRequest& request, const state::Pool& pool);
+  protocol::gen::SubmitReply SubmitPlain(
+      const protocol::gen::SubmitRequest& request, const state::Pool& pool);
+  void Act(const LedgerDecision& decision);
+  void Release(const state::AttemptId& attempt, bool completed);
+  std::shared_ptr<state::Attempt> AnswerOf(const state::AttemptId& attempt);
+  bool Insert(const protocol::gen::SubmitRequest& request,
+              const std::shared_ptr<state::Attempt>& answer, bool keyed,
+              bool admitted);
+
+  state::BackendServerId m_self;
+  state::ConfigStore* m_config;
+  SideNodeHooks m_hooks;
+  AdmissionController m_admission;
+  PoolLoadEstimate m_loads;
+  KeyLedger m_ledger;
+  Attempts m_attempts;
+  mutable std::mutex m_mutex;
+  bool m_draining = false;
+  bool m_leaving = false;
+  std::unordered_map<std::int64_t, state::BackendServerId> m_owners;
+};
+
+}  // namespace wasabiwall::coordination
--- /dev/null
+++ b/src/wasabiwall/protocol/error_kind.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <optional>
+#include <string>
+#include <tl/expected.hpp>
+
+namespace wasabiwall::protocol {
+
+/// Every way in which a call can fail. Closed: the table in error_kind.cc
+/// gives the answer for each.
+enum class ErrorKind {
+  kBadRequest,
+  kUnauthorized,
+  kUnknownWorkspace,
+  kUnknownModel,
+  kUnknownService,
+  kUnknownCall,
+  kNotFound,
+  kMethodNotAllowed,
+  kBodyTooLarge,
+  kSlowRequest,
+  kOverloaded,
+  kWarmingUp,
+  kDraining,
+  kNoBackendServer,
+  kDeadlineTooShort,
+  kWorkspaceLimit,
+  kQuarantined,
+  kKeyReused,
+  kKeyExpired,
+  kNotOwner,
+  kStoreUnavailable,
+  kStaleConfiguration,
+  kUnauthenticatedPeer,
+  kTombstoned,
+  kUnknownAttempt,
+  kBackendServerFailed,
+  kBackendServerCrashed,
+  kAnswerCut,
+  kDeadlineExceeded,
+  kCancelled,
+  kOutcomeUnknown,
+  kInternal,
+};
+
+/// How a kind is answered to the caller.
+struct ErrorRow {
+  ErrorKind kind;
+  /// Name used in bodies, logs, metrics and between processes.
+  const char* name;
+  int http_status;
+  /// Text for the caller.
+  const char* message;
+  /// True only when the call has certainly not been run and never will be.
+  bool not_run;
+  /// When the caller may come back; zero when a repeat cannot help.
+  std::chrono::milliseconds retry_after;
+};
+
+inline constexpr std::size_t kErrorKindCount =
+    static_cast<std::size_t>(ErrorKind::kInternal) + 1;
+
+/// @return All rows in the order of the enumeration.
+const std::array<ErrorRow, kErrorKindCount>& ErrorTable();
+
+/// @return The row of a kind.
+const ErrorRow& RowOf(ErrorKind kind);
+
+/// @return The kind with this name, or nothing.
+std::optional<ErrorKind> ParseErrorKind(const std::string& name);
+
+/// A failure with its kind and a detail that is safe to show to the caller.
+struct Error {
+  ErrorKind kind = ErrorKind::kInternal;
+  std::string detail;
+  /// Overrides the table's time to come back when set.
+  std::optional<std::chrono::milliseconds> retry_after;
+
+  /// @return When the caller may come back, from this error or the table.
+  std::chrono::milliseconds RetryAfter() const;
+};
+
+/// @return An error without its own time to come back, for `return`.
+tl::unexpected<Error> Fail(ErrorKind kind, std::string detail = "");
+
+/// Result of an operation that may fail with one of the kinds.
+template <typename Value>
+using Result = tl::expected<Value, Error>;
+
+/// @return The JSON body that tells the caller about an error.
+std::string ErrorBody(const Error& error);
+
+}  // namespace wasabiwall::protocol
--- /dev/null
+++ b/src/wasabiwall/state/attempt.cc
@@ -0,0 +1,75 @@
+#include "wasabiwall/state/attempt.h"
+
+#include <algorithm>
+
+#include "wasabiwall/state/digest.h"
+
+namespace wasabiwall::state {
+
+void Attempt::Append(std::string_view data) {
+  const std::lock_guard lock(m_mutex);
+  if (m_ended) return;
+  m_body.append(data);
+  m_changed.notify_all();
+}
+
+void Attempt::SetHead(int http_status, std::string content_type) {
+  const std::lock_guard lock(m_mutex);
+  m_end.http_status = http_status;
+  m_end.content_type = std::move(content_type);
+}
+
+void Attempt::Finish(std::string error_kind, std::string detail) {
+  const std::lock_guard lock(m_mutex);
+  if (m_ended) return;
+  m_end.error_kind = std::move(error_kind);
+  m_end.detail = std::move(detail);
+  m_end.total_bytes = static_cast<std::int64_t>(m_body.size());
+  m_end.digest = Sha256Hex(m_body);
+  m_ended = true;
+  m_changed.notify_all();
+}
+
+void Attempt::Replay(const std::string& body, const AttemptEnd& end) {
+  const std::lock_guard lock(m_mutex);
+  if (m_ended) return;
+  m_body = body;
+  m_end = end;
+  m_ended = true;
+  m_changed.notify_all();
+}
+
+AttemptPart Attempt::Read(std::int64_t offset, std::int64_t max_bytes,
+                          std::chrono::milliseconds wait) const {
+  std::unique_lock lock(m_mutex);
+  const auto ready = [&] {
+    return m_ended || static_cast<std::int64_t>(m_body.size()) > offset;
+  };
+  m_changed.wait_for(lock, wait, ready);
+  AttemptPart part;
+  const std::int64_t size = static_cast<std::int64_t>(m_body.size());
+  if (offset >= 0 && offset < size) {
+    part.data = m_body.substr(offset, std::min(max_bytes, size - offset));
+  }
+  part.ended =
+      m_ended && offset + static_cast<std::int64_t>(part.data.size()) >= size;
+  part.end = m_end;
+  return part;
+}
+
+void Attempt::Cancel() {
+  const std::lock_guard lock(m_mutex);
+  m_cancelled = true;
+}
+
+bool Attempt::Cancelled() const {
+  const std::lock_guard lock(m_mutex);
+  return m_cancelled;
+}
+
+bool Attempt::Ended() const {
+  const std::lock_guard lock(m_mutex);
+  return m_ended;
+}
+
+}  // namespace wasabiwall::state
--- /dev/null
+++ b/src/wasabiwall/transport/backend_runner.cc
@@ -0,0 +1,106 @@
+#include "wasabiwall/transport/backend_runner.h"
+
+#include <optional>
+#include <utility>
+
+#include "wasabiwall/transport/http_client.h"
+
+namespace wasabiwall::transport {
+namespace {
+
+using protocol::ErrorKind;
+using protocol::RowOf;
+
+constexpr std::size_t kMaxQueuedAttempts = 4096;
+constexpr char kStreamEnd[] = "data: [DONE]";
+
+ErrorKind KindOf(HttpFailure failure, bool idempotent) {
+  switch (failure) {
+    case HttpFailure::kNotConnected:
+      return ErrorKind::kNoBackendServer;
+    case HttpFailure::kCancelled:
+      return ErrorKind::kCancelled;
+    case HttpFailure::kTimeout:
+      return idempotent ? ErrorKind::kDeadlineExceeded
+                        : ErrorKind::kOutcomeUnknown;
+    case HttpFailure::kBroken:
+      return idempotent ? ErrorKind::kBackendServerCrashed
+                        : ErrorKind::kOutcomeUnknown;
+    case HttpFailure::kTooLarge:
+      return ErrorKind::kAnswerCut;
+  }
+  return ErrorKind::kInternal;
+}
+
+/// Why a response that arrived is no answer.
+std::optional<ErrorKind> FaultOf(const HttpResponse& response, bool saw_end,
+                                 bool idempotent) {
+  // What a non-idempotent call answered is its outcome, whatever the status.
+  if (!idempotent) return std::nullopt;
+  if (response.status >= 500) return ErrorKind::kBackendServerFailed;
+  const bool stream = response.content_type.rfind("text/event-stream", 0) == 0;
+  if (stream && !saw_end) return ErrorKind::kAnswerCut;
+  return std::nullopt;
+}
+
+}  // namespace
+
+BackendRunner::BackendRunner(std::function<std::string()> base_url,
+                             int max_threads)
+    : m_base_url(std::move(base_url)),
+      m_workers(max_threads, kMaxQueuedAttempts) {}
+
+void BackendRunner::Run(const protocol::gen::SubmitRequest& request,
+                        const std::shared_ptr<state::Attempt>& answer,
+                        std::function<void()> on_ended) {
+  auto task = [this, request, answer, on_ended] {
+    RunNow(request, answer.get());
+    on_ended();
+  };
+  if (m_workers.Run(std::move(task))) return;
+  answer->Finish(RowOf(ErrorKind::kOverloaded).name, "");
+  on_ended();
+}
+
+void BackendRunner::Stop() { m_workers.Stop(); }
+
+void BackendRunner::RunNow(const protocol::gen::SubmitRequest& request,
+                           state::Attempt* answer) {
+  HttpRequest http;
+  http.method = request.method;
+  http.url = m_base_url() + request.path;
+  http.body = request.body;
+  http.headers = {{"Content-Type", "application/json"},
+                  {"X-Request-Id", request.request_id},
+                  {"X-Attempt-Id", request.attempt_id},
+                  {"X-Chat-Id", request.chat_id}};
+  if (!request.idempotency_key.empty()) {
+    http.headers.push_back({"Idempotency-Key", request.idempotency_key});
+  }
+  http.total_timeout = std::chrono::milliseconds(request.deadline_ms);
+  std::string tail;
+  bool failed = false;
+  http.on_head = [&](int status, const std::string& content_type) {
+    failed = request.idempotent && status >= 500;
+    answer->SetHead(status, content_type);
+  };
+  http.on_data = [&](std::string_view data) {
+    if (failed) return;
+    answer->Append(data);
+    tail.append(data);
+    if (tail.size() > 64) tail.erase(0, tail.size() - 64);
+  };
+  http.cancelled = [&] { return answer->Cancelled(); };
+  const auto response = HttpClient::Send(http);
+  if (!response) {
+    answer->Finish(RowOf(KindOf(response.error(), request.idempotent)).name,
+                   "");
+    return;
+  }
+  const bool saw_end = tail.find(kStreamEnd) != std::string::npos;
+  const std::optional<ErrorKind> fault =
+      FaultOf(*response, saw_end, request.idempotent);
+  answer->Finish(fault ? RowOf(*fault).name : "", "");
+}
+
+}  // namespace wasabiwall::transport
--- /dev/null
+++ b/src/wasabiwall/transport/logging.cc
@@ -0,0 +1,75 @@
+#include "wasabiwall/transport/logging.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <algorithm>
+#include <cctype>
+#include <memory>
+
+namespace wasabiwall::transport {
+namespace {
+
+bool IsPlain(const std::string& value) {
+  return !value.empty() &&
+         std::all_of(value.begin(), value.end(), [](unsigned char c) {
+           return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' ||
+                  c == '/' || c == ':';
+         });
+}
+
+std::string Quote(const std::string& value) {
+  if (IsPlain(value)) return value;
+  std::string quoted = "\"";
+  for (const unsigned char c : value) {
+    if (c == '"' || c == '\\') quoted += '\\';
+    quoted += c < ' ' ? ' ' : static_cast<char>(c);
+  }
+  return quoted + "\"";
+}
+
+std::string Line(const std::string& event,
+                 const std::vector<LogField>& fields) {
+  std::string line = "event=" + event;
+  for (const LogField& field : fields) {
+    line += " " + field.name + "=" + Quote(field.value);
+  }
+  return line;
+}
+
+log4cplus::Logger RootLogger() { return log4cplus::Logger::getRoot(); }
+
+}  // namespace
+
+void StartLogging(const std::string& level, const std::string& process) {
+  log4cplus::initialize();
+  log4cplus::SharedAppenderPtr appender(
+      new log4cplus::ConsoleAppender(true, true));
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
+      "%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p process=" + process + " %m%n"));
+  std::string upper = level;
+  std::transform(upper.begin(), upper.end(), upper.begin(),
+                 [](unsigned char c) { return std::toupper(c); });
+  RootLogger().setLogLevel(log4cplus::getLogLevelManager().fromString(upper));
+  RootLogger().addAppender(appender);
+}
+
+void LogDebug(const std::string& event, const std::vector<LogField>& fields) {
+  LOG4CPLUS_DEBUG(RootLogger(), Line(event, fields));
+}
+
+void LogInfo(const std::string& event, const std::vector<LogField>& fields) {
+  LOG4CPLUS_INFO(RootLogger(), Line(event, fields));
+}
+
+void LogWarn(const std::string& event, const std::vector<LogField>& fields) {
+  LOG4CPLUS_WARN(RootLogger(), Line(event, fields));
+}
+
+void LogError(const std::string& event, const std::vector<LogField>& fields) {
+  LOG4CPLUS_ERROR(RootLogger(), Line(event, fields));
+}
+
+}  // namespace wasabiwall::transport
--- /dev/null
+++ b/src/wasabiwall/transport/metrics.cc
@@ -0,0 +1,80 @@
+#include "wasabiwall/transport/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace wasabiwall::transport {
+namespace {
+
+constexpr std::size_t kMaxNamedWorkspaces = 50;
+
+const prometheus::Histogram::BucketBoundaries& FirstByteSeconds() {
+  static const prometheus::Histogram::BucketBoundaries bounds = {
+      0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.69, 1.0, 2.0, 5.0, 15.0};
+  return bounds;
+}
+
+}  // namespace
+
+/// The registry and its families.
+class Metrics::Families {
+ public:
+  Families()
+      : calls(prometheus::BuildCounter()
+                  .Name("wasabiwall_calls_total")
+                  .Help("Calls by workspace and outcome.")
+                  .Register(registry)),
+        first_byte(prometheus::BuildHistogram()
+                       .Name("wasabiwall_first_byte_seconds")
+                       .Help("Time to the first byte of an answer.")
+                       .Register(registry)) {}
+
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Counter>& calls;
+  prometheus::Family<prometheus::Histogram>& first_byte;
+};
+
+Metrics::Metrics() : m_families(std::make_unique<Families>()) {}
+
+Metrics::~Metrics() = default;
+
+void Metrics::CountCall(const std::string& workspace,
+                        const std::string& error_kind) {
+  m_families->calls
+      .Add({{"workspace", WorkspaceLabel(workspace)},
+            {"outcome", error_kind.empty() ? "answered" : error_kind}})
+      .Increment();
+}
+
+void Metrics::ObserveFirstByte(const std::string& workspace,
+                               std::chrono::microseconds time) {
+  m_families->first_byte
+      .Add({{"workspace", WorkspaceLabel(workspace)}}, FirstByteSeconds())
+      .Observe(std::chrono::duration<double>(time).count());
+}
+
+void Metrics::SetGauge(const std::string& name, double value) {
+  prometheus::BuildGauge()
+      .Name(name)
+      .Help("See the operators' page.")
+      .Register(m_families->registry)
+      .Add({})
+      .Set(value);
+}
+
+std::string Metrics::Text() const {
+  return prometheus::TextSerializer().Serialize(m_families->registry.Collect());
+}
+
+std::string Metrics::WorkspaceLabel(const std::string& workspace) {
+  const std::lock_guard lock(m_mutex);
+  if (m_named_workspaces.count(workspace) > 0) return workspace;
+  if (m_named_workspaces.size() >= kMaxNamedWorkspaces) return "other";
+  m_named_workspaces[workspace] = true;
+  return workspace;
+}
+
+}  // namespace wasabiwall::transport
--- /dev/null
+++ b/tests/main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
