--- a/src/wasabiwall/protocol/toml_schema.cc
+++ b/src/wasabiwall/protocol/toml_schema.cc
@@ -71,6 +71,7 @@
  private:
   static std::string Names(const std::vector<FieldSpec>& schema) {
     std::vector<std::string> names;
+    names.reserve(schema.size());
     for (const FieldSpec& field : schema) names.push_back(field.name);
     return Join(names);
   }
--- a/src/wasabiwall/state/digest.cc
+++ b/src/wasabiwall/state/digest.cc
@@ -35,11 +35,11 @@
   std::array<unsigned char, EVP_MAX_MD_SIZE> bytes{};
   unsigned int length = 0;
   EVP_DigestFinal_ex(ToContext(m_context), bytes.data(), &length);
-  constexpr char kHex[] = "0123456789abcdef";
+  constexpr char digits[] = "0123456789abcdef";
   std::string hex;
   for (unsigned int i = 0; i < length; ++i) {
-    hex.push_back(kHex[bytes[i] >> 4U]);
-    hex.push_back(kHex[bytes[i] & 15U]);
+    hex.push_back(digits[bytes[i] >> 4U]);
+    hex.push_back(digits[bytes[i] & 15U]);
   }
   return hex;
 }
--- a/src/wasabiwall/transport/backend_runner.cc
+++ b/src/wasabiwall/transport/backend_runner.cc
@@ -52,7 +52,7 @@
 
 void BackendRunner::Run(const protocol::gen::SubmitRequest& request,
                         const std::shared_ptr<state::Attempt>& answer,
-                        std::function<void()> on_ended) {
+                        const std::function<void()>& on_ended) {
   auto task = [this, request, answer, on_ended] {
     RunNow(request, answer.get());
     on_ended();
--- a/src/wasabiwall/transport/backend_runner.h
+++ b/src/wasabiwall/transport/backend_runner.h
@@ -22,7 +22,7 @@
   /// @param on_ended Called once, after the answer has ended.
   void Run(const protocol::gen::SubmitRequest& request,
            const std::shared_ptr<state::Attempt>& answer,
-           std::function<void()> on_ended);
+           const std::function<void()>& on_ended);
 
   /// Waits for all attempts.
   void Stop();
--- /dev/null
+++ b/tests/coordination/call_plan_test.cc
@@ -0,0 +1,117 @@
+#include "wasabiwall/coordination/call_plan.h"
+
+#include <catch2/catch.hpp>
+
+namespace wasabiwall::coordination {
+
+using wasabiwall::protocol::Error;
+using wasabiwall::protocol::ErrorKind;
+using wasabiwall::protocol::RowOf;
+using wasabiwall::state::AttemptId;
+using wasabiwall::state::BackendServerId;
+
+namespace {
+
+constexpr TimePoint kStart{std::chrono::microseconds(0)};
+constexpr TimePoint kDeadline{std::chrono::seconds(10)};
+
+struct Fixture {
+  explicit Fixture(CallSpec spec)
+      : plan(spec, {BackendServerId("a"), BackendServerId("b")},
+             {.new_attempt =
+                  [this] { return AttemptId(std::to_string(++attempts)); },
+              .take_retry = [this] { return retries-- > 0; }}) {}
+
+  int attempts = 0;
+  int retries = 10;
+  CallPlan plan;
+};
+
+const CallSpec kIdempotent{.idempotent = true, .deadline = kDeadline};
+const CallSpec kOnce{.idempotent = false, .deadline = kDeadline};
+
+}  // namespace
+
+TEST_CASE("a refusal goes to the next candidate", "[call_plan]") {
+  Fixture f(kOnce);
+  CHECK(f.plan.Start(kStart).target.value == "a");
+  const Step next =
+      f.plan.OnRefused(kStart, {ErrorKind::kOverloaded, "", {}}, {});
+  CHECK(next.kind == StepKind::kSubmit);
+  CHECK(next.target.value == "b");
+  const Step last =
+      f.plan.OnRefused(kStart, {ErrorKind::kWarmingUp, "", {}}, {});
+  CHECK(last.kind == StepKind::kFail);
+  CHECK(RowOf(last.error.kind).not_run);
+}
+
+TEST_CASE("a call in doubt is called off before another runs", "[call_plan]") {
+  Fixture f(kOnce);
+  f.plan.Start(kStart);
+  const Step doubt = f.plan.OnSubmitFailed(kStart, DeliveryFailure::kInDoubt);
+  CHECK(doubt.kind == StepKind::kTombstone);
+  const Step next = f.plan.OnTombstone(kStart, true);
+  CHECK(next.kind == StepKind::kSubmit);
+  CHECK(next.target.value == "b");
+}
+
+TEST_CASE("a call that may have run never ends with not run", "[call_plan]") {
+  Fixture once(kOnce);
+  once.plan.Start(kStart);
+  once.plan.OnSubmitFailed(kStart, DeliveryFailure::kInDoubt);
+  const Step lost = once.plan.OnTombstoneFailed(kStart);
+  CHECK(lost.kind == StepKind::kFail);
+  CHECK(lost.error.kind == ErrorKind::kOutcomeUnknown);
+
+  Fixture chat(kIdempotent);
+  chat.plan.Start(kStart);
+  chat.plan.OnSubmitFailed(kStart, DeliveryFailure::kInDoubt);
+  const Step refused =
+      chat.plan.OnRefused(kStart, {ErrorKind::kOverloaded, "", {}}, {});
+  CHECK(refused.kind == StepKind::kFail);
+  CHECK_FALSE(RowOf(refused.error.kind).not_run);
+}
+
+TEST_CASE("an answer that was partly sent is never started again",
+          "[call_plan]") {
+  Fixture f(kIdempotent);
+  f.plan.Start(kStart);
+  f.plan.OnAdmitted(kStart);
+  f.plan.OnPart(kStart, 10);
+  const Step cut =
+      f.plan.OnEnded(kStart, Error{ErrorKind::kBackendServerCrashed, "", {}});
+  CHECK(cut.kind == StepKind::kFail);
+  CHECK(cut.error.kind == ErrorKind::kAnswerCut);
+}
+
+TEST_CASE("a cut pull resumes at its offset", "[call_plan]") {
+  Fixture f(kIdempotent);
+  f.plan.Start(kStart);
+  f.plan.OnAdmitted(kStart);
+  f.plan.OnPart(kStart, 10);
+  CHECK(f.plan.OnPullFailed(kStart).kind == StepKind::kWait);
+  const Step again = f.plan.OnWaited(kStart);
+  CHECK(again.kind == StepKind::kPull);
+  CHECK(again.offset == 10);
+}
+
+TEST_CASE("a retry after a crash needs the budget", "[call_plan]") {
+  Fixture f(kIdempotent);
+  f.retries = 0;
+  f.plan.Start(kStart);
+  f.plan.OnAdmitted(kStart);
+  const Step step =
+      f.plan.OnEnded(kStart, Error{ErrorKind::kBackendServerCrashed, "", {}});
+  CHECK(step.kind == StepKind::kFail);
+}
+
+TEST_CASE("a keyed call follows the owner", "[call_plan]") {
+  Fixture f({.idempotent = false, .keyed = true, .deadline = kDeadline});
+  f.plan.Start(kStart);
+  const Step step = f.plan.OnRefused(kStart, {ErrorKind::kNotOwner, "", {}},
+                                     BackendServerId("c"));
+  CHECK(step.kind == StepKind::kSubmit);
+  CHECK(step.target.value == "c");
+}
+
+}  // namespace wasabiwall::coordination
--- a/tests/standins/engine_standin.cc
+++ b/tests/standins/engine_standin.cc
@@ -169,14 +169,15 @@
   if (path.rfind("/admin/", 0) == 0) {
     return standins::SendJson(response.get(), g_model->Counts());
   }
-  constexpr char kStreams[] = "/v1/streams/";
-  constexpr char kCancel[] = "/v1/cancel/";
-  if (path.rfind(kStreams, 0) == 0) {
-    return Stream(path.substr(sizeof(kStreams) - 1), request, response.get());
+  constexpr char streams_prefix[] = "/v1/streams/";
+  constexpr char cancel_prefix[] = "/v1/cancel/";
+  if (path.rfind(streams_prefix, 0) == 0) {
+    return Stream(path.substr(sizeof(streams_prefix) - 1), request,
+                  response.get());
   }
-  if (path.rfind(kCancel, 0) == 0) {
+  if (path.rfind(cancel_prefix, 0) == 0) {
     const std::lock_guard lock(g_mutex);
-    g_cancelled.insert(path.substr(sizeof(kCancel) - 1));
+    g_cancelled.insert(path.substr(sizeof(cancel_prefix) - 1));
     return standins::SendJson(response.get(), "{}");
   }
   response->Send(404, "application/json", "{}", {});
