Answer headers, limits and timeouts of the HTTP edge

Cause: Pistache 0.0.5 leaves raw headers out, so answers had no Content-Type and no Retry-After, and told HTTP/1.1 callers to close. Answers are now queued whole with their own head. A body over the limit gets the table's error; far past it, and for malformed HTTP or slow senders, the library itself answers with the table's status and its own text.

Found by the new test: a timeout on a kept connection was reported as 'not connected', because libcurl gives no connect time for it. The side process would have said 'not run' of a call that may have run.

--- a/programs/entry_daemon.cc
+++ b/programs/entry_daemon.cc
@@ -45,7 +45,7 @@
   options.address = settings.http_address;
   options.http_threads = settings.http_threads;
   options.worker_threads = settings.worker_threads;
-  options.max_request_bytes = static_cast<std::size_t>(settings.max_body_bytes);
+  options.max_body_bytes = static_cast<std::size_t>(settings.max_body_bytes);
   options.header_timeout = settings.header_timeout;
   options.body_timeout = settings.body_timeout;
   return options;
--- a/src/wasabiwall/transport/http_client.cc
+++ b/src/wasabiwall/transport/http_client.cc
@@ -73,6 +73,16 @@
   return cancelled && cancelled() ? 1 : 0;
 }
 
+/// Whether a transfer had a connection. One kept from an earlier transfer has
+/// no connect time of its own.
+bool WasConnected(CURL* handle) {
+  double connect_time = 0;
+  long new_connections = 0;  // NOLINT(google-runtime-int): type of libcurl
+  curl_easy_getinfo(handle, CURLINFO_CONNECT_TIME, &connect_time);
+  curl_easy_getinfo(handle, CURLINFO_NUM_CONNECTS, &new_connections);
+  return new_connections == 0 || connect_time > 0;
+}
+
 HttpFailure FailureOf(CURLcode code, const Transfer& transfer) {
   if (transfer.too_large) return HttpFailure::kTooLarge;
   switch (code) {
@@ -83,11 +93,9 @@
     case CURLE_URL_MALFORMAT:
     case CURLE_UNSUPPORTED_PROTOCOL:
       return HttpFailure::kNotConnected;
-    case CURLE_OPERATION_TIMEDOUT: {
-      double connected = 0;
-      curl_easy_getinfo(transfer.handle, CURLINFO_CONNECT_TIME, &connected);
-      return connected > 0 ? HttpFailure::kTimeout : HttpFailure::kNotConnected;
-    }
+    case CURLE_OPERATION_TIMEDOUT:
+      return WasConnected(transfer.handle) ? HttpFailure::kTimeout
+                                           : HttpFailure::kNotConnected;
     default:
       return HttpFailure::kBroken;
   }
--- a/src/wasabiwall/transport/http_server.cc
+++ b/src/wasabiwall/transport/http_server.cc
@@ -19,6 +19,8 @@
 namespace http = Pistache::Http;
 
 constexpr std::size_t kQueuePerWorker = 4;
+/// Past this multiple of the body's limit Pistache itself cuts a request off.
+constexpr std::size_t kBufferPerBody = 4;
 constexpr std::int64_t kMaxUnsentBytes = 4 << 20;
 constexpr std::chrono::milliseconds kStopPoll{10};
 
@@ -43,28 +45,25 @@
 /// Answers through a Pistache response writer.
 class PistacheResponse : public ServerResponse {
  public:
-  explicit PistacheResponse(http::ResponseWriter writer)
-      : m_writer(std::move(writer)) {}
+  /// @param close Whether the caller asked for the connection to be closed.
+  PistacheResponse(http::ResponseWriter writer, bool close)
+      : m_writer(std::move(writer)), m_close(close) {}
 
   bool Send(int status, const std::string& content_type,
             const std::string& body,
             std::chrono::milliseconds retry_after) override {
-    if (!m_writer.getPeer()) return false;
-    SetContentType(content_type);
+    std::string head = Head(status, content_type);
     if (retry_after.count() > 0) {
       const auto seconds = std::chrono::ceil<std::chrono::seconds>(retry_after);
-      m_writer.headers().addRaw(
-          http::Header::Raw("Retry-After", std::to_string(seconds.count())));
+      head += "Retry-After: " + std::to_string(seconds.count()) + "\r\n";
     }
-    m_writer.send(static_cast<http::Code>(status), body);
-    return true;
+    head += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    return Queue(head + body) && Finish();
   }
 
   bool Begin(int status, const std::string& content_type) override {
-    return Queue("HTTP/1.1 " + std::to_string(status) + " " +
-                 http::codeString(static_cast<http::Code>(status)) +
-                 "\r\nContent-Type: " + content_type +
-                 "\r\nTransfer-Encoding: chunked\r\n\r\n");
+    return Queue(Head(status, content_type) +
+                 "Transfer-Encoding: chunked\r\n\r\n");
   }
 
   bool Write(std::string_view data) override {
@@ -74,15 +73,24 @@
     return Queue(chunk.str());
   }
 
-  bool End() override {
-    const bool sent = Queue("0\r\n\r\n");
-    if (const auto peer = m_writer.getPeer()) peer->setIdle(true);
-    return sent;
-  }
+  bool End() override { return Queue("0\r\n\r\n") && Finish(); }
 
  private:
-  void SetContentType(const std::string& content_type) {
-    m_writer.headers().addRaw(http::Header::Raw("Content-Type", content_type));
+  /// Status line and the headers that every answer has. Pistache 0.0.5 leaves
+  /// raw headers out of its own answers and closes connections that HTTP/1.1
+  /// keeps open.
+  std::string Head(int status, const std::string& content_type) const {
+    return "HTTP/1.1 " + std::to_string(status) + " " +
+           http::codeString(static_cast<http::Code>(status)) +
+           "\r\nContent-Type: " + content_type +
+           (m_close ? "\r\nConnection: close\r\n" : "\r\n");
+  }
+
+  /// Lets the connection's idle time start.
+  bool Finish() {
+    const std::shared_ptr<Pistache::Tcp::Peer> peer = m_writer.getPeer();
+    if (peer) peer->setIdle(true);
+    return peer != nullptr;
   }
 
   /// Hands bytes to the connection's own thread. Pistache's ResponseStream
@@ -92,7 +100,9 @@
     const std::shared_ptr<Pistache::Tcp::Peer> peer = m_writer.getPeer();
     if (!peer) return false;
     const auto length = static_cast<std::int64_t>(bytes.size());
-    if (*m_unsent_bytes + length > kMaxUnsentBytes) return false;
+    const bool too_slow =
+        *m_unsent_bytes > 0 && *m_unsent_bytes + length > kMaxUnsentBytes;
+    if (too_slow) return false;
     *m_unsent_bytes += length;
     const auto unsent = m_unsent_bytes;
     peer->send(Pistache::RawBuffer(bytes, bytes.size()))
@@ -102,6 +112,7 @@
   }
 
   http::ResponseWriter m_writer;
+  bool m_close;
   /// Shared with writes that outlive this object.
   std::shared_ptr<std::atomic<std::int64_t>> m_unsent_bytes =
       std::make_shared<std::atomic<std::int64_t>>(0);
@@ -118,12 +129,24 @@
  public:
   HTTP_PROTOTYPE(Handler)
 
-  Handler(ServerHandler handler, std::shared_ptr<WorkerPool> workers)
-      : m_handler(std::move(handler)), m_workers(std::move(workers)) {}
+  Handler(ServerHandler handler, std::shared_ptr<WorkerPool> workers,
+          std::size_t max_body_bytes)
+      : m_handler(std::move(handler)),
+        m_workers(std::move(workers)),
+        m_max_body_bytes(max_body_bytes) {}
 
   void onRequest(const http::Request& request,
                  http::ResponseWriter writer) override {
-    auto response = std::make_shared<PistacheResponse>(std::move(writer));
+    const auto connection =
+        request.headers().tryGet<http::Header::Connection>();
+    const bool close =
+        connection && connection->control() == http::ConnectionControl::Close;
+    auto response =
+        std::make_shared<PistacheResponse>(std::move(writer), close);
+    if (request.body().size() > m_max_body_bytes) {
+      SendError(response.get(), protocol::ErrorKind::kBodyTooLarge);
+      return;
+    }
     auto task = [handler = m_handler, read = ReadRequest(request), response] {
       Handle(handler, read, response);
     };
@@ -133,7 +156,7 @@
 
   void onTimeout(const http::Request& /*request*/,
                  http::ResponseWriter writer) override {
-    PistacheResponse response(std::move(writer));
+    PistacheResponse response(std::move(writer), true);
     SendError(&response, protocol::ErrorKind::kSlowRequest);
   }
 
@@ -149,6 +172,7 @@
 
   ServerHandler m_handler;
   std::shared_ptr<WorkerPool> m_workers;
+  std::size_t m_max_body_bytes;
 };
 
 }  // namespace
@@ -162,19 +186,21 @@
             m_options.worker_threads,
             kQueuePerWorker *
                 static_cast<std::size_t>(m_options.worker_threads))),
-        m_handler(std::make_shared<Handler>(std::move(handler), m_workers)) {}
+        m_handler(std::make_shared<Handler>(std::move(handler), m_workers,
+                                            m_options.max_body_bytes)) {}
 
   bool Start() {
     try {
       m_endpoint = std::make_unique<http::Endpoint>(
           Pistache::Address(m_options.address));
-      m_endpoint->init(http::Endpoint::options()
-                           .threads(m_options.http_threads)
-                           .flags(Pistache::Tcp::Options::ReuseAddr |
-                                  Pistache::Tcp::Options::NoDelay)
-                           .maxRequestSize(m_options.max_request_bytes)
-                           .headerTimeout(m_options.header_timeout)
-                           .bodyTimeout(m_options.body_timeout));
+      m_endpoint->init(
+          http::Endpoint::options()
+              .threads(m_options.http_threads)
+              .flags(Pistache::Tcp::Options::ReuseAddr |
+                     Pistache::Tcp::Options::NoDelay)
+              .maxRequestSize(kBufferPerBody * m_options.max_body_bytes)
+              .headerTimeout(m_options.header_timeout)
+              .bodyTimeout(m_options.body_timeout));
       m_endpoint->setHandler(m_handler);
       m_endpoint->serveThreaded();
     } catch (const std::exception&) {
--- a/src/wasabiwall/transport/http_server.h
+++ b/src/wasabiwall/transport/http_server.h
@@ -46,7 +46,7 @@
   int http_threads = 2;
   /// Threads that handle requests; more requests wait in a bounded queue.
   int worker_threads = 256;
-  std::size_t max_request_bytes = 1 << 20;
+  std::size_t max_body_bytes = 1 << 20;
   std::chrono::milliseconds header_timeout{5000};
   std::chrono::milliseconds body_timeout{10000};
 };
--- a/tests/standins/support/standin_server.cc
+++ b/tests/standins/support/standin_server.cc
@@ -25,7 +25,7 @@
   options.address = argv[1];
   options.http_threads = 4;
   options.worker_threads = kWorkers;
-  options.max_request_bytes = 64 << 20;
+  options.max_body_bytes = 64 << 20;
   auto* server = new transport::HttpServer(options, handler);
   if (!server->Start()) {
     std::cerr << "cannot listen on " << argv[1] << "\n";
--- /dev/null
+++ b/tests/transport/http_server_test.cc
@@ -0,0 +1,138 @@
+#include "wasabiwall/transport/http_server.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "wasabiwall/transport/http_client.h"
+
+namespace wasabiwall::transport {
+namespace {
+
+/// A port that other runs of the tests on this machine are unlikely to use.
+std::uint16_t TestPort(int offset) {
+  constexpr int first_port = 10000;
+  constexpr int ports = 6000;
+  return static_cast<std::uint16_t>(first_port +
+                                    (getpid() * 4 + offset) % ports);
+}
+
+const std::uint16_t kHeadersPort = TestPort(0);
+const std::uint16_t kBadInputPort = TestPort(1);
+const std::uint16_t kKeptPort = TestPort(2);
+constexpr std::size_t kMaxBody = 4096;
+
+/// A server that echoes bodies, streams at /stream and never answers /hang.
+class EchoServer {
+ public:
+  explicit EchoServer(std::uint16_t port)
+      : m_server({.address = "127.0.0.1:" + std::to_string(port),
+                  .worker_threads = 4,
+                  .max_body_bytes = kMaxBody,
+                  .header_timeout = std::chrono::milliseconds(200),
+                  .body_timeout = std::chrono::milliseconds(200)},
+                 [](const auto& request, const auto& response) {
+                   if (request.path == "/hang") return;
+                   if (request.path != "/stream") {
+                     response->Send(503, "text/plain", request.body,
+                                    std::chrono::milliseconds(1500));
+                     return;
+                   }
+                   response->Begin(200, "text/event-stream");
+                   for (int i = 0; i < 100; ++i) response->Write("part ");
+                   response->End();
+                 }) {
+    REQUIRE(m_server.Start());
+  }
+
+ private:
+  HttpServer m_server;
+};
+
+/// Sends raw bytes and reads until the server closes or answers.
+std::string Exchange(std::uint16_t port, const std::string& bytes) {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+  REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) ==
+          0);
+  send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  char buffer[4096];
+  const ssize_t length = recv(fd, buffer, sizeof(buffer), 0);
+  close(fd);
+  return {buffer, length > 0 ? static_cast<std::size_t>(length) : 0};
+}
+
+HttpRequest Post(std::uint16_t port, const std::string& path,
+                 const std::string& body) {
+  HttpRequest request;
+  request.method = "POST";
+  request.url = "http://127.0.0.1:" + std::to_string(port) + path;
+  request.body = body;
+  return request;
+}
+
+}  // namespace
+
+TEST_CASE("answers carry their headers and streams arrive whole",
+          "[http_server]") {
+  const EchoServer server(kHeadersPort);
+  const auto echo = HttpClient::Send(Post(kHeadersPort, "/", "hello"));
+  REQUIRE(echo);
+  CHECK(echo->status == 503);
+  CHECK(echo->content_type == "text/plain");
+  CHECK(echo->body == "hello");
+  const auto stream = HttpClient::Send(Post(kHeadersPort, "/stream", ""));
+  REQUIRE(stream);
+  CHECK(stream->content_type == "text/event-stream");
+  CHECK(stream->body.size() == 500);
+  const std::string raw = Exchange(
+      kHeadersPort, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+  CHECK(raw.find("Retry-After: 2\r\n") != std::string::npos);
+  CHECK(raw.find("Connection: close") == std::string::npos);
+}
+
+TEST_CASE("bad input is refused and the server goes on", "[http_server]") {
+  const EchoServer server(kBadInputPort);
+  struct Case {
+    const char* name;
+    std::string bytes;
+    std::string status;
+  };
+  const std::string post = "POST / HTTP/1.1\r\nHost: a\r\n";
+  const Case cases[] = {
+      {"body over the limit",
+       post + "Content-Length: 5000\r\n\r\n" + std::string(5000, 'a'), "413"},
+      {"body far over the limit",
+       post + "Content-Length: 90000\r\n\r\n" + std::string(90000, 'a'), "413"},
+      {"header flood", post + "X: " + std::string(90000, 'a'), "413"},
+      {"slow header", post, "408"},
+      {"slow body", post + "Content-Length: 10\r\n\r\nabc", "408"},
+      {"unknown method", "BREW / HTTP/1.1\r\nHost: a\r\n\r\n", "400"},
+  };
+  for (const Case& bad : cases) {
+    INFO(bad.name);
+    CHECK(Exchange(kBadInputPort, bad.bytes).substr(9, 3) == bad.status);
+    const auto good = HttpClient::Send(Post(kBadInputPort, "/", "still here"));
+    REQUIRE(good);
+    CHECK(good->body == "still here");
+  }
+}
+
+TEST_CASE("a timeout on a kept connection is not taken for no connection",
+          "[http_client]") {
+  const EchoServer server(kKeptPort);
+  REQUIRE(HttpClient::Send(Post(kKeptPort, "/", "opens the connection")));
+  HttpRequest hanging = Post(kKeptPort, "/hang", "may have been run");
+  hanging.total_timeout = std::chrono::milliseconds(100);
+  const auto result = HttpClient::Send(hanging);
+  REQUIRE_FALSE(result);
+  CHECK(result.error() == HttpFailure::kTimeout);
+}
+
+}  // namespace wasabiwall::transport
