--- a/tests/standins/engine_standin.cc
+++ b/tests/standins/engine_standin.cc
@@ -13,6 +13,7 @@
 
 #include "standins/support/engine_model.h"
 #include "standins/support/standin_server.h"
+#include "wasabiwall/state/digest.h"
 
 namespace {
 
@@ -28,9 +29,10 @@
 std::set<std::string> g_cancelled;
 
 std::string Word(const std::string& prompt, int index) {
-  const std::size_t hash = std::hash<std::string>()(prompt);
   char text[48];
-  std::snprintf(text, sizeof(text), "w%d-%08zx ", index, hash & 0xffffffffU);
+  std::snprintf(text, sizeof(text), "w%d-%016llx ", index,
+                static_cast<unsigned long long>(  // NOLINT: type of printf
+                    state::FastHash(prompt)));
   return text;
 }
 
