Routing policies selected by the pool, candidates kept between requests

Cause: the entry always used plain rendezvous order, sorted all candidates and copied every member's strings for each request.

Policies random, least_of_two, consistent_hash, rendezvous and rendezvous_bounded are hooks chosen by the pool's policy item. Only the wanted candidates are ordered; CandidateCache makes a pool's table again when the configuration changes or after 100 ms. Leaving and suspect VMs are still checked for each request.

The bounded test fails on the earlier order, which knew no loads. Ruled out: sharing one table for all pools (members differ), comparing revisions (two pictures of one revision may differ).

--- a/src/wasabiwall/coordination/entry_node.cc
+++ b/src/wasabiwall/coordination/entry_node.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "wasabiwall/coordination/key_ledger.h"
+#include "wasabiwall/coordination/routing_policies.h"
 #include "wasabiwall/coordination/shard_ownership.h"
 #include "wasabiwall/protocol/chat_request.h"
 #include "wasabiwall/state/digest.h"
@@ -20,7 +21,10 @@
 
 constexpr milliseconds kSuspectTime{2000};
 constexpr milliseconds kLoadMaxAge{2000};
+constexpr milliseconds kCandidateRefresh{100};
 constexpr std::size_t kLoadsPerMessage = 8;
+/// Above the attempts that a plan makes.
+constexpr std::size_t kCandidatesPerCall = 8;
 constexpr double kRetryShare = 0.1;
 constexpr double kRetryBurst = 10.0;
 constexpr std::size_t kMaxKeyBytes = 255;
@@ -51,6 +55,18 @@
       m_hooks(std::move(hooks)),
       m_membership(kSuspectTime),
       m_loads(kLoadMaxAge),
+      m_candidates(
+          kCandidateRefresh,
+          {.leaving =
+               [this](const auto& id) { return m_membership.Leaving(id); },
+           .heard_load =
+               [this](const auto& id, TimePoint now) {
+                 return m_loads.HeardLoadOf(id, now);
+               },
+           .make_policy =
+               [this](const auto& name) {
+                 return MakeRoutingPolicy(name, m_hooks.random);
+               }}),
       m_retries(kRetryShare, kRetryBurst) {}
 
 protocol::Result<PlannedCall> EntryNode::PlanChat(const CallerCall& call) {
@@ -69,9 +85,11 @@
   planned.spec = {.idempotent = true, .deadline = m_hooks.clock() + m_deadline};
   std::string chat_id = call.chat_id.empty() ? chat->chat_id : call.chat_id;
   if (chat_id.empty()) chat_id = RandomHex(m_hooks.random);
-  RoutingQuery query{*workspace, state::ChatId(chat_id), chat->CostUnits(),
-                     Candidates(*view, pool->second)};
-  planned.order = Order(*view, query);
+  planned.order = Order(view, pool->second,
+                        {.workspace = *workspace,
+                         .chat = state::ChatId(chat_id),
+                         .cost_units = chat->CostUnits(),
+                         .wanted = kCandidatesPerCall});
   planned.request.workspace = workspace->value;
   planned.request.pool = pool->second.value;
   planned.request.chat_id = chat_id;
@@ -106,9 +124,12 @@
                   .deadline = m_hooks.clock() + m_deadline};
   const std::string spread =
       keyed ? call.idempotency_key : RandomHex(m_hooks.random);
-  RoutingQuery query{*workspace, state::ChatId(spread), kServiceCostUnits,
-                     Candidates(*view, pool->second.id)};
-  planned.order = Order(*view, query);
+  RoutingQuery query{.workspace = *workspace,
+                     .chat = state::ChatId(spread),
+                     .cost_units = kServiceCostUnits};
+  // The owner of a shard is found among all candidates.
+  if (!keyed) query.wanted = kCandidatesPerCall;
+  planned.order = Order(view, pool->second.id, query);
   if (keyed) {
     const std::int64_t shard =
         ShardOf(*workspace, call.idempotency_key, pool->second.key_shards);
@@ -172,25 +193,24 @@
   return found->second;
 }
 
-std::vector<Candidate> EntryNode::Candidates(const state::ConfigView& view,
-                                             const state::PoolId& pool) const {
-  const TimePoint now = m_hooks.clock();
-  std::vector<Candidate> candidates;
-  for (const state::BackendServer& member : view.Members(pool)) {
-    if (!view.TakesNewWork(member.id)) continue;
-    if (m_membership.Leaving(member.id)) continue;
-    candidates.push_back(
-        {member.id, member.weight, m_loads.LoadOf(member.id, now)});
-  }
-  return candidates;
-}
-
 std::vector<state::BackendServerId> EntryNode::Order(
-    const state::ConfigView& /*view*/, const RoutingQuery& query) const {
+    const std::shared_ptr<const state::ConfigView>& view,
+    const state::PoolId& pool, RoutingQuery query) {
   const TimePoint now = m_hooks.clock();
+  const auto table = m_candidates.Get(view, pool, now);
+  if (!table) return {};
+  query.candidates = table->candidates;
+  query.max_load_ratio = table->pool.max_load_ratio;
+  query.load_floor_units = table->pool.load_floor_units;
+  query.heard_mean_units = table->heard_mean_units;
+  query.ring = table->ring.get();
+  query.load_of = [&](const Candidate& candidate) {
+    return m_loads.LoadOf(candidate.id, now);
+  };
   std::vector<state::BackendServerId> order;
-  for (const Candidate& candidate : OrderByRendezvous(query)) {
-    order.push_back(candidate.id);
+  for (const std::size_t index : table->policy(query)) {
+    const state::BackendServerId& id = table->candidates[index].id;
+    if (!m_membership.Leaving(id)) order.push_back(id);
   }
   std::stable_partition(order.begin(), order.end(), [&](const auto& id) {
     return !m_membership.Suspect(id, now);
--- a/src/wasabiwall/coordination/entry_node.h
+++ b/src/wasabiwall/coordination/entry_node.h
@@ -3,10 +3,12 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include "wasabiwall/coordination/call_plan.h"
+#include "wasabiwall/coordination/candidate_cache.h"
 #include "wasabiwall/coordination/clock.h"
 #include "wasabiwall/coordination/membership.h"
 #include "wasabiwall/coordination/pool_load_estimate.h"
@@ -75,16 +77,16 @@
  private:
   protocol::Result<state::WorkspaceId> Authenticate(
       const state::ConfigView& view, const std::string& token) const;
-  std::vector<Candidate> Candidates(const state::ConfigView& view,
-                                    const state::PoolId& pool) const;
-  std::vector<state::BackendServerId> Order(const state::ConfigView& view,
-                                            const RoutingQuery& query) const;
+  std::vector<state::BackendServerId> Order(
+      const std::shared_ptr<const state::ConfigView>& view,
+      const state::PoolId& pool, RoutingQuery query);
 
   state::ConfigStore* m_config;
   std::chrono::milliseconds m_deadline;
   EntryNodeHooks m_hooks;
   Membership m_membership;
   PoolLoadEstimate m_loads;
+  CandidateCache m_candidates;
   RetryBudget m_retries;
 };
 
--- /dev/null
+++ b/src/wasabiwall/coordination/hash_ring.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+#include "wasabiwall/coordination/router.h"
+
+namespace wasabiwall::coordination {
+
+/// Ring of consistent hashing; a candidate has points in proportion to its
+/// weight. Immutable.
+class HashRing {
+ public:
+  explicit HashRing(std::span<const Candidate> candidates);
+
+  /// Walks the ring clockwise from a position.
+  /// @param position Hash of the routing key.
+  /// @param length Number of candidates wanted; at most all.
+  /// @return Indexes of candidates in the order met, none twice.
+  CandidateOrder Walk(std::uint64_t position, std::size_t length) const;
+
+ private:
+  struct Point {
+    std::uint64_t position;
+    std::size_t index;
+  };
+
+  std::size_t m_size;
+  std::vector<Point> m_points;
+};
+
+}  // namespace wasabiwall::coordination
--- a/src/wasabiwall/coordination/pool_load_estimate.cc
+++ b/src/wasabiwall/coordination/pool_load_estimate.cc
@@ -24,6 +24,15 @@
   return found->second.load_units;
 }
 
+std::optional<std::int64_t> PoolLoadEstimate::HeardLoadOf(
+    const state::BackendServerId& server, TimePoint now) const {
+  const std::lock_guard lock(m_mutex);
+  const auto found = m_observations.find(server);
+  if (found == m_observations.end()) return std::nullopt;
+  if (now - found->second.observed_at > m_max_age) return std::nullopt;
+  return found->second.load_units;
+}
+
 double PoolLoadEstimate::MeanWith(
     const std::vector<state::BackendServerId>& others, std::int64_t own_load,
     TimePoint now) const {
--- a/src/wasabiwall/coordination/pool_load_estimate.h
+++ b/src/wasabiwall/coordination/pool_load_estimate.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -33,6 +34,10 @@
   std::int64_t LoadOf(const state::BackendServerId& server,
                       TimePoint now) const;
 
+  /// @return Load of one backend server, nothing when unknown or too old.
+  std::optional<std::int64_t> HeardLoadOf(const state::BackendServerId& server,
+                                          TimePoint now) const;
+
   /// Mean load over a pool's other members; unknown members count as idle,
   /// which keeps the mean a lower bound.
   /// @param others Members without the one that asks.
--- a/src/wasabiwall/coordination/shard_ownership.cc
+++ b/src/wasabiwall/coordination/shard_ownership.cc
@@ -20,9 +20,12 @@
   RoutingQuery query;
   query.workspace = state::WorkspaceId(pool.value);
   query.chat = state::ChatId(std::to_string(shard));
+  std::vector<Candidate> unweighted;
+  unweighted.reserve(candidates.size());
   for (const state::BackendServerId& id : candidates) {
-    query.candidates.push_back({id});
+    unweighted.push_back({id});
   }
+  query.candidates = unweighted;
   std::vector<state::BackendServerId> order;
   for (const Candidate& candidate : OrderByRendezvous(query)) {
     order.push_back(candidate.id);
