A burst of one chat spreads before the first load report comes back

Cause: between two reports an entry believed in the same load and sent the whole burst of a chat to its first choice, whose side process refused it.

UnreportedLoad sums the cost sent to a backend server since its load was last observed; the router adds it to the load last heard of.

Shared prefixes of different chats are not yet routed together.

--- a/src/wasabiwall/coordination/entry_node.cc
+++ b/src/wasabiwall/coordination/entry_node.cc
@@ -55,6 +55,7 @@
       m_hooks(std::move(hooks)),
       m_membership(kSuspectTime),
       m_loads(kLoadMaxAge),
+      m_unreported(kLoadMaxAge),
       m_candidates(
           kCandidateRefresh,
           {.leaving =
@@ -160,9 +161,11 @@
 void EntryNode::ObserveLoads(const std::vector<LoadReport>& reports) {
   const TimePoint now = m_hooks.clock();
   for (const LoadReport& report : reports) {
-    m_loads.Observe({state::BackendServerId(report.backend_server),
-                     report.load_units, report.warmup_limit_units,
-                     now - milliseconds(report.age_ms)});
+    const state::BackendServerId server(report.backend_server);
+    const TimePoint observed_at = now - milliseconds(report.age_ms);
+    m_loads.Observe(
+        {server, report.load_units, report.warmup_limit_units, observed_at});
+    m_unreported.OnReport(server, observed_at);
   }
 }
 
@@ -205,7 +208,8 @@
   query.heard_mean_units = table->heard_mean_units;
   query.ring = table->ring.get();
   query.load_of = [&](const Candidate& candidate) {
-    return m_loads.LoadOf(candidate.id, now);
+    return m_loads.LoadOf(candidate.id, now) +
+           m_unreported.Of(candidate.id, now);
   };
   std::vector<state::BackendServerId> order;
   for (const std::size_t index : table->policy(query)) {
@@ -215,6 +219,7 @@
   std::stable_partition(order.begin(), order.end(), [&](const auto& id) {
     return !m_membership.Suspect(id, now);
   });
+  if (!order.empty()) m_unreported.Add(order.front(), query.cost_units, now);
   return order;
 }
 
--- a/src/wasabiwall/coordination/entry_node.h
+++ b/src/wasabiwall/coordination/entry_node.h
@@ -14,6 +14,7 @@
 #include "wasabiwall/coordination/pool_load_estimate.h"
 #include "wasabiwall/coordination/retry_budget.h"
 #include "wasabiwall/coordination/router.h"
+#include "wasabiwall/coordination/unreported_load.h"
 #include "wasabiwall/protocol/gen/wasabiwall_types.h"
 #include "wasabiwall/state/config_store.h"
 
@@ -86,6 +87,7 @@
   EntryNodeHooks m_hooks;
   Membership m_membership;
   PoolLoadEstimate m_loads;
+  UnreportedLoad m_unreported;
   CandidateCache m_candidates;
   RetryBudget m_retries;
 };
