Load bound that holds with late, lost and reordered news

Cause: the age of load news was counted from its arrival, so news that was delayed in the network or in a frozen process passed as new; and a call larger than the floor was refused by every member of an idle pool.

--- a/gen/wasabiwall/protocol/gen/wasabiwall_types.cpp
+++ b/gen/wasabiwall/protocol/gen/wasabiwall_types.cpp
@@ -185,6 +185,18 @@
 void Envelope::__set_loads(const std::vector<LoadReport> & val) {
   this->loads = val;
 }
+
+void Envelope::__set_clock_us(const int64_t val) {
+  this->clock_us = val;
+}
+
+void Envelope::__set_echo_clock_us(const int64_t val) {
+  this->echo_clock_us = val;
+}
+
+void Envelope::__set_echo_age_us(const int64_t val) {
+  this->echo_age_us = val;
+}
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
@@ -257,6 +269,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clock_us);
+          this->__isset.clock_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->echo_clock_us);
+          this->__isset.echo_clock_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->echo_age_us);
+          this->__isset.echo_age_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -298,6 +334,18 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("clock_us", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->clock_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("echo_clock_us", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->echo_clock_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("echo_age_us", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->echo_age_us);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -309,6 +357,9 @@
   swap(a.secret, b.secret);
   swap(a.config_revision, b.config_revision);
   swap(a.loads, b.loads);
+  swap(a.clock_us, b.clock_us);
+  swap(a.echo_clock_us, b.echo_clock_us);
+  swap(a.echo_age_us, b.echo_age_us);
   swap(a.__isset, b.__isset);
 }
 
@@ -317,6 +368,9 @@
   secret = other8.secret;
   config_revision = other8.config_revision;
   loads = other8.loads;
+  clock_us = other8.clock_us;
+  echo_clock_us = other8.echo_clock_us;
+  echo_age_us = other8.echo_age_us;
   __isset = other8.__isset;
 }
 Envelope& Envelope::operator=(const Envelope& other9) {
@@ -324,6 +378,9 @@
   secret = other9.secret;
   config_revision = other9.config_revision;
   loads = other9.loads;
+  clock_us = other9.clock_us;
+  echo_clock_us = other9.echo_clock_us;
+  echo_age_us = other9.echo_age_us;
   __isset = other9.__isset;
   return *this;
 }
@@ -334,6 +391,9 @@
   out << ", " << "secret=" << to_string(secret);
   out << ", " << "config_revision=" << to_string(config_revision);
   out << ", " << "loads=" << to_string(loads);
+  out << ", " << "clock_us=" << to_string(clock_us);
+  out << ", " << "echo_clock_us=" << to_string(echo_clock_us);
+  out << ", " << "echo_age_us=" << to_string(echo_age_us);
   out << ")";
 }
 
--- a/gen/wasabiwall/protocol/gen/wasabiwall_types.h
+++ b/gen/wasabiwall/protocol/gen/wasabiwall_types.h
@@ -118,11 +118,14 @@
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj);
 
 typedef struct _Envelope__isset {
-  _Envelope__isset() : sender(false), secret(false), config_revision(false), loads(false) {}
+  _Envelope__isset() : sender(false), secret(false), config_revision(false), loads(false), clock_us(false), echo_clock_us(false), echo_age_us(false) {}
   bool sender :1;
   bool secret :1;
   bool config_revision :1;
   bool loads :1;
+  bool clock_us :1;
+  bool echo_clock_us :1;
+  bool echo_age_us :1;
 } _Envelope__isset;
 
 /**
@@ -136,7 +139,10 @@
   Envelope() noexcept
            : sender(),
              secret(),
-             config_revision(0) {
+             config_revision(0),
+             clock_us(0),
+             echo_clock_us(0),
+             echo_age_us(0) {
   }
 
   virtual ~Envelope() noexcept;
@@ -147,6 +153,18 @@
    */
   int64_t config_revision;
   std::vector<LoadReport>  loads;
+  /**
+   * The sender's clock at sending; 0 when it gives none.
+   */
+  int64_t clock_us;
+  /**
+   * Newest clock reading heard from the receiver; 0 when there is none.
+   */
+  int64_t echo_clock_us;
+  /**
+   * Time since that reading was heard, at sending.
+   */
+  int64_t echo_age_us;
 
   _Envelope__isset __isset;
 
@@ -158,6 +176,12 @@
 
   void __set_loads(const std::vector<LoadReport> & val);
 
+  void __set_clock_us(const int64_t val);
+
+  void __set_echo_clock_us(const int64_t val);
+
+  void __set_echo_age_us(const int64_t val);
+
   bool operator == (const Envelope & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -168,6 +192,12 @@
       return false;
     if (!(loads == rhs.loads))
       return false;
+    if (!(clock_us == rhs.clock_us))
+      return false;
+    if (!(echo_clock_us == rhs.echo_clock_us))
+      return false;
+    if (!(echo_age_us == rhs.echo_age_us))
+      return false;
     return true;
   }
   bool operator != (const Envelope &rhs) const {
--- a/programs/side_daemon.cc
+++ b/programs/side_daemon.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <unordered_map>
 #include <utility>
 
@@ -34,6 +35,11 @@
       m_runner([this] { return BackendUrl(); }, kRunnerThreads),
       m_node(m_self, &m_config,
              {.clock = coordination::SteadyClock(),
+              .random =
+                  [] {
+                    return std::uint64_t{std::random_device{}()} << 32U |
+                           std::random_device{}();
+                  },
               .run =
                   [this](const auto& request, const auto& answer) {
                     const state::AttemptId attempt(request.attempt_id);
@@ -283,9 +289,11 @@
   };
   handlers.on_envelope = [this](const auto& envelope) {
     m_follower.OnRevisionHeard(envelope.config_revision, envelope.sender);
-    m_node.ObserveLoads(envelope.loads);
   };
   handlers.make_envelope = [this] { return MakeEnvelope(); };
+  handlers.stamp = [this](const auto& receiver, auto* envelope) {
+    m_node.Stamp(receiver, envelope);
+  };
   return handlers;
 }
 
--- a/src/wasabiwall/coordination/admission_controller.cc
+++ b/src/wasabiwall/coordination/admission_controller.cc
@@ -19,17 +19,22 @@
     std::int64_t others_count) {
   const std::lock_guard lock(m_mutex);
   const std::int64_t load = m_load_units + cost_units;
+  if (m_running == 0) {
+    // A call larger than the floor could run nowhere in an idle pool.
+    m_load_units = load;
+    m_running = 1;
+    return {};
+  }
   const double mean = static_cast<double>(others_load_units + load) /
                       static_cast<double>(others_count + 1);
   const bool above_floor = load > m_pool.load_floor_units;
   const bool above_mean =
       static_cast<double>(load) > m_pool.max_load_ratio * mean;
   if (above_floor && above_mean) return Fail(ErrorKind::kOverloaded);
-  // An idle backend server always takes one call, whatever its size.
-  if (m_running > 0 && load > m_pool.load_ceiling_units) {
+  if (load > m_pool.load_ceiling_units) {
     return Fail(ErrorKind::kOverloaded);
   }
-  if (m_running > 0 && load > m_warmup.Units()) {
+  if (load > m_warmup.Units()) {
     return Fail(ErrorKind::kWarmingUp);
   }
   m_load_units = load;
--- a/src/wasabiwall/coordination/admission_controller.h
+++ b/src/wasabiwall/coordination/admission_controller.h
@@ -18,7 +18,9 @@
   /// Takes over the pool's limits.
   void Configure(const state::Pool& pool);
 
-  /// Admits or refuses one call and books its cost.
+  /// Admits or refuses one call and books its cost. An idle backend server
+  /// takes any one call; otherwise its load stays within the larger of the
+  /// floor and the set multiple of the mean, within ceiling and warm-up limit.
   /// @param cost_units Load units of the call.
   /// @param others_load_units Sum of the load of the pool's other members.
   /// @param others_count Number of the pool's other members.
--- a/src/wasabiwall/coordination/entry_node.cc
+++ b/src/wasabiwall/coordination/entry_node.cc
@@ -51,6 +51,7 @@
       m_hooks(std::move(hooks)),
       m_membership(kSuspectTime),
       m_loads(kLoadMaxAge),
+      m_message_age(m_hooks.clock, m_hooks.random()),
       m_retries(kRetryShare, kRetryBurst) {}
 
 protocol::Result<PlannedCall> EntryNode::PlanChat(const CallerCall& call) {
@@ -136,12 +137,19 @@
            .take_retry = [this] { return m_retries.Take(); }}};
 }
 
-void EntryNode::ObserveLoads(const std::vector<LoadReport>& reports) {
-  const TimePoint now = m_hooks.clock();
+void EntryNode::ObserveEnvelope(const std::string& address,
+                                const protocol::gen::Envelope& envelope) {
+  const auto transit = m_message_age.OnMessage(address, envelope);
+  if (transit) ObserveLoads(envelope.loads, *transit);
+}
+
+void EntryNode::ObserveLoads(const std::vector<LoadReport>& reports,
+                             std::chrono::microseconds transit) {
+  const TimePoint sent_at = m_hooks.clock() - transit;
   for (const LoadReport& report : reports) {
     m_loads.Observe({state::BackendServerId(report.backend_server),
                      report.load_units, report.warmup_limit_units,
-                     now - milliseconds(report.age_ms)});
+                     sent_at - milliseconds(report.age_ms)});
   }
 }
 
@@ -154,8 +162,7 @@
     report.load_units = load.load_units;
     report.warmup_limit_units = load.warmup_limit_units;
     report.age_ms =
-        std::chrono::duration_cast<milliseconds>(now - load.observed_at)
-            .count();
+        std::chrono::ceil<milliseconds>(now - load.observed_at).count();
     reports.push_back(report);
   }
   return reports;
--- a/src/wasabiwall/coordination/entry_node.h
+++ b/src/wasabiwall/coordination/entry_node.h
@@ -9,6 +9,7 @@
 #include "wasabiwall/coordination/call_plan.h"
 #include "wasabiwall/coordination/clock.h"
 #include "wasabiwall/coordination/membership.h"
+#include "wasabiwall/coordination/message_age.h"
 #include "wasabiwall/coordination/pool_load_estimate.h"
 #include "wasabiwall/coordination/retry_budget.h"
 #include "wasabiwall/coordination/router.h"
@@ -65,7 +66,21 @@
   CallPlan MakePlan(const PlannedCall& call);
 
   /// Takes in the loads that a reply carried.
-  void ObserveLoads(const std::vector<protocol::gen::LoadReport>& reports);
+  /// @param transit Most time that the reply can have been on its way.
+  void ObserveLoads(const std::vector<protocol::gen::LoadReport>& reports,
+                    std::chrono::microseconds transit);
+
+  /// Takes in the clock readings and loads of a reply; loads of unknown age
+  /// are left out.
+  /// @param address Side process that answered.
+  void ObserveEnvelope(const std::string& address,
+                       const protocol::gen::Envelope& envelope);
+
+  /// Writes the clock readings into a message to a side process.
+  void Stamp(const std::string& address,
+             protocol::gen::Envelope* envelope) const {
+    m_message_age.Stamp(address, envelope);
+  }
 
   /// @return Loads to send along with a message.
   std::vector<protocol::gen::LoadReport> LoadReports() const;
@@ -85,6 +100,7 @@
   EntryNodeHooks m_hooks;
   Membership m_membership;
   PoolLoadEstimate m_loads;
+  MessageAge m_message_age;
   RetryBudget m_retries;
 };
 
--- /dev/null
+++ b/src/wasabiwall/coordination/message_age.cc
@@ -0,0 +1,55 @@
+#include "wasabiwall/coordination/message_age.h"
+
+#include <utility>
+
+namespace wasabiwall::coordination {
+namespace {
+
+using std::chrono::microseconds;
+
+constexpr std::size_t kMaxSenders = 8192;
+/// Origins spread over some ten thousand years of microseconds.
+constexpr std::uint64_t kOriginRange = std::uint64_t{1} << 58U;
+/// An echo that is older says nothing useful and may be of another process.
+constexpr std::chrono::hours kMaxTransit{1};
+
+}  // namespace
+
+MessageAge::MessageAge(ClockHook clock, std::uint64_t origin)
+    : m_clock(std::move(clock)),
+      m_origin_us(static_cast<std::int64_t>(origin % kOriginRange) + 1) {}
+
+void MessageAge::Stamp(const std::string& receiver,
+                       protocol::gen::Envelope* envelope) const {
+  const TimePoint now = m_clock();
+  envelope->clock_us = ToReading(now);
+  envelope->echo_clock_us = 0;
+  envelope->echo_age_us = 0;
+  const std::lock_guard lock(m_mutex);
+  const auto found = m_readings.find(receiver);
+  if (found == m_readings.end()) return;
+  envelope->echo_clock_us = found->second.clock_us;
+  envelope->echo_age_us = (now - found->second.heard_at).count();
+}
+
+std::optional<microseconds> MessageAge::OnMessage(
+    const std::string& sender, const protocol::gen::Envelope& envelope) {
+  const TimePoint now = m_clock();
+  if (envelope.clock_us != 0 && !sender.empty()) {
+    const std::lock_guard lock(m_mutex);
+    if (m_readings.size() >= kMaxSenders) m_readings.clear();
+    m_readings[sender] = {envelope.clock_us, now};
+  }
+  if (envelope.echo_clock_us <= 0 || envelope.echo_age_us < 0) return {};
+  // The message was sent after the echoed reading, by at least the echo's age.
+  const microseconds transit(ToReading(now) - envelope.echo_clock_us -
+                             envelope.echo_age_us);
+  if (transit < microseconds(0) || transit > kMaxTransit) return {};
+  return transit;
+}
+
+std::int64_t MessageAge::ToReading(TimePoint time) const {
+  return m_origin_us + time.time_since_epoch().count();
+}
+
+}  // namespace wasabiwall::coordination
--- a/src/wasabiwall/coordination/pool_load_estimate.cc
+++ b/src/wasabiwall/coordination/pool_load_estimate.cc
@@ -9,27 +9,48 @@
 
 void PoolLoadEstimate::Observe(const LoadObservation& observation) {
   const std::lock_guard lock(m_mutex);
-  const auto [entry, inserted] =
-      m_observations.try_emplace(observation.server, observation);
-  if (inserted || entry->second.observed_at > observation.observed_at) return;
-  entry->second = observation;
+  const auto [found, inserted] = m_entries.try_emplace(observation.server);
+  Entry& entry = found->second;
+  if (!inserted && entry.observation.observed_at > observation.observed_at) {
+    return;
+  }
+  Discount(&entry);
+  entry.observation = observation;
+  if (entry.tracked) Count(&entry);
 }
 
 std::int64_t PoolLoadEstimate::LoadOf(const state::BackendServerId& server,
                                       TimePoint now) const {
   const std::lock_guard lock(m_mutex);
-  const auto found = m_observations.find(server);
-  if (found == m_observations.end()) return 0;
-  if (now - found->second.observed_at > m_max_age) return 0;
-  return found->second.load_units;
+  const auto found = m_entries.find(server);
+  if (found == m_entries.end() || !Fresh(found->second, now)) return 0;
+  return found->second.observation.load_units;
 }
 
-double PoolLoadEstimate::MeanWith(
-    const std::vector<state::BackendServerId>& others, std::int64_t own_load,
-    TimePoint now) const {
-  std::int64_t sum = own_load;
-  for (const state::BackendServerId& other : others) sum += LoadOf(other, now);
-  return static_cast<double>(sum) / static_cast<double>(others.size() + 1);
+void PoolLoadEstimate::Track(const std::vector<state::BackendServerId>& servers,
+                             TimePoint now) {
+  const std::lock_guard lock(m_mutex);
+  m_counted.clear();
+  m_sum = 0;
+  for (auto& [id, entry] : m_entries) entry.tracked = entry.counted = false;
+  for (const state::BackendServerId& server : servers) {
+    const auto [found, inserted] = m_entries.try_emplace(server);
+    Entry& entry = found->second;
+    entry.tracked = true;
+    if (!inserted && Fresh(entry, now)) Count(&entry);
+  }
+  for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+    const bool keep = entry->second.tracked || Fresh(entry->second, now);
+    entry = keep ? std::next(entry) : m_entries.erase(entry);
+  }
+}
+
+std::int64_t PoolLoadEstimate::TrackedSum(TimePoint now) {
+  const std::lock_guard lock(m_mutex);
+  while (!m_counted.empty() && !Fresh(*m_counted.begin()->second, now)) {
+    Discount(m_counted.begin()->second);
+  }
+  return m_sum;
 }
 
 std::vector<LoadObservation> PoolLoadEstimate::Newest(std::size_t count,
@@ -37,9 +58,9 @@
   std::vector<LoadObservation> newest;
   {
     const std::lock_guard lock(m_mutex);
-    for (const auto& [id, observation] : m_observations) {
-      if (now - observation.observed_at <= m_max_age)
-        newest.push_back(observation);
+    for (const auto& [id, entry] : m_entries) {
+      const bool known = !entry.observation.server.value.empty();
+      if (known && Fresh(entry, now)) newest.push_back(entry.observation);
     }
   }
   std::sort(newest.begin(), newest.end(), [](const auto& a, const auto& b) {
@@ -49,4 +70,21 @@
   return newest;
 }
 
+bool PoolLoadEstimate::Fresh(const Entry& entry, TimePoint now) const {
+  return now - entry.observation.observed_at <= m_max_age;
+}
+
+void PoolLoadEstimate::Count(Entry* entry) {
+  entry->counted = true;
+  m_sum += entry->observation.load_units;
+  m_counted.insert({entry->observation.observed_at, entry});
+}
+
+void PoolLoadEstimate::Discount(Entry* entry) {
+  if (!entry->counted) return;
+  entry->counted = false;
+  m_sum -= entry->observation.load_units;
+  m_counted.erase({entry->observation.observed_at, entry});
+}
+
 }  // namespace wasabiwall::coordination
--- a/src/wasabiwall/coordination/pool_load_estimate.h
+++ b/src/wasabiwall/coordination/pool_load_estimate.h
@@ -3,7 +3,9 @@
 #include <chrono>
 #include <cstdint>
 #include <mutex>
+#include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "wasabiwall/coordination/clock.h"
@@ -11,7 +13,7 @@
 
 namespace wasabiwall::coordination {
 
-/// A load figure with the time at which it was true.
+/// A load figure and a time not later than the one at which it was true.
 struct LoadObservation {
   state::BackendServerId server;
   std::int64_t load_units = 0;
@@ -33,20 +35,35 @@
   std::int64_t LoadOf(const state::BackendServerId& server,
                       TimePoint now) const;
 
-  /// Mean load over a pool's other members; unknown members count as idle,
-  /// which keeps the mean a lower bound.
-  /// @param others Members without the one that asks.
-  /// @param own_load Load of the one that asks, counted in.
-  double MeanWith(const std::vector<state::BackendServerId>& others,
-                  std::int64_t own_load, TimePoint now) const;
+  /// Chooses the backend servers whose load TrackedSum adds up, and forgets
+  /// figures of others that are too old.
+  void Track(const std::vector<state::BackendServerId>& servers, TimePoint now);
+
+  /// @return Sum of the tracked backend servers' loads; those unknown or too
+  /// old count as idle. Its cost does not depend on their number.
+  std::int64_t TrackedSum(TimePoint now);
 
   /// @return Up to `count` figures, newest first.
   std::vector<LoadObservation> Newest(std::size_t count, TimePoint now) const;
 
  private:
+  struct Entry {
+    LoadObservation observation;
+    bool tracked = false;
+    /// Whether the load is part of the sum.
+    bool counted = false;
+  };
+
+  bool Fresh(const Entry& entry, TimePoint now) const;
+  void Count(Entry* entry);
+  void Discount(Entry* entry);
+
   std::chrono::milliseconds m_max_age;
   mutable std::mutex m_mutex;
-  std::unordered_map<state::BackendServerId, LoadObservation> m_observations;
+  std::unordered_map<state::BackendServerId, Entry> m_entries;
+  /// Counted entries, oldest first.
+  std::set<std::pair<TimePoint, Entry*>> m_counted;
+  std::int64_t m_sum = 0;
 };
 
 }  // namespace wasabiwall::coordination
--- a/src/wasabiwall/coordination/side_node.cc
+++ b/src/wasabiwall/coordination/side_node.cc
@@ -20,6 +20,8 @@
 constexpr milliseconds kLoadMaxAge{2000};
 constexpr std::chrono::seconds kAttemptRetention{60};
 constexpr std::chrono::minutes kTombstoneRetention{10};
+/// Keeps sums of forged costs from overflowing.
+constexpr std::int64_t kMaxCostUnits = std::int64_t{1} << 40;
 constexpr std::size_t kLoadsPerMessage = 8;
 constexpr std::size_t kKeysPerTransaction = 32;
 constexpr milliseconds kMaxPullWait{5000};
@@ -35,6 +37,10 @@
   return reply;
 }
 
+std::int64_t CostOf(const SubmitRequest& request) {
+  return std::clamp(request.cost_units, std::int64_t{1}, kMaxCostUnits);
+}
+
 SubmitReply Admitted() {
   SubmitReply reply;
   reply.admitted = true;
@@ -59,10 +65,11 @@
     : m_self(std::move(self)),
       m_config(config),
       m_hooks(std::move(hooks)),
-      m_loads(kLoadMaxAge) {}
+      m_loads(kLoadMaxAge),
+      m_message_age(m_hooks.clock, m_hooks.random()) {}
 
 SubmitReply SideNode::Submit(const SubmitRequest& request) {
-  ObserveLoads(request.envelope.loads);
+  ObserveEnvelope(request.envelope);
   const state::AttemptId attempt(request.attempt_id);
   const auto known =
       m_attempts.WithShard(attempt, [&](auto& table) -> std::optional<bool> {
@@ -75,13 +82,12 @@
   }
   const auto pool = CheckPlacement(request);
   if (!pool) return Refused(pool.error());
-  m_admission.Configure(*pool);
   const bool keyed = !request.idempotent && !request.idempotency_key.empty();
-  return keyed ? SubmitKeyed(request, *pool) : SubmitPlain(request, *pool);
+  return keyed ? SubmitKeyed(request, *pool) : SubmitPlain(request);
 }
 
 PullReply SideNode::Pull(const protocol::gen::PullRequest& request) {
-  ObserveLoads(request.envelope.loads);
+  ObserveEnvelope(request.envelope);
   PullReply reply;
   reply.attempt_id = request.attempt_id;
   reply.offset = request.offset;
@@ -195,20 +201,21 @@
     report.load_units = load.load_units;
     report.warmup_limit_units = load.warmup_limit_units;
     report.age_ms =
-        std::chrono::duration_cast<milliseconds>(now - load.observed_at)
-            .count();
+        std::chrono::ceil<milliseconds>(now - load.observed_at).count();
     reports.push_back(report);
   }
   return reports;
 }
 
-void SideNode::ObserveLoads(const std::vector<LoadReport>& reports) {
-  const TimePoint now = m_hooks.clock();
-  for (const LoadReport& report : reports) {
+void SideNode::ObserveEnvelope(const protocol::gen::Envelope& envelope) {
+  const auto transit = m_message_age.OnMessage(envelope.sender, envelope);
+  if (!transit) return;
+  const TimePoint sent_at = m_hooks.clock() - *transit;
+  for (const LoadReport& report : envelope.loads) {
     if (report.backend_server == m_self.value) continue;
     m_loads.Observe({state::BackendServerId(report.backend_server),
                      report.load_units, report.warmup_limit_units,
-                     now - milliseconds(report.age_ms)});
+                     sent_at - milliseconds(report.age_ms)});
   }
 }
 
@@ -218,7 +225,7 @@
 }
 
 protocol::Result<state::Pool> SideNode::CheckPlacement(
-    const SubmitRequest& request) const {
+    const SubmitRequest& request) {
   const auto view = m_config->View();
   const auto server = view->backend_servers.find(m_self.value);
   if (server == view->backend_servers.end() ||
@@ -231,21 +238,32 @@
   const auto pool = view->pools.find(request.pool);
   if (pool == view->pools.end()) return Fail(ErrorKind::kStaleConfiguration);
   if (request.deadline_ms <= 0) return Fail(ErrorKind::kDeadlineTooShort);
+  FollowConfiguration(view, pool->second);
   return pool->second;
 }
 
-protocol::Result<void> SideNode::AdmitCost(const SubmitRequest& request,
-                                           const state::Pool& pool) {
-  const auto view = m_config->View();
-  const TimePoint now = m_hooks.clock();
-  std::int64_t others_load = 0;
-  std::int64_t others_count = 0;
+void SideNode::FollowConfiguration(
+    const std::shared_ptr<const state::ConfigView>& view,
+    const state::Pool& pool) {
+  const std::lock_guard lock(m_mutex);
+  if (m_followed == view) return;
+  // Another thread may have looked at the configuration before it changed.
+  if (m_followed && view->revision < m_followed->revision) return;
+  m_followed = view;
+  std::vector<state::BackendServerId> others;
   for (const state::BackendServer& member : view->Members(pool.id)) {
     if (member.id == m_self || !view->TakesNewWork(member.id)) continue;
-    others_load += m_loads.LoadOf(member.id, now);
-    ++others_count;
+    others.push_back(member.id);
   }
-  return m_admission.Admit(request.cost_units, others_load, others_count);
+  m_others = static_cast<std::int64_t>(others.size());
+  m_loads.Track(others, m_hooks.clock());
+  m_admission.Configure(pool);
+}
+
+protocol::Result<void> SideNode::AdmitCost(const SubmitRequest& request) {
+  const std::lock_guard lock(m_mutex);
+  return m_admission.Admit(CostOf(request), m_loads.TrackedSum(m_hooks.clock()),
+                           m_others);
 }
 
 SubmitReply SideNode::SubmitKeyed(const SubmitRequest& request,
@@ -257,11 +275,11 @@
     return Refused({ErrorKind::kNotOwner, "", {}},
                    owner == m_owners.end() ? "" : owner->second.value);
   }
-  const auto admitted = AdmitCost(request, pool);
+  const auto admitted = AdmitCost(request);
   if (!admitted) return Refused(admitted.error());
   const auto answer = std::make_shared<state::Attempt>();
   if (!Insert(request, answer, true, true)) {
-    m_admission.Finish(request.cost_units, false);
+    m_admission.Finish(CostOf(request), false);
     return Refused({ErrorKind::kTombstoned, "", {}});
   }
   const LedgerDecision decision = m_ledger.Begin(call);
@@ -277,13 +295,12 @@
   return Refused(decision.error);
 }
 
-SubmitReply SideNode::SubmitPlain(const SubmitRequest& request,
-                                  const state::Pool& pool) {
-  const auto admitted = AdmitCost(request, pool);
+SubmitReply SideNode::SubmitPlain(const SubmitRequest& request) {
+  const auto admitted = AdmitCost(request);
   if (!admitted) return Refused(admitted.error());
   const auto answer = std::make_shared<state::Attempt>();
   if (!Insert(request, answer, false, true)) {
-    m_admission.Finish(request.cost_units, false);
+    m_admission.Finish(CostOf(request), false);
     return Refused({ErrorKind::kTombstoned, "", {}});
   }
   m_hooks.run(request, answer);
@@ -333,7 +350,7 @@
     if (found == table.end() || !found->second.admitted)
       return std::int64_t{-1};
     found->second.admitted = false;
-    return std::int64_t{found->second.request.cost_units};
+    return CostOf(found->second.request);
   });
   if (cost >= 0) m_admission.Finish(cost, completed);
 }
--- a/src/wasabiwall/coordination/side_node.h
+++ b/src/wasabiwall/coordination/side_node.h
@@ -12,6 +12,7 @@
 #include "wasabiwall/coordination/admission_controller.h"
 #include "wasabiwall/coordination/clock.h"
 #include "wasabiwall/coordination/key_ledger.h"
+#include "wasabiwall/coordination/message_age.h"
 #include "wasabiwall/coordination/pool_load_estimate.h"
 #include "wasabiwall/protocol/gen/wasabiwall_types.h"
 #include "wasabiwall/state/attempt.h"
@@ -35,6 +36,7 @@
 /// Hooks of a side node.
 struct SideNodeHooks {
   ClockHook clock;
+  RandomHook random;
   /// Starts an attempt at the backend server; returns at once. The runner
   /// calls SideNode::OnRunEnded exactly once.
   std::function<void(const protocol::gen::SubmitRequest& request,
@@ -95,8 +97,16 @@
   /// @return Loads to send along with a message, this one's first.
   std::vector<protocol::gen::LoadReport> LoadReports() const;
 
-  /// Takes in the loads that a message carried.
-  void ObserveLoads(const std::vector<protocol::gen::LoadReport>& reports);
+  /// Takes in the clock readings and loads of a message; loads of unknown age
+  /// are left out.
+  void ObserveEnvelope(const protocol::gen::Envelope& envelope);
+
+  /// Writes the clock readings into a message.
+  /// @param receiver Sender of the message that is answered.
+  void Stamp(const std::string& receiver,
+             protocol::gen::Envelope* envelope) const {
+    m_message_age.Stamp(receiver, envelope);
+  }
 
   bool Draining() const;
 
@@ -109,13 +119,15 @@
   };
 
   protocol::Result<state::Pool> CheckPlacement(
-      const protocol::gen::SubmitRequest& request) const;
-  protocol::Result<void> AdmitCost(const protocol::gen::SubmitRequest& request,
-                                   const state::Pool& pool);
+      const protocol::gen::SubmitRequest& request);
+  /// Takes over pool and members when the configuration has changed.
+  void FollowConfiguration(const std::shared_ptr<const state::ConfigView>& view,
+                           const state::Pool& pool);
+  protocol::Result<void> AdmitCost(const protocol::gen::SubmitRequest& request);
   protocol::gen::SubmitReply SubmitKeyed(
       const protocol::gen::SubmitRequest& request, const state::Pool& pool);
   protocol::gen::SubmitReply SubmitPlain(
-      const protocol::gen::SubmitRequest& request, const state::Pool& pool);
+      const protocol::gen::SubmitRequest& request);
   void Act(const LedgerDecision& decision);
   void Release(const state::AttemptId& attempt, bool completed);
   std::shared_ptr<state::Attempt> AnswerOf(const state::AttemptId& attempt);
@@ -128,11 +140,15 @@
   SideNodeHooks m_hooks;
   AdmissionController m_admission;
   PoolLoadEstimate m_loads;
+  MessageAge m_message_age;
   KeyLedger m_ledger;
   Attempts m_attempts;
   mutable std::mutex m_mutex;
   bool m_draining = false;
   bool m_leaving = false;
+  /// Configuration that admission and load sum follow.
+  std::shared_ptr<const state::ConfigView> m_followed;
+  std::int64_t m_others = 0;
   std::unordered_map<std::int64_t, state::BackendServerId> m_owners;
 };
 
--- a/src/wasabiwall/protocol/wasabiwall.thrift
+++ b/src/wasabiwall/protocol/wasabiwall.thrift
@@ -17,6 +17,12 @@
   /** Highest configuration revision in force at the sender. */
   3: i64 config_revision
   4: list<LoadReport> loads
+  /** The sender's clock at sending; 0 when it gives none. */
+  5: i64 clock_us
+  /** Newest clock reading heard from the receiver; 0 when there is none. */
+  6: i64 echo_clock_us
+  /** Time since that reading was heard, at sending. */
+  7: i64 echo_age_us
 }
 
 /** One call to be run by the backend server beside the receiver. */
--- a/src/wasabiwall/transport/call_driver.cc
+++ b/src/wasabiwall/transport/call_driver.cc
@@ -85,9 +85,15 @@
     return found == view->backend_servers.end() ? "" : found->second.side;
   }
 
+  gen::Envelope MakeEnvelope(const state::BackendServerId& target) const {
+    gen::Envelope envelope = m_driver->m_hooks.make_envelope();
+    m_driver->m_entry->Stamp(AddressOf(target), &envelope);
+    return envelope;
+  }
+
   Step Submit(const Step& step) {
     gen::SubmitRequest request = m_call.request;
-    request.envelope = m_driver->m_hooks.make_envelope();
+    request.envelope = MakeEnvelope(step.target);
     request.attempt_id = step.attempt.value;
     request.request_id = m_call.request.request_id;
     request.deadline_ms = Until(m_call.spec.deadline, m_clock()).count();
@@ -109,7 +115,7 @@
 
   Step Pull(const Step& step) {
     gen::PullRequest request;
-    request.envelope = m_driver->m_hooks.make_envelope();
+    request.envelope = MakeEnvelope(step.target);
     request.attempt_id = step.attempt.value;
     request.offset = step.offset;
     request.max_bytes = kPullBytes;
@@ -148,7 +154,7 @@
 
   Step Tombstone(const Step& step) {
     gen::TombstoneRequest request;
-    request.envelope = m_driver->m_hooks.make_envelope();
+    request.envelope = MakeEnvelope(step.target);
     request.attempt_id = step.attempt.value;
     const auto reply =
         m_driver->m_peers->Tombstone(AddressOf(step.target), request);
@@ -158,7 +164,7 @@
 
   void Cancel(const Step& step) {
     gen::TombstoneRequest request;
-    request.envelope = m_driver->m_hooks.make_envelope();
+    request.envelope = MakeEnvelope(step.target);
     request.attempt_id = step.attempt.value;
     request.cancel = m_call.spec.idempotent;
     (void)m_driver->m_peers->Tombstone(AddressOf(step.target), request);
@@ -167,7 +173,7 @@
   void Heard(const state::BackendServerId& server,
              const gen::Envelope& envelope) {
     m_driver->m_entry->Members().OnSuccess(server);
-    m_driver->m_entry->ObserveLoads(envelope.loads);
+    m_driver->m_entry->ObserveEnvelope(AddressOf(server), envelope);
     m_driver->m_hooks.on_envelope(envelope);
   }
 
--- a/src/wasabiwall/transport/peer_server.cc
+++ b/src/wasabiwall/transport/peer_server.cc
@@ -36,7 +36,7 @@
       return;
     }
     reply = m_handlers.submit(request);
-    reply.envelope = m_handlers.make_envelope();
+    reply.envelope = ReplyTo(request.envelope);
   }
 
   void pull(gen::PullReply& reply, const gen::PullRequest& request) override {
@@ -46,31 +46,37 @@
       return;
     }
     reply = m_handlers.pull(request);
-    reply.envelope = m_handlers.make_envelope();
+    reply.envelope = ReplyTo(request.envelope);
   }
 
   void tombstone(gen::TombstoneReply& reply,
                  const gen::TombstoneRequest& request) override {
     if (!Accept(request.envelope) || !m_handlers.tombstone) return;
     reply = m_handlers.tombstone(request);
-    reply.envelope = m_handlers.make_envelope();
+    reply.envelope = ReplyTo(request.envelope);
   }
 
   void items_since(gen::ItemsReply& reply,
                    const gen::ItemsRequest& request) override {
     if (!Accept(request.envelope)) return;
     reply = m_handlers.items_since(request);
-    reply.envelope = m_handlers.make_envelope();
+    reply.envelope = ReplyTo(request.envelope);
   }
 
   void status(gen::StatusReply& reply,
               const gen::StatusRequest& request) override {
     if (!Accept(request.envelope)) return;
     reply = m_handlers.status(request);
-    reply.envelope = m_handlers.make_envelope();
+    reply.envelope = ReplyTo(request.envelope);
   }
 
  private:
+  gen::Envelope ReplyTo(const gen::Envelope& request) const {
+    gen::Envelope envelope = m_handlers.make_envelope();
+    if (m_handlers.stamp) m_handlers.stamp(request.sender, &envelope);
+    return envelope;
+  }
+
   bool Accept(const gen::Envelope& envelope) const {
     if (!state::EqualInConstantTime(envelope.secret, m_secret)) return false;
     m_handlers.on_envelope(envelope);
--- a/src/wasabiwall/transport/peer_server.h
+++ b/src/wasabiwall/transport/peer_server.h
@@ -26,6 +26,9 @@
   std::function<void(const protocol::gen::Envelope&)> on_envelope;
   /// Fills the envelope of a reply.
   std::function<protocol::gen::Envelope()> make_envelope;
+  /// Adds clock readings for the receiver of a reply; may be empty.
+  std::function<void(const std::string& receiver, protocol::gen::Envelope*)>
+      stamp;
 };
 
 /// Serves Thrift messages of other processes; messages without the fleet's
