--- a/src/wasabiwall/coordination/entry_node.cc
+++ b/src/wasabiwall/coordination/entry_node.cc
@@ -68,6 +68,7 @@
                [this](const auto& name) {
                  return MakeRoutingPolicy(name, m_hooks.random);
                }}),
+      m_message_age(m_hooks.clock, m_hooks.random()),
       m_retries(kRetryShare, kRetryBurst) {}
 
 protocol::Result<PlannedCall> EntryNode::PlanChat(const CallerCall& call) {
@@ -158,11 +159,18 @@
            .take_retry = [this] { return m_retries.Take(); }}};
 }
 
-void EntryNode::ObserveLoads(const std::vector<LoadReport>& reports) {
-  const TimePoint now = m_hooks.clock();
+void EntryNode::ObserveEnvelope(const std::string& address,
+                                const protocol::gen::Envelope& envelope) {
+  const auto transit = m_message_age.OnMessage(address, envelope);
+  if (transit) ObserveLoads(envelope.loads, *transit);
+}
+
+void EntryNode::ObserveLoads(const std::vector<LoadReport>& reports,
+                             std::chrono::microseconds transit) {
+  const TimePoint sent_at = m_hooks.clock() - transit;
   for (const LoadReport& report : reports) {
     const state::BackendServerId server(report.backend_server);
-    const TimePoint observed_at = now - milliseconds(report.age_ms);
+    const TimePoint observed_at = sent_at - milliseconds(report.age_ms);
     m_loads.Observe(
         {server, report.load_units, report.warmup_limit_units, observed_at});
     m_unreported.OnReport(server, observed_at);
@@ -178,8 +186,7 @@
     report.load_units = load.load_units;
     report.warmup_limit_units = load.warmup_limit_units;
     report.age_ms =
-        std::chrono::duration_cast<milliseconds>(now - load.observed_at)
-            .count();
+        std::chrono::ceil<milliseconds>(now - load.observed_at).count();
     reports.push_back(report);
   }
   return reports;
