--- a/tests/coordination/key_ledger_test.cc
+++ b/tests/coordination/key_ledger_test.cc
@@ -52,7 +52,7 @@
   /// The process is replaced by an empty one at the same address; what it has
   /// sent may still arrive.
   void Kill(int side) {
-    if (m_sides[side].taken) m_late.push_back(m_sides[side].taken->txn);
+    if (m_sides[side].taken) m_late.push_back({side, *m_sides[side].taken});
     m_sides[side] = {};
     m_sides[side].ledger =
         std::make_unique<KeyLedger>(std::to_string(++m_starts));
@@ -89,9 +89,9 @@
     state::KeyValueResult<state::KeyValueTxnResult> result =
         tl::make_unexpected(fate == Fate::kNotDone ? KeyValueFailure::kNotDone
                                                    : KeyValueFailure::kUnknown);
-    if (fate == Fate::kLate) m_late.push_back(batch.txn);
-    if (fate == Fate::kAnswerLost) m_store.Txn(batch.txn);
-    if (fate == Fate::kAnswered) result = m_store.Txn(batch.txn);
+    if (fate == Fate::kLate) m_late.push_back({side, batch});
+    if (fate == Fate::kAnswerLost) Commit(side, batch);
+    if (fate == Fate::kAnswered) result = Commit(side, batch);
     for (const auto& decision : self.ledger->OnBatchResult(batch, result)) {
       Act(side, decision);
     }
@@ -99,7 +99,7 @@
 
   void DeliverLate() {
     if (m_late.empty()) return;
-    m_store.Txn(m_late.front());
+    Commit(m_late.front().side, m_late.front().batch);
     m_late.erase(m_late.begin());
   }
 
@@ -145,6 +145,20 @@
     std::set<state::AttemptId> seen;
   };
 
+  struct LateBatch {
+    int side = 0;
+    LedgerBatch batch;
+  };
+
+  /// Only the owner in the store commits intents.
+  state::KeyValueTxnResult Commit(int side, const LedgerBatch& batch) {
+    const auto owner = m_store.Range({.key = kOwnerKey}).entries.front();
+    const auto result = m_store.Txn(batch.txn);
+    RC_ASSERT(!result.succeeded || owner.value == std::to_string(side) ||
+              batch.kind != LedgerBatch::Kind::kIntents);
+    return result;
+  }
+
   void Submit(int side, const KeyedCall& call) {
     m_calls[call.attempt] = call;
     m_addressee[call.attempt] = side;
@@ -184,7 +198,7 @@
 
   FakeKeyValue m_store;
   Side m_sides[2];
-  std::vector<state::KeyValueTxn> m_late;
+  std::vector<LateBatch> m_late;
   std::map<state::AttemptId, KeyedCall> m_calls;
   std::map<state::AttemptId, int> m_addressee;
   std::set<state::AttemptId> m_not_run;
@@ -309,6 +323,38 @@
   CHECK_FALSE(owner.ledger.HasWork());
 }
 
+TEST_CASE("a withdrawal that arrives late voids no run", "[key_ledger]") {
+  FakeKeyValue store;
+  Owner other(&store, "other", {});
+  other.Book(1, 1, "theirs");
+  Owner first(&store, "first", {});
+  first.ledger.Begin(MakeCall(0, 0, 2));
+  first.Commit(false);
+  first.Commit(false);
+  first.Commit();  // Finds the intent that took effect.
+  const auto withdrawal = first.ledger.TakeBatch(8);
+  REQUIRE(withdrawal->kind == LedgerBatch::Kind::kWithdrawals);
+  first.ledger.OnBatchResult(*withdrawal,
+                             tl::make_unexpected(KeyValueFailure::kUnknown));
+  // The record of key 1 makes the first transaction with both keys fail.
+  first.ledger.Begin(MakeCall(0, 0, 3));
+  first.ledger.Begin(MakeCall(1, 0, 4));
+  int runs = 0;
+  const auto count = [&runs](const std::vector<LedgerDecision>& decisions) {
+    for (const auto& decision : decisions) {
+      runs += decision.action == Action::kRun ? 1 : 0;
+    }
+  };
+  count(first.Commit());
+  store.Txn(withdrawal->txn);
+  for (int i = 0; i < 3; ++i) count(first.Commit());
+  REQUIRE(runs == 1);
+  Owner second(&store, "second", {});
+  second.ledger.Begin(MakeCall(0, 0, 5));
+  for (int i = 0; i < 3; ++i) count(second.Commit());
+  CHECK(runs == 1);
+}
+
 TEST_CASE("a repeated call gets the recorded answer from a new owner",
           "[key_ledger]") {
   FakeKeyValue store;
