--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -204,7 +204,7 @@
 void MeasureLedger() {
   standins::FakeKeyValue store;
   const auto owner = store.Txn({.writes = {{"/wasabiwall/owners/p/0", "x"}}});
-  coordination::KeyLedger ledger;
+  coordination::KeyLedger ledger("process");
   ledger.OnShardOwned(0, "/wasabiwall/owners/p/0", owner.revision);
   std::vector<Point> time;
   std::vector<Point> bytes;
--- a/src/wasabiwall/coordination/side_node.cc
+++ b/src/wasabiwall/coordination/side_node.cc
@@ -24,6 +24,7 @@
 constexpr std::int64_t kMaxCostUnits = std::int64_t{1} << 40;
 constexpr std::size_t kLoadsPerMessage = 8;
 constexpr std::size_t kKeysPerTransaction = 32;
+constexpr int kIncarnationWords = 4;
 constexpr milliseconds kMaxPullWait{5000};
 constexpr std::int64_t kMaxPullBytes = 1 << 20;
 
@@ -58,6 +59,14 @@
   return call;
 }
 
+std::string DrawIncarnation(const RandomHook& random) {
+  std::string incarnation;
+  for (int i = 0; i < kIncarnationWords; ++i) {
+    incarnation += std::to_string(random()) + ".";
+  }
+  return incarnation;
+}
+
 }  // namespace
 
 SideNode::SideNode(state::BackendServerId self, state::ConfigStore* config,
@@ -66,7 +75,8 @@
       m_config(config),
       m_hooks(std::move(hooks)),
       m_loads(kLoadMaxAge),
-      m_message_age(m_hooks.clock, m_hooks.random()) {}
+      m_message_age(m_hooks.clock, m_hooks.random()),
+      m_ledger(DrawIncarnation(m_hooks.random)) {}
 
 SubmitReply SideNode::Submit(const SubmitRequest& request) {
   ObserveEnvelope(request.envelope);
@@ -170,7 +180,7 @@
        m_ledger.OnBatchResult(*batch, result)) {
     Act(decision);
   }
-  return true;
+  return result.has_value();
 }
 
 void SideNode::Sweep() {
--- a/src/wasabiwall/coordination/side_node.h
+++ b/src/wasabiwall/coordination/side_node.h
@@ -82,7 +82,7 @@
 
   /// Sends the next batch of the ledger through `commit` and acts on the
   /// result.
-  /// @return Whether there was a batch.
+  /// @return Whether a batch was answered, so that the next may follow at once.
   bool CommitOnce(
       const std::function<state::KeyValueResult<state::KeyValueTxnResult>(
           const state::KeyValueTxn&)>& commit);
