--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -171,6 +171,7 @@
   SideNode node(
       state::BackendServerId("server-0"), &store,
       {.clock = coordination::SteadyClock(),
+       .random = [] { return std::uint64_t{1}; },
        .run = [&](const auto&, const auto& a) { answers.push_back(a); },
        .wake_committer = [] {}});
   std::vector<Point> bytes;
