--- a/src/wasabiwall/transport/logging.cc
+++ b/src/wasabiwall/transport/logging.cc
@@ -4,6 +4,7 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <thrift/TOutput.h>
 
 #include <algorithm>
 #include <cctype>
@@ -54,6 +55,9 @@
                  [](unsigned char c) { return std::toupper(c); });
   RootLogger().setLogLevel(log4cplus::getLogLevelManager().fromString(upper));
   RootLogger().addAppender(appender);
+  apache::thrift::GlobalOutput.setOutputFunction([](const char* message) {
+    LogDebug("thrift", {{"message", message}});
+  });
 }
 
 void LogDebug(const std::string& event, const std::vector<LogField>& fields) {
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -7,22 +7,15 @@
 #include <catch2/catch.hpp>
 #include <string>
 
+#include "fakes/test_port.h"
 #include "wasabiwall/transport/http_client.h"
 
 namespace wasabiwall::transport {
 namespace {
 
-/// A port that other runs of the tests on this machine are unlikely to use.
-std::uint16_t TestPort(int offset) {
-  constexpr int first_port = 10000;
-  constexpr int ports = 6000;
-  return static_cast<std::uint16_t>(first_port +
-                                    (getpid() * 4 + offset) % ports);
-}
-
-const std::uint16_t kHeadersPort = TestPort(0);
-const std::uint16_t kBadInputPort = TestPort(1);
-const std::uint16_t kKeptPort = TestPort(2);
+const std::uint16_t kHeadersPort = fakes::TestPort(0);
+const std::uint16_t kBadInputPort = fakes::TestPort(1);
+const std::uint16_t kKeptPort = fakes::TestPort(2);
 constexpr std::size_t kMaxBody = 4096;
 
 /// A server that echoes bodies, streams at /stream and never answers /hang.
