Control traffic under a budget; load news only when new to its receiver

Cause: every message, pulls included, carried eight load records, whatever the receiver knew, and an entry had no way to learn the load of a backend server that its own traffic did not reach.

ControlBudget is a token bucket in bytes per second (control_bytes_per_second). Sent bytes are the gauge wasabiwall_control_bytes.

--- a/programs/entry_daemon.cc
+++ b/programs/entry_daemon.cc
@@ -59,11 +59,20 @@
       m_peers(m_settings.connect_timeout, kPeerReplyTimeout),
       m_node(&m_config, m_settings.request_deadline,
              {coordination::SteadyClock(), &RandomBits}),
+      m_control_budget(m_settings.control_bytes_per_second,
+                       coordination::SteadyClock()),
+      m_load_news("", &m_control_budget, coordination::SteadyClock()),
       m_follower({.reads_key_value = m_settings.reads_configuration,
                   .peers = m_settings.peers},
                  m_key_value.Store(), &m_config, &m_peers,
                  [this] { return MakeEnvelope(); }),
       m_driver(&m_node, &m_config, &m_peers,
+               {.make_envelope =
+                    [this](const auto& target) {
+                      return MakeEnvelopeFor(target.value, false);
+                    },
+                .on_envelope = [this](const auto& e) { OnEnvelope(e); }}),
+      m_prober(&m_node, &m_config, &m_peers, &m_control_budget,
                {.make_envelope = [this] { return MakeEnvelope(); },
                 .on_envelope = [this](const auto& e) { OnEnvelope(e); }}),
       m_peer_server(m_settings.peer_address, m_settings.secret,
@@ -75,6 +84,7 @@
 
 bool EntryDaemon::Start() {
   m_follower.Start();
+  m_prober.Start();
   m_vm_list_thread = std::thread([this] { FollowVmList(); });
   return m_peer_server.Start() && m_http_server.Start();
 }
@@ -83,6 +93,7 @@
   m_draining = true;
   m_http_server.Stop(m_settings.drain_timeout);
   m_peer_server.Stop();
+  m_prober.Stop();
   m_follower.Stop();
   {
     const std::lock_guard lock(m_mutex);
@@ -107,6 +118,8 @@
   if (request.path == "/metrics") {
     m_metrics.SetGauge("wasabiwall_config_revision",
                        static_cast<double>(m_config.Revision()));
+    m_metrics.SetGauge("wasabiwall_control_bytes",
+                       static_cast<double>(m_control_budget.SentBytes()));
     m_metrics.SetGauge("wasabiwall_key_value_calls",
                        static_cast<double>(m_key_value.Calls()));
     response->Send(200, "text/plain; version=0.0.4", m_metrics.Text(), {});
@@ -183,7 +196,14 @@
   envelope.sender = m_settings.peer_address;
   envelope.secret = m_settings.secret;
   envelope.config_revision = m_config.Revision();
-  envelope.loads = m_node.LoadReports();
+  return envelope;
+}
+
+gen::Envelope EntryDaemon::MakeEnvelopeFor(const std::string& receiver,
+                                           bool refused) {
+  gen::Envelope envelope = MakeEnvelope();
+  envelope.loads = m_load_news.For(receiver, refused,
+                                   [this] { return m_node.LoadReports(); });
   return envelope;
 }
 
@@ -202,7 +222,9 @@
     return reply;
   };
   handlers.on_envelope = [this](const auto& envelope) { OnEnvelope(envelope); };
-  handlers.make_envelope = [this] { return MakeEnvelope(); };
+  handlers.make_envelope = [this](const auto& receiver, bool refused) {
+    return MakeEnvelopeFor(receiver, refused);
+  };
   return handlers;
 }
 
--- a/programs/entry_daemon.h
+++ b/programs/entry_daemon.h
@@ -7,13 +7,16 @@
 #include <string>
 #include <thread>
 
+#include "wasabiwall/coordination/control_budget.h"
 #include "wasabiwall/coordination/entry_node.h"
+#include "wasabiwall/coordination/load_news.h"
 #include "wasabiwall/protocol/settings.h"
 #include "wasabiwall/state/config_store.h"
 #include "wasabiwall/transport/call_driver.h"
 #include "wasabiwall/transport/config_follower.h"
 #include "wasabiwall/transport/http_server.h"
 #include "wasabiwall/transport/key_value_client.h"
+#include "wasabiwall/transport/load_prober.h"
 #include "wasabiwall/transport/metrics.h"
 #include "wasabiwall/transport/peer_client.h"
 #include "wasabiwall/transport/peer_server.h"
@@ -42,6 +45,8 @@
       const transport::ServerRequest& request);
   void FollowVmList();
   protocol::gen::Envelope MakeEnvelope() const;
+  protocol::gen::Envelope MakeEnvelopeFor(const std::string& receiver,
+                                          bool refused);
   transport::PeerHandlers MakePeerHandlers();
   void OnEnvelope(const protocol::gen::Envelope& envelope);
   bool Ready() const;
@@ -51,9 +56,12 @@
   transport::KeyValueClient m_key_value;
   transport::PeerClient m_peers;
   coordination::EntryNode m_node;
+  coordination::ControlBudget m_control_budget;
+  coordination::LoadNews m_load_news;
   transport::ConfigFollower m_follower;
   transport::CallDriver m_driver;
   transport::Metrics m_metrics;
+  transport::LoadProber m_prober;
   transport::PeerServer m_peer_server;
   transport::HttpServer m_http_server;
   std::atomic<bool> m_draining{false};
--- a/programs/side_daemon.cc
+++ b/programs/side_daemon.cc
@@ -53,6 +53,10 @@
                     m_commit_wanted = true;
                     m_changed.notify_all();
                   }}),
+      m_control_budget(m_settings.control_bytes_per_second,
+                       coordination::SteadyClock()),
+      m_load_news(m_settings.backend_server, &m_control_budget,
+                  coordination::SteadyClock()),
       m_follower({.reads_key_value = m_settings.reads_configuration,
                   .peers = m_settings.peers},
                  m_store, &m_config, &m_peers,
@@ -233,6 +237,8 @@
                        static_cast<double>(admission.WarmupUnits()));
     m_metrics.SetGauge("wasabiwall_config_revision",
                        static_cast<double>(m_config.Revision()));
+    m_metrics.SetGauge("wasabiwall_control_bytes",
+                       static_cast<double>(m_control_budget.SentBytes()));
     m_metrics.SetGauge("wasabiwall_key_value_calls",
                        static_cast<double>(m_key_value.Calls()));
     response->Send(200, "text/plain; version=0.0.4", m_metrics.Text(), {});
@@ -261,7 +267,14 @@
   envelope.sender = m_settings.peer_address;
   envelope.secret = m_settings.secret;
   envelope.config_revision = m_config.Revision();
-  envelope.loads = m_node.LoadReports();
+  return envelope;
+}
+
+gen::Envelope SideDaemon::MakeEnvelopeFor(const std::string& receiver,
+                                          bool refused) {
+  gen::Envelope envelope = MakeEnvelope();
+  envelope.loads = m_load_news.For(receiver, refused,
+                                   [this] { return m_node.LoadReports(); });
   return envelope;
 }
 
@@ -290,7 +303,9 @@
   handlers.on_envelope = [this](const auto& envelope) {
     m_follower.OnRevisionHeard(envelope.config_revision, envelope.sender);
   };
-  handlers.make_envelope = [this] { return MakeEnvelope(); };
+  handlers.make_envelope = [this](const auto& receiver, bool refused) {
+    return MakeEnvelopeFor(receiver, refused);
+  };
   handlers.stamp = [this](const auto& receiver, auto* envelope) {
     m_node.Stamp(receiver, envelope);
   };
--- a/programs/side_daemon.h
+++ b/programs/side_daemon.h
@@ -9,6 +9,8 @@
 #include <thread>
 #include <vector>
 
+#include "wasabiwall/coordination/control_budget.h"
+#include "wasabiwall/coordination/load_news.h"
 #include "wasabiwall/coordination/shard_ownership.h"
 #include "wasabiwall/coordination/side_node.h"
 #include "wasabiwall/protocol/settings.h"
@@ -48,6 +50,8 @@
   void WaitUntilIdle();
   std::string BackendUrl() const;
   protocol::gen::Envelope MakeEnvelope() const;
+  protocol::gen::Envelope MakeEnvelopeFor(const std::string& receiver,
+                                          bool refused);
   transport::PeerHandlers MakePeerHandlers();
 
   protocol::Settings m_settings;
@@ -58,6 +62,8 @@
   transport::PeerClient m_peers;
   transport::BackendRunner m_runner;
   coordination::SideNode m_node;
+  coordination::ControlBudget m_control_budget;
+  coordination::LoadNews m_load_news;
   transport::ConfigFollower m_follower;
   transport::Metrics m_metrics;
   transport::PeerServer m_peer_server;
--- a/src/wasabiwall/coordination/candidate_cache.cc
+++ b/src/wasabiwall/coordination/candidate_cache.cc
@@ -42,6 +42,7 @@
   if (configured == view->pools.end()) return nullptr;
   const std::lock_guard lock(m_mutex);
   Members& members = m_pools[pool];
+  members.used_at = now;
   if (members.view != view) {
     members.allowed = AllowedMembers(*view, pool);
     members.view = view;
@@ -55,6 +56,16 @@
   return members.table;
 }
 
+std::vector<std::shared_ptr<const CandidateTable>> CandidateCache::UsedSince(
+    TimePoint since) {
+  const std::lock_guard lock(m_mutex);
+  std::vector<TablePtr> tables;
+  for (const auto& [pool, members] : m_pools) {
+    if (members.used_at > since) tables.push_back(members.table);
+  }
+  return tables;
+}
+
 CandidateCache::TablePtr CandidateCache::MakeTable(const state::Pool& pool,
                                                    const Members& members,
                                                    TimePoint now) const {
--- a/src/wasabiwall/coordination/candidate_cache.h
+++ b/src/wasabiwall/coordination/candidate_cache.h
@@ -54,6 +54,9 @@
       const std::shared_ptr<const state::ConfigView>& view,
       const state::PoolId& pool, TimePoint now);
 
+  /// @return Tables asked for after `since`.
+  std::vector<std::shared_ptr<const CandidateTable>> UsedSince(TimePoint since);
+
  private:
   using TablePtr = std::shared_ptr<const CandidateTable>;
 
@@ -64,6 +67,7 @@
     std::shared_ptr<const state::ConfigView> view;
     std::vector<Candidate> allowed;
     TablePtr table;
+    TimePoint used_at;
   };
 
   TablePtr MakeTable(const state::Pool& pool, const Members& members,
--- a/src/wasabiwall/coordination/entry_node.cc
+++ b/src/wasabiwall/coordination/entry_node.cc
@@ -22,7 +22,10 @@
 constexpr milliseconds kSuspectTime{2000};
 constexpr milliseconds kLoadMaxAge{2000};
 constexpr milliseconds kCandidateRefresh{100};
-constexpr std::size_t kLoadsPerMessage = 8;
+/// Newest load figures from which the news for a peer is chosen.
+constexpr std::size_t kLoadsKnown = 256;
+/// Time after its last call for which a pool's loads are kept fresh.
+constexpr milliseconds kPoolInUse{10000};
 /// Above the attempts that a plan makes.
 constexpr std::size_t kCandidatesPerCall = 8;
 constexpr double kRetryShare = 0.1;
@@ -177,10 +180,29 @@
   }
 }
 
+std::vector<state::BackendServerId> EntryNode::ProbeTargets(std::size_t count) {
+  const TimePoint now = m_hooks.clock();
+  std::vector<state::BackendServerId> unknown;
+  for (const auto& table : m_candidates.UsedSince(now - kPoolInUse)) {
+    for (const Candidate& candidate : table->candidates) {
+      if (m_loads.HeardLoadOf(candidate.id, now)) continue;
+      if (m_membership.Suspect(candidate.id, now)) continue;
+      unknown.push_back(candidate.id);
+    }
+  }
+  const std::size_t drawn = std::min(count, unknown.size());
+  for (std::size_t i = 0; i < drawn; ++i) {
+    const std::size_t other = i + m_hooks.random() % (unknown.size() - i);
+    std::swap(unknown[i], unknown[other]);
+  }
+  unknown.resize(drawn);
+  return unknown;
+}
+
 std::vector<LoadReport> EntryNode::LoadReports() const {
   const TimePoint now = m_hooks.clock();
   std::vector<LoadReport> reports;
-  for (const LoadObservation& load : m_loads.Newest(kLoadsPerMessage, now)) {
+  for (const LoadObservation& load : m_loads.Newest(kLoadsKnown, now)) {
     LoadReport report;
     report.backend_server = load.server.value;
     report.load_units = load.load_units;
--- a/src/wasabiwall/coordination/entry_node.h
+++ b/src/wasabiwall/coordination/entry_node.h
@@ -85,7 +85,12 @@
     m_message_age.Stamp(address, envelope);
   }
 
-  /// @return Loads to send along with a message.
+  /// @return Backend servers of pools in use whose load is not known, drawn
+  /// at random, to be asked for it.
+  /// @param count Largest number wanted.
+  std::vector<state::BackendServerId> ProbeTargets(std::size_t count);
+
+  /// @return Loads that may be sent along with a message.
   std::vector<protocol::gen::LoadReport> LoadReports() const;
 
   Membership& Members() { return m_membership; }
--- a/src/wasabiwall/coordination/side_node.cc
+++ b/src/wasabiwall/coordination/side_node.cc
@@ -22,7 +22,8 @@
 constexpr std::chrono::minutes kTombstoneRetention{10};
 /// Keeps sums of forged costs from overflowing.
 constexpr std::int64_t kMaxCostUnits = std::int64_t{1} << 40;
-constexpr std::size_t kLoadsPerMessage = 8;
+/// Newest load figures from which the news for a peer is chosen.
+constexpr std::size_t kLoadsKnown = 256;
 constexpr std::size_t kKeysPerTransaction = 32;
 constexpr int kIncarnationWords = 4;
 constexpr milliseconds kMaxPullWait{5000};
@@ -205,7 +206,7 @@
   own.load_units = m_admission.LoadUnits();
   own.warmup_limit_units = m_admission.WarmupUnits();
   reports.push_back(own);
-  for (const LoadObservation& load : m_loads.Newest(kLoadsPerMessage, now)) {
+  for (const LoadObservation& load : m_loads.Newest(kLoadsKnown, now)) {
     LoadReport report;
     report.backend_server = load.server.value;
     report.load_units = load.load_units;
--- a/src/wasabiwall/coordination/side_node.h
+++ b/src/wasabiwall/coordination/side_node.h
@@ -94,7 +94,7 @@
   PoolLoadEstimate& Loads() { return m_loads; }
   const AdmissionController& Admission() const { return m_admission; }
 
-  /// @return Loads to send along with a message, this one's first.
+  /// @return Loads that may be sent along with a message, this one's first.
   std::vector<protocol::gen::LoadReport> LoadReports() const;
 
   /// Takes in the clock readings and loads of a message; loads of unknown age
--- a/src/wasabiwall/transport/call_driver.cc
+++ b/src/wasabiwall/transport/call_driver.cc
@@ -86,7 +86,7 @@
   }
 
   gen::Envelope MakeEnvelope(const state::BackendServerId& target) const {
-    gen::Envelope envelope = m_driver->m_hooks.make_envelope();
+    gen::Envelope envelope = m_driver->m_hooks.make_envelope(target);
     m_driver->m_entry->Stamp(AddressOf(target), &envelope);
     return envelope;
   }
--- a/src/wasabiwall/transport/call_driver.h
+++ b/src/wasabiwall/transport/call_driver.h
@@ -25,7 +25,9 @@
 
 /// Hooks of a call driver.
 struct CallDriverHooks {
-  std::function<protocol::gen::Envelope()> make_envelope;
+  /// Fills the envelope of a message to a side process.
+  std::function<protocol::gen::Envelope(const state::BackendServerId& target)>
+      make_envelope;
   std::function<void(const protocol::gen::Envelope&)> on_envelope;
 };
 
--- a/src/wasabiwall/transport/peer_server.cc
+++ b/src/wasabiwall/transport/peer_server.cc
@@ -36,7 +36,7 @@
       return;
     }
     reply = m_handlers.submit(request);
-    reply.envelope = ReplyTo(request.envelope);
+    reply.envelope = ReplyTo(request.envelope, !reply.admitted);
   }
 
   void pull(gen::PullReply& reply, const gen::PullRequest& request) override {
@@ -71,8 +71,9 @@
   }
 
  private:
-  gen::Envelope ReplyTo(const gen::Envelope& request) const {
-    gen::Envelope envelope = m_handlers.make_envelope();
+  gen::Envelope ReplyTo(const gen::Envelope& request,
+                        bool refused = false) const {
+    gen::Envelope envelope = m_handlers.make_envelope(request.sender, refused);
     if (m_handlers.stamp) m_handlers.stamp(request.sender, &envelope);
     return envelope;
   }
--- a/src/wasabiwall/transport/peer_server.h
+++ b/src/wasabiwall/transport/peer_server.h
@@ -24,8 +24,11 @@
       status;
   /// Seen for every authenticated message.
   std::function<void(const protocol::gen::Envelope&)> on_envelope;
-  /// Fills the envelope of a reply.
-  std::function<protocol::gen::Envelope()> make_envelope;
+  /// Fills the envelope of a reply to `receiver`; after a refusal the load
+  /// must ride along.
+  std::function<protocol::gen::Envelope(const std::string& receiver,
+                                        bool refused)>
+      make_envelope;
   /// Adds clock readings for the receiver of a reply; may be empty.
   std::function<void(const std::string& receiver, protocol::gen::Envelope*)>
       stamp;
--- a/tests/coordination/hot_chat_test.cc
+++ b/tests/coordination/hot_chat_test.cc
@@ -67,7 +67,7 @@
     for (const auto& [server, units] : sent) {
       reports.emplace_back().backend_server = server;
     }
-    node.ObserveLoads(reports);
+    node.ObserveLoads(reports, milliseconds(0));
     CHECK(node.PlanChat(call)->order.front().value == home);
   }
   SECTION("a refusal's load moves the chat on") {
@@ -76,7 +76,7 @@
     protocol::gen::LoadReport report;
     report.backend_server = home;
     report.load_units = kFloorUnits;
-    node.ObserveLoads({report});
+    node.ObserveLoads({report}, milliseconds(0));
     CHECK(node.PlanChat(call)->order.front().value != home);
   }
 }
