--- a/gen/wasabiwall/protocol/gen/wasabiwall_types.cpp
+++ b/gen/wasabiwall/protocol/gen/wasabiwall_types.cpp
@@ -166,6 +166,138 @@
 }
 
 
+CrashRecord::~CrashRecord() noexcept {
+}
+
+
+void CrashRecord::__set_fingerprint(const std::string& val) {
+  this->fingerprint = val;
+}
+
+void CrashRecord::__set_crash(const int64_t val) {
+  this->crash = val;
+}
+
+void CrashRecord::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->crash);
+          this->__isset.crash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashRecord");
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crash", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->crash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashRecord &a, CrashRecord &b) {
+  using ::std::swap;
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.crash, b.crash);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+CrashRecord::CrashRecord(const CrashRecord& other2) {
+  fingerprint = other2.fingerprint;
+  crash = other2.crash;
+  age_ms = other2.age_ms;
+  __isset = other2.__isset;
+}
+CrashRecord& CrashRecord::operator=(const CrashRecord& other3) {
+  fingerprint = other3.fingerprint;
+  crash = other3.crash;
+  age_ms = other3.age_ms;
+  __isset = other3.__isset;
+  return *this;
+}
+void CrashRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashRecord(";
+  out << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "crash=" << to_string(crash);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
 Envelope::~Envelope() noexcept {
 }
 
@@ -197,6 +329,10 @@
 void Envelope::__set_echo_age_us(const int64_t val) {
   this->echo_age_us = val;
 }
+
+void Envelope::__set_crashes(const std::vector<CrashRecord> & val) {
+  this->crashes = val;
+}
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
@@ -253,14 +389,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size2;
-            ::apache::thrift::protocol::TType _etype5;
-            xfer += iprot->readListBegin(_etype5, _size2);
-            this->loads.resize(_size2);
-            uint32_t _i6;
-            for (_i6 = 0; _i6 < _size2; ++_i6)
+            uint32_t _size4;
+            ::apache::thrift::protocol::TType _etype7;
+            xfer += iprot->readListBegin(_etype7, _size4);
+            this->loads.resize(_size4);
+            uint32_t _i8;
+            for (_i8 = 0; _i8 < _size4; ++_i8)
             {
-              xfer += this->loads[_i6].read(iprot);
+              xfer += this->loads[_i8].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -293,6 +429,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 40:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size9;
+            ::apache::thrift::protocol::TType _etype12;
+            xfer += iprot->readListBegin(_etype12, _size9);
+            this->crashes.resize(_size9);
+            uint32_t _i13;
+            for (_i13 = 0; _i13 < _size9; ++_i13)
+            {
+              xfer += this->crashes[_i13].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -325,10 +481,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadReport> ::const_iterator _iter7;
-    for (_iter7 = this->loads.begin(); _iter7 != this->loads.end(); ++_iter7)
+    std::vector<LoadReport> ::const_iterator _iter14;
+    for (_iter14 = this->loads.begin(); _iter14 != this->loads.end(); ++_iter14)
     {
-      xfer += (*_iter7).write(oprot);
+      xfer += (*_iter14).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -346,6 +502,18 @@
   xfer += oprot->writeI64(this->echo_age_us);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 40);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<CrashRecord> ::const_iterator _iter15;
+    for (_iter15 = this->crashes.begin(); _iter15 != this->crashes.end(); ++_iter15)
+    {
+      xfer += (*_iter15).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -360,28 +528,31 @@
   swap(a.clock_us, b.clock_us);
   swap(a.echo_clock_us, b.echo_clock_us);
   swap(a.echo_age_us, b.echo_age_us);
+  swap(a.crashes, b.crashes);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other8) {
-  sender = other8.sender;
-  secret = other8.secret;
-  config_revision = other8.config_revision;
-  loads = other8.loads;
-  clock_us = other8.clock_us;
-  echo_clock_us = other8.echo_clock_us;
-  echo_age_us = other8.echo_age_us;
-  __isset = other8.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other9) {
-  sender = other9.sender;
-  secret = other9.secret;
-  config_revision = other9.config_revision;
-  loads = other9.loads;
-  clock_us = other9.clock_us;
-  echo_clock_us = other9.echo_clock_us;
-  echo_age_us = other9.echo_age_us;
-  __isset = other9.__isset;
+Envelope::Envelope(const Envelope& other16) {
+  sender = other16.sender;
+  secret = other16.secret;
+  config_revision = other16.config_revision;
+  loads = other16.loads;
+  clock_us = other16.clock_us;
+  echo_clock_us = other16.echo_clock_us;
+  echo_age_us = other16.echo_age_us;
+  crashes = other16.crashes;
+  __isset = other16.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other17) {
+  sender = other17.sender;
+  secret = other17.secret;
+  config_revision = other17.config_revision;
+  loads = other17.loads;
+  clock_us = other17.clock_us;
+  echo_clock_us = other17.echo_clock_us;
+  echo_age_us = other17.echo_age_us;
+  crashes = other17.crashes;
+  __isset = other17.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -394,6 +565,7 @@
   out << ", " << "clock_us=" << to_string(clock_us);
   out << ", " << "echo_clock_us=" << to_string(echo_clock_us);
   out << ", " << "echo_age_us=" << to_string(echo_age_us);
+  out << ", " << "crashes=" << to_string(crashes);
   out << ")";
 }
 
@@ -465,6 +637,18 @@
 void SubmitRequest::__set_priority(const int32_t val) {
   this->priority = val;
 }
+
+void SubmitRequest::__set_fingerprint(const std::string& val) {
+  this->fingerprint = val;
+}
+
+void SubmitRequest::__set_crashes(const std::vector<CrashRecord> & val) {
+  this->crashes = val;
+}
+
+void SubmitRequest::__set_last_resort(const bool val) {
+  this->last_resort = val;
+}
 std::ostream& operator<<(std::ostream& out, const SubmitRequest& obj)
 {
   obj.printTo(out);
@@ -621,6 +805,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 40:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 41:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->crashes.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
+            {
+              xfer += this->crashes[_i22].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 42:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->last_resort);
+          this->__isset.last_resort = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -702,6 +922,26 @@
   xfer += oprot->writeI32(this->priority);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_STRING, 40);
+  xfer += oprot->writeString(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 41);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<CrashRecord> ::const_iterator _iter23;
+    for (_iter23 = this->crashes.begin(); _iter23 != this->crashes.end(); ++_iter23)
+    {
+      xfer += (*_iter23).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last_resort", ::apache::thrift::protocol::T_BOOL, 42);
+  xfer += oprot->writeBool(this->last_resort);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -725,46 +965,55 @@
   swap(a.body_digest, b.body_digest);
   swap(a.streaming, b.streaming);
   swap(a.priority, b.priority);
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.crashes, b.crashes);
+  swap(a.last_resort, b.last_resort);
   swap(a.__isset, b.__isset);
 }
 
-SubmitRequest::SubmitRequest(const SubmitRequest& other10) {
-  envelope = other10.envelope;
-  attempt_id = other10.attempt_id;
-  request_id = other10.request_id;
-  workspace = other10.workspace;
-  pool = other10.pool;
-  chat_id = other10.chat_id;
-  path = other10.path;
-  method = other10.method;
-  body = other10.body;
-  cost_units = other10.cost_units;
-  deadline_ms = other10.deadline_ms;
-  idempotent = other10.idempotent;
-  idempotency_key = other10.idempotency_key;
-  body_digest = other10.body_digest;
-  streaming = other10.streaming;
-  priority = other10.priority;
-  __isset = other10.__isset;
-}
-SubmitRequest& SubmitRequest::operator=(const SubmitRequest& other11) {
-  envelope = other11.envelope;
-  attempt_id = other11.attempt_id;
-  request_id = other11.request_id;
-  workspace = other11.workspace;
-  pool = other11.pool;
-  chat_id = other11.chat_id;
-  path = other11.path;
-  method = other11.method;
-  body = other11.body;
-  cost_units = other11.cost_units;
-  deadline_ms = other11.deadline_ms;
-  idempotent = other11.idempotent;
-  idempotency_key = other11.idempotency_key;
-  body_digest = other11.body_digest;
-  streaming = other11.streaming;
-  priority = other11.priority;
-  __isset = other11.__isset;
+SubmitRequest::SubmitRequest(const SubmitRequest& other24) {
+  envelope = other24.envelope;
+  attempt_id = other24.attempt_id;
+  request_id = other24.request_id;
+  workspace = other24.workspace;
+  pool = other24.pool;
+  chat_id = other24.chat_id;
+  path = other24.path;
+  method = other24.method;
+  body = other24.body;
+  cost_units = other24.cost_units;
+  deadline_ms = other24.deadline_ms;
+  idempotent = other24.idempotent;
+  idempotency_key = other24.idempotency_key;
+  body_digest = other24.body_digest;
+  streaming = other24.streaming;
+  priority = other24.priority;
+  fingerprint = other24.fingerprint;
+  crashes = other24.crashes;
+  last_resort = other24.last_resort;
+  __isset = other24.__isset;
+}
+SubmitRequest& SubmitRequest::operator=(const SubmitRequest& other25) {
+  envelope = other25.envelope;
+  attempt_id = other25.attempt_id;
+  request_id = other25.request_id;
+  workspace = other25.workspace;
+  pool = other25.pool;
+  chat_id = other25.chat_id;
+  path = other25.path;
+  method = other25.method;
+  body = other25.body;
+  cost_units = other25.cost_units;
+  deadline_ms = other25.deadline_ms;
+  idempotent = other25.idempotent;
+  idempotency_key = other25.idempotency_key;
+  body_digest = other25.body_digest;
+  streaming = other25.streaming;
+  priority = other25.priority;
+  fingerprint = other25.fingerprint;
+  crashes = other25.crashes;
+  last_resort = other25.last_resort;
+  __isset = other25.__isset;
   return *this;
 }
 void SubmitRequest::printTo(std::ostream& out) const {
@@ -786,6 +1035,9 @@
   out << ", " << "body_digest=" << to_string(body_digest);
   out << ", " << "streaming=" << to_string(streaming);
   out << ", " << "priority=" << to_string(priority);
+  out << ", " << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "last_resort=" << to_string(last_resort);
   out << ")";
 }
 
@@ -817,6 +1069,10 @@
 void SubmitReply::__set_owner(const std::string& val) {
   this->owner = val;
 }
+
+void SubmitReply::__set_crashes(const std::vector<CrashRecord> & val) {
+  this->crashes = val;
+}
 std::ostream& operator<<(std::ostream& out, const SubmitReply& obj)
 {
   obj.printTo(out);
@@ -893,6 +1149,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 40:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->crashes.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
+            {
+              xfer += this->crashes[_i30].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -934,6 +1210,18 @@
   xfer += oprot->writeString(this->owner);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 40);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<CrashRecord> ::const_iterator _iter31;
+    for (_iter31 = this->crashes.begin(); _iter31 != this->crashes.end(); ++_iter31)
+    {
+      xfer += (*_iter31).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -947,26 +1235,29 @@
   swap(a.detail, b.detail);
   swap(a.retry_after_ms, b.retry_after_ms);
   swap(a.owner, b.owner);
+  swap(a.crashes, b.crashes);
   swap(a.__isset, b.__isset);
 }
 
-SubmitReply::SubmitReply(const SubmitReply& other12) {
-  envelope = other12.envelope;
-  admitted = other12.admitted;
-  error_kind = other12.error_kind;
-  detail = other12.detail;
-  retry_after_ms = other12.retry_after_ms;
-  owner = other12.owner;
-  __isset = other12.__isset;
-}
-SubmitReply& SubmitReply::operator=(const SubmitReply& other13) {
-  envelope = other13.envelope;
-  admitted = other13.admitted;
-  error_kind = other13.error_kind;
-  detail = other13.detail;
-  retry_after_ms = other13.retry_after_ms;
-  owner = other13.owner;
-  __isset = other13.__isset;
+SubmitReply::SubmitReply(const SubmitReply& other32) {
+  envelope = other32.envelope;
+  admitted = other32.admitted;
+  error_kind = other32.error_kind;
+  detail = other32.detail;
+  retry_after_ms = other32.retry_after_ms;
+  owner = other32.owner;
+  crashes = other32.crashes;
+  __isset = other32.__isset;
+}
+SubmitReply& SubmitReply::operator=(const SubmitReply& other33) {
+  envelope = other33.envelope;
+  admitted = other33.admitted;
+  error_kind = other33.error_kind;
+  detail = other33.detail;
+  retry_after_ms = other33.retry_after_ms;
+  owner = other33.owner;
+  crashes = other33.crashes;
+  __isset = other33.__isset;
   return *this;
 }
 void SubmitReply::printTo(std::ostream& out) const {
@@ -978,6 +1269,7 @@
   out << ", " << "detail=" << to_string(detail);
   out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
   out << ", " << "owner=" << to_string(owner);
+  out << ", " << "crashes=" << to_string(crashes);
   out << ")";
 }
 
@@ -1125,21 +1417,21 @@
   swap(a.__isset, b.__isset);
 }
 
-PullRequest::PullRequest(const PullRequest& other14) {
-  envelope = other14.envelope;
-  attempt_id = other14.attempt_id;
-  offset = other14.offset;
-  wait_ms = other14.wait_ms;
-  max_bytes = other14.max_bytes;
-  __isset = other14.__isset;
-}
-PullRequest& PullRequest::operator=(const PullRequest& other15) {
-  envelope = other15.envelope;
-  attempt_id = other15.attempt_id;
-  offset = other15.offset;
-  wait_ms = other15.wait_ms;
-  max_bytes = other15.max_bytes;
-  __isset = other15.__isset;
+PullRequest::PullRequest(const PullRequest& other34) {
+  envelope = other34.envelope;
+  attempt_id = other34.attempt_id;
+  offset = other34.offset;
+  wait_ms = other34.wait_ms;
+  max_bytes = other34.max_bytes;
+  __isset = other34.__isset;
+}
+PullRequest& PullRequest::operator=(const PullRequest& other35) {
+  envelope = other35.envelope;
+  attempt_id = other35.attempt_id;
+  offset = other35.offset;
+  wait_ms = other35.wait_ms;
+  max_bytes = other35.max_bytes;
+  __isset = other35.__isset;
   return *this;
 }
 void PullRequest::printTo(std::ostream& out) const {
@@ -1205,6 +1497,10 @@
 void PullReply::__set_retry_after_ms(const int64_t val) {
   this->retry_after_ms = val;
 }
+
+void PullReply::__set_crashes(const std::vector<CrashRecord> & val) {
+  this->crashes = val;
+}
 std::ostream& operator<<(std::ostream& out, const PullReply& obj)
 {
   obj.printTo(out);
@@ -1329,6 +1625,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 40:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->crashes.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
+            {
+              xfer += this->crashes[_i40].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1394,6 +1710,18 @@
   xfer += oprot->writeI64(this->retry_after_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 40);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<CrashRecord> ::const_iterator _iter41;
+    for (_iter41 = this->crashes.begin(); _iter41 != this->crashes.end(); ++_iter41)
+    {
+      xfer += (*_iter41).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1413,38 +1741,41 @@
   swap(a.http_status, b.http_status);
   swap(a.content_type, b.content_type);
   swap(a.retry_after_ms, b.retry_after_ms);
+  swap(a.crashes, b.crashes);
   swap(a.__isset, b.__isset);
 }
 
-PullReply::PullReply(const PullReply& other16) {
-  envelope = other16.envelope;
-  attempt_id = other16.attempt_id;
-  offset = other16.offset;
-  data = other16.data;
-  ended = other16.ended;
-  total_bytes = other16.total_bytes;
-  digest = other16.digest;
-  error_kind = other16.error_kind;
-  detail = other16.detail;
-  http_status = other16.http_status;
-  content_type = other16.content_type;
-  retry_after_ms = other16.retry_after_ms;
-  __isset = other16.__isset;
-}
-PullReply& PullReply::operator=(const PullReply& other17) {
-  envelope = other17.envelope;
-  attempt_id = other17.attempt_id;
-  offset = other17.offset;
-  data = other17.data;
-  ended = other17.ended;
-  total_bytes = other17.total_bytes;
-  digest = other17.digest;
-  error_kind = other17.error_kind;
-  detail = other17.detail;
-  http_status = other17.http_status;
-  content_type = other17.content_type;
-  retry_after_ms = other17.retry_after_ms;
-  __isset = other17.__isset;
+PullReply::PullReply(const PullReply& other42) {
+  envelope = other42.envelope;
+  attempt_id = other42.attempt_id;
+  offset = other42.offset;
+  data = other42.data;
+  ended = other42.ended;
+  total_bytes = other42.total_bytes;
+  digest = other42.digest;
+  error_kind = other42.error_kind;
+  detail = other42.detail;
+  http_status = other42.http_status;
+  content_type = other42.content_type;
+  retry_after_ms = other42.retry_after_ms;
+  crashes = other42.crashes;
+  __isset = other42.__isset;
+}
+PullReply& PullReply::operator=(const PullReply& other43) {
+  envelope = other43.envelope;
+  attempt_id = other43.attempt_id;
+  offset = other43.offset;
+  data = other43.data;
+  ended = other43.ended;
+  total_bytes = other43.total_bytes;
+  digest = other43.digest;
+  error_kind = other43.error_kind;
+  detail = other43.detail;
+  http_status = other43.http_status;
+  content_type = other43.content_type;
+  retry_after_ms = other43.retry_after_ms;
+  crashes = other43.crashes;
+  __isset = other43.__isset;
   return *this;
 }
 void PullReply::printTo(std::ostream& out) const {
@@ -1462,6 +1793,7 @@
   out << ", " << "http_status=" << to_string(http_status);
   out << ", " << "content_type=" << to_string(content_type);
   out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
+  out << ", " << "crashes=" << to_string(crashes);
   out << ")";
 }
 
@@ -1575,17 +1907,17 @@
   swap(a.__isset, b.__isset);
 }
 
-TombstoneRequest::TombstoneRequest(const TombstoneRequest& other18) {
-  envelope = other18.envelope;
-  attempt_id = other18.attempt_id;
-  cancel = other18.cancel;
-  __isset = other18.__isset;
+TombstoneRequest::TombstoneRequest(const TombstoneRequest& other44) {
+  envelope = other44.envelope;
+  attempt_id = other44.attempt_id;
+  cancel = other44.cancel;
+  __isset = other44.__isset;
 }
-TombstoneRequest& TombstoneRequest::operator=(const TombstoneRequest& other19) {
-  envelope = other19.envelope;
-  attempt_id = other19.attempt_id;
-  cancel = other19.cancel;
-  __isset = other19.__isset;
+TombstoneRequest& TombstoneRequest::operator=(const TombstoneRequest& other45) {
+  envelope = other45.envelope;
+  attempt_id = other45.attempt_id;
+  cancel = other45.cancel;
+  __isset = other45.__isset;
   return *this;
 }
 void TombstoneRequest::printTo(std::ostream& out) const {
@@ -1690,15 +2022,15 @@
   swap(a.__isset, b.__isset);
 }
 
-TombstoneReply::TombstoneReply(const TombstoneReply& other20) {
-  envelope = other20.envelope;
-  never_started = other20.never_started;
-  __isset = other20.__isset;
+TombstoneReply::TombstoneReply(const TombstoneReply& other46) {
+  envelope = other46.envelope;
+  never_started = other46.never_started;
+  __isset = other46.__isset;
 }
-TombstoneReply& TombstoneReply::operator=(const TombstoneReply& other21) {
-  envelope = other21.envelope;
-  never_started = other21.never_started;
-  __isset = other21.__isset;
+TombstoneReply& TombstoneReply::operator=(const TombstoneReply& other47) {
+  envelope = other47.envelope;
+  never_started = other47.never_started;
+  __isset = other47.__isset;
   return *this;
 }
 void TombstoneReply::printTo(std::ostream& out) const {
@@ -1870,23 +2202,23 @@
   swap(a.__isset, b.__isset);
 }
 
-ItemRecord::ItemRecord(const ItemRecord& other22) {
-  kind = other22.kind;
-  name = other22.name;
-  ticket = other22.ticket;
-  revision = other22.revision;
-  deleted = other22.deleted;
-  state = other22.state;
-  __isset = other22.__isset;
-}
-ItemRecord& ItemRecord::operator=(const ItemRecord& other23) {
-  kind = other23.kind;
-  name = other23.name;
-  ticket = other23.ticket;
-  revision = other23.revision;
-  deleted = other23.deleted;
-  state = other23.state;
-  __isset = other23.__isset;
+ItemRecord::ItemRecord(const ItemRecord& other48) {
+  kind = other48.kind;
+  name = other48.name;
+  ticket = other48.ticket;
+  revision = other48.revision;
+  deleted = other48.deleted;
+  state = other48.state;
+  __isset = other48.__isset;
+}
+ItemRecord& ItemRecord::operator=(const ItemRecord& other49) {
+  kind = other49.kind;
+  name = other49.name;
+  ticket = other49.ticket;
+  revision = other49.revision;
+  deleted = other49.deleted;
+  state = other49.state;
+  __isset = other49.__isset;
   return *this;
 }
 void ItemRecord::printTo(std::ostream& out) const {
@@ -1994,15 +2326,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ItemsRequest::ItemsRequest(const ItemsRequest& other24) {
-  envelope = other24.envelope;
-  since_revision = other24.since_revision;
-  __isset = other24.__isset;
+ItemsRequest::ItemsRequest(const ItemsRequest& other50) {
+  envelope = other50.envelope;
+  since_revision = other50.since_revision;
+  __isset = other50.__isset;
 }
-ItemsRequest& ItemsRequest::operator=(const ItemsRequest& other25) {
-  envelope = other25.envelope;
-  since_revision = other25.since_revision;
-  __isset = other25.__isset;
+ItemsRequest& ItemsRequest::operator=(const ItemsRequest& other51) {
+  envelope = other51.envelope;
+  since_revision = other51.since_revision;
+  __isset = other51.__isset;
   return *this;
 }
 void ItemsRequest::printTo(std::ostream& out) const {
@@ -2065,14 +2397,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->items.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->items.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += this->items[_i30].read(iprot);
+              xfer += this->items[_i56].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2105,10 +2437,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<ItemRecord> ::const_iterator _iter31;
-    for (_iter31 = this->items.begin(); _iter31 != this->items.end(); ++_iter31)
+    std::vector<ItemRecord> ::const_iterator _iter57;
+    for (_iter57 = this->items.begin(); _iter57 != this->items.end(); ++_iter57)
     {
-      xfer += (*_iter31).write(oprot);
+      xfer += (*_iter57).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2126,15 +2458,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ItemsReply::ItemsReply(const ItemsReply& other32) {
-  envelope = other32.envelope;
-  items = other32.items;
-  __isset = other32.__isset;
+ItemsReply::ItemsReply(const ItemsReply& other58) {
+  envelope = other58.envelope;
+  items = other58.items;
+  __isset = other58.__isset;
 }
-ItemsReply& ItemsReply::operator=(const ItemsReply& other33) {
-  envelope = other33.envelope;
-  items = other33.items;
-  __isset = other33.__isset;
+ItemsReply& ItemsReply::operator=(const ItemsReply& other59) {
+  envelope = other59.envelope;
+  items = other59.items;
+  __isset = other59.__isset;
   return *this;
 }
 void ItemsReply::printTo(std::ostream& out) const {
@@ -2221,13 +2553,13 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusRequest::StatusRequest(const StatusRequest& other34) {
-  envelope = other34.envelope;
-  __isset = other34.__isset;
+StatusRequest::StatusRequest(const StatusRequest& other60) {
+  envelope = other60.envelope;
+  __isset = other60.__isset;
 }
-StatusRequest& StatusRequest::operator=(const StatusRequest& other35) {
-  envelope = other35.envelope;
-  __isset = other35.__isset;
+StatusRequest& StatusRequest::operator=(const StatusRequest& other61) {
+  envelope = other61.envelope;
+  __isset = other61.__isset;
   return *this;
 }
 void StatusRequest::printTo(std::ostream& out) const {
@@ -2415,25 +2747,25 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReply::StatusReply(const StatusReply& other36) {
-  envelope = other36.envelope;
-  process = other36.process;
-  failure_domain = other36.failure_domain;
-  draining = other36.draining;
-  load_units = other36.load_units;
-  running = other36.running;
-  key_value_calls = other36.key_value_calls;
-  __isset = other36.__isset;
-}
-StatusReply& StatusReply::operator=(const StatusReply& other37) {
-  envelope = other37.envelope;
-  process = other37.process;
-  failure_domain = other37.failure_domain;
-  draining = other37.draining;
-  load_units = other37.load_units;
-  running = other37.running;
-  key_value_calls = other37.key_value_calls;
-  __isset = other37.__isset;
+StatusReply::StatusReply(const StatusReply& other62) {
+  envelope = other62.envelope;
+  process = other62.process;
+  failure_domain = other62.failure_domain;
+  draining = other62.draining;
+  load_units = other62.load_units;
+  running = other62.running;
+  key_value_calls = other62.key_value_calls;
+  __isset = other62.__isset;
+}
+StatusReply& StatusReply::operator=(const StatusReply& other63) {
+  envelope = other63.envelope;
+  process = other63.process;
+  failure_domain = other63.failure_domain;
+  draining = other63.draining;
+  load_units = other63.load_units;
+  running = other63.running;
+  key_value_calls = other63.key_value_calls;
+  __isset = other63.__isset;
   return *this;
 }
 void StatusReply::printTo(std::ostream& out) const {
--- a/gen/wasabiwall/protocol/gen/wasabiwall_types.h
+++ b/gen/wasabiwall/protocol/gen/wasabiwall_types.h
@@ -23,6 +23,8 @@
 
 class LoadReport;
 
+class CrashRecord;
+
 class Envelope;
 
 class SubmitRequest;
@@ -117,8 +119,77 @@
 
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj);
 
+typedef struct _CrashRecord__isset {
+  _CrashRecord__isset() : fingerprint(false), crash(false), age_ms(false) {}
+  bool fingerprint :1;
+  bool crash :1;
+  bool age_ms :1;
+} _CrashRecord__isset;
+
+/**
+ * A request that was in flight when an engine crashed.
+ */
+class CrashRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashRecord(const CrashRecord&);
+  CrashRecord& operator=(const CrashRecord&);
+  CrashRecord() noexcept
+              : fingerprint(),
+                crash(0),
+                age_ms(0) {
+  }
+
+  virtual ~CrashRecord() noexcept;
+  /**
+   * 32 hex digits over workspace and body.
+   */
+  std::string fingerprint;
+  /**
+   * Identifier of the crash, unique in the fleet.
+   */
+  int64_t crash;
+  /**
+   * Time since the crash at the time of sending.
+   */
+  int64_t age_ms;
+
+  _CrashRecord__isset __isset;
+
+  void __set_fingerprint(const std::string& val);
+
+  void __set_crash(const int64_t val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const CrashRecord & rhs) const
+  {
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
+    if (!(crash == rhs.crash))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashRecord &a, CrashRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashRecord& obj);
+
 typedef struct _Envelope__isset {
-  _Envelope__isset() : sender(false), secret(false), config_revision(false), loads(false), clock_us(false), echo_clock_us(false), echo_age_us(false) {}
+  _Envelope__isset() : sender(false), secret(false), config_revision(false), loads(false), clock_us(false), echo_clock_us(false), echo_age_us(false), crashes(false) {}
   bool sender :1;
   bool secret :1;
   bool config_revision :1;
@@ -126,6 +197,7 @@
   bool clock_us :1;
   bool echo_clock_us :1;
   bool echo_age_us :1;
+  bool crashes :1;
 } _Envelope__isset;
 
 /**
@@ -165,6 +237,7 @@
    * Time since that reading was heard, at sending.
    */
   int64_t echo_age_us;
+  std::vector<CrashRecord>  crashes;
 
   _Envelope__isset __isset;
 
@@ -182,6 +255,8 @@
 
   void __set_echo_age_us(const int64_t val);
 
+  void __set_crashes(const std::vector<CrashRecord> & val);
+
   bool operator == (const Envelope & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -198,6 +273,8 @@
       return false;
     if (!(echo_age_us == rhs.echo_age_us))
       return false;
+    if (!(crashes == rhs.crashes))
+      return false;
     return true;
   }
   bool operator != (const Envelope &rhs) const {
@@ -217,7 +294,7 @@
 std::ostream& operator<<(std::ostream& out, const Envelope& obj);
 
 typedef struct _SubmitRequest__isset {
-  _SubmitRequest__isset() : envelope(false), attempt_id(false), request_id(false), workspace(false), pool(false), chat_id(false), path(false), method(false), body(false), cost_units(false), deadline_ms(false), idempotent(false), idempotency_key(false), body_digest(false), streaming(false), priority(false) {}
+  _SubmitRequest__isset() : envelope(false), attempt_id(false), request_id(false), workspace(false), pool(false), chat_id(false), path(false), method(false), body(false), cost_units(false), deadline_ms(false), idempotent(false), idempotency_key(false), body_digest(false), streaming(false), priority(false), fingerprint(false), crashes(false), last_resort(false) {}
   bool envelope :1;
   bool attempt_id :1;
   bool request_id :1;
@@ -234,6 +311,9 @@
   bool body_digest :1;
   bool streaming :1;
   bool priority :1;
+  bool fingerprint :1;
+  bool crashes :1;
+  bool last_resort :1;
 } _SubmitRequest__isset;
 
 /**
@@ -259,7 +339,9 @@
                   idempotency_key(),
                   body_digest(),
                   streaming(0),
-                  priority(0) {
+                  priority(0),
+                  fingerprint(),
+                  last_resort(0) {
   }
 
   virtual ~SubmitRequest() noexcept;
@@ -282,6 +364,18 @@
   std::string body_digest;
   bool streaming;
   int32_t priority;
+  /**
+   * Empty for calls that are never run again.
+   */
+  std::string fingerprint;
+  /**
+   * Crashes that the sender knows of this fingerprint.
+   */
+  std::vector<CrashRecord>  crashes;
+  /**
+   * All other backend servers have been asked.
+   */
+  bool last_resort;
 
   _SubmitRequest__isset __isset;
 
@@ -317,6 +411,12 @@
 
   void __set_priority(const int32_t val);
 
+  void __set_fingerprint(const std::string& val);
+
+  void __set_crashes(const std::vector<CrashRecord> & val);
+
+  void __set_last_resort(const bool val);
+
   bool operator == (const SubmitRequest & rhs) const
   {
     if (!(envelope == rhs.envelope))
@@ -351,6 +451,12 @@
       return false;
     if (!(priority == rhs.priority))
       return false;
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (!(last_resort == rhs.last_resort))
+      return false;
     return true;
   }
   bool operator != (const SubmitRequest &rhs) const {
@@ -370,13 +476,14 @@
 std::ostream& operator<<(std::ostream& out, const SubmitRequest& obj);
 
 typedef struct _SubmitReply__isset {
-  _SubmitReply__isset() : envelope(false), admitted(false), error_kind(false), detail(false), retry_after_ms(false), owner(false) {}
+  _SubmitReply__isset() : envelope(false), admitted(false), error_kind(false), detail(false), retry_after_ms(false), owner(false), crashes(false) {}
   bool envelope :1;
   bool admitted :1;
   bool error_kind :1;
   bool detail :1;
   bool retry_after_ms :1;
   bool owner :1;
+  bool crashes :1;
 } _SubmitReply__isset;
 
 class SubmitReply : public virtual ::apache::thrift::TBase {
@@ -402,6 +509,10 @@
    * Backend server that owns the key's shard, when this one does not.
    */
   std::string owner;
+  /**
+   * Crashes that the receiver knows of the fingerprint.
+   */
+  std::vector<CrashRecord>  crashes;
 
   _SubmitReply__isset __isset;
 
@@ -417,6 +528,8 @@
 
   void __set_owner(const std::string& val);
 
+  void __set_crashes(const std::vector<CrashRecord> & val);
+
   bool operator == (const SubmitReply & rhs) const
   {
     if (!(envelope == rhs.envelope))
@@ -431,6 +544,8 @@
       return false;
     if (!(owner == rhs.owner))
       return false;
+    if (!(crashes == rhs.crashes))
+      return false;
     return true;
   }
   bool operator != (const SubmitReply &rhs) const {
@@ -520,7 +635,7 @@
 std::ostream& operator<<(std::ostream& out, const PullRequest& obj);
 
 typedef struct _PullReply__isset {
-  _PullReply__isset() : envelope(false), attempt_id(false), offset(false), data(false), ended(false), total_bytes(false), digest(false), error_kind(false), detail(false), http_status(false), content_type(false), retry_after_ms(false) {}
+  _PullReply__isset() : envelope(false), attempt_id(false), offset(false), data(false), ended(false), total_bytes(false), digest(false), error_kind(false), detail(false), http_status(false), content_type(false), retry_after_ms(false), crashes(false) {}
   bool envelope :1;
   bool attempt_id :1;
   bool offset :1;
@@ -533,6 +648,7 @@
   bool http_status :1;
   bool content_type :1;
   bool retry_after_ms :1;
+  bool crashes :1;
 } _PullReply__isset;
 
 class PullReply : public virtual ::apache::thrift::TBase {
@@ -567,6 +683,7 @@
   int32_t http_status;
   std::string content_type;
   int64_t retry_after_ms;
+  std::vector<CrashRecord>  crashes;
 
   _PullReply__isset __isset;
 
@@ -594,6 +711,8 @@
 
   void __set_retry_after_ms(const int64_t val);
 
+  void __set_crashes(const std::vector<CrashRecord> & val);
+
   bool operator == (const PullReply & rhs) const
   {
     if (!(envelope == rhs.envelope))
@@ -620,6 +739,8 @@
       return false;
     if (!(retry_after_ms == rhs.retry_after_ms))
       return false;
+    if (!(crashes == rhs.crashes))
+      return false;
     return true;
   }
   bool operator != (const PullReply &rhs) const {
--- a/programs/entry_daemon.cc
+++ b/programs/entry_daemon.cc
@@ -20,6 +20,7 @@
 constexpr std::chrono::milliseconds kVmListInterval{1000};
 constexpr std::chrono::milliseconds kVmListTimeout{1000};
 constexpr std::chrono::milliseconds kPeerReplyTimeout{3000};
+constexpr std::size_t kCrashesPerMessage = 4;
 constexpr char kChatPath[] = "/v1/chat/completions";
 constexpr char kServicePrefix[] = "/v1/services/";
 constexpr char kBearer[] = "Bearer ";
@@ -178,12 +179,14 @@
   }
 }
 
-gen::Envelope EntryDaemon::MakeEnvelope() const {
+gen::Envelope EntryDaemon::MakeEnvelope() {
   gen::Envelope envelope;
   envelope.sender = m_settings.peer_address;
   envelope.secret = m_settings.secret;
   envelope.config_revision = m_config.Revision();
   envelope.loads = m_node.LoadReports();
+  envelope.crashes = m_node.Crashes().TakeForPeers(
+      kCrashesPerMessage, coordination::SteadyClock()());
   return envelope;
 }
 
--- a/programs/entry_daemon.h
+++ b/programs/entry_daemon.h
@@ -41,7 +41,7 @@
   protocol::Result<coordination::PlannedCall> PlanCall(
       const transport::ServerRequest& request);
   void FollowVmList();
-  protocol::gen::Envelope MakeEnvelope() const;
+  protocol::gen::Envelope MakeEnvelope();
   transport::PeerHandlers MakePeerHandlers();
   void OnEnvelope(const protocol::gen::Envelope& envelope);
   bool Ready() const;
--- a/programs/side_daemon.cc
+++ b/programs/side_daemon.cc
@@ -21,6 +21,7 @@
 constexpr milliseconds kCommitRetryWait{20};
 constexpr milliseconds kIdlePoll{20};
 constexpr milliseconds kPeerReplyTimeout{3000};
+constexpr std::size_t kCrashesPerMessage = 4;
 constexpr int kStatusThreads = 8;
 constexpr int kRunnerThreads = 512;
 
@@ -256,12 +257,14 @@
   return self == view->backend_servers.end() ? "" : self->second.url;
 }
 
-gen::Envelope SideDaemon::MakeEnvelope() const {
+gen::Envelope SideDaemon::MakeEnvelope() {
   gen::Envelope envelope;
   envelope.sender = m_settings.peer_address;
   envelope.secret = m_settings.secret;
   envelope.config_revision = m_config.Revision();
   envelope.loads = m_node.LoadReports();
+  envelope.crashes = m_node.Crashes().TakeForPeers(
+      kCrashesPerMessage, coordination::SteadyClock()());
   return envelope;
 }
 
--- a/programs/side_daemon.h
+++ b/programs/side_daemon.h
@@ -47,7 +47,7 @@
                   transport::ServerResponse* response);
   void WaitUntilIdle();
   std::string BackendUrl() const;
-  protocol::gen::Envelope MakeEnvelope() const;
+  protocol::gen::Envelope MakeEnvelope();
   transport::PeerHandlers MakePeerHandlers();
 
   protocol::Settings m_settings;
--- a/src/wasabiwall/coordination/call_plan.cc
+++ b/src/wasabiwall/coordination/call_plan.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "wasabiwall/coordination/crash_records.h"
+
 namespace wasabiwall::coordination {
 namespace {
 
@@ -37,7 +39,10 @@
 
 CallPlan::CallPlan(CallSpec spec, std::vector<state::BackendServerId> order,
                    CallPlanHooks hooks)
-    : m_spec(spec), m_order(std::move(order)), m_hooks(std::move(hooks)) {}
+    : m_spec(spec),
+      m_order(std::move(order)),
+      m_hooks(std::move(hooks)),
+      m_max_attempts(kMaxAttempts) {}
 
 Step CallPlan::Start(TimePoint now) {
   return NextCandidate(now, Error{ErrorKind::kNoBackendServer, "", {}});
@@ -51,6 +56,10 @@
 
 Step CallPlan::OnRefused(TimePoint now, const Error& error,
                          const state::BackendServerId& owner) {
+  if (m_last_word) return TellNext(now);
+  if (m_hooks.known_crashes() >= kQuarantineCrashes) {
+    return EndQuarantined(now, {ErrorKind::kQuarantined, "", {}});
+  }
   if (FinalRefusal(error.kind)) return FailWith(error);
   if (error.kind != ErrorKind::kNotOwner) return NextCandidate(now, error);
   if (m_redirects++ >= kMaxRedirects) return FailWith(error);
@@ -61,6 +70,7 @@
 }
 
 Step CallPlan::OnSubmitFailed(TimePoint now, DeliveryFailure failure) {
+  if (m_last_word) return TellNext(now);
   const Error unreachable{ErrorKind::kNoBackendServer, "", {}};
   m_current_may_run = failure == DeliveryFailure::kInDoubt;
   if (!m_current_may_run || m_spec.idempotent) {
@@ -86,6 +96,9 @@
   }
   if (RowOf(error->kind).not_run) return NextCandidate(now, *error);
   if (!m_spec.idempotent) return FailWith(*error);
+  if (error->kind == ErrorKind::kBackendServerCrashed) {
+    return AfterCrash(now, *error);
+  }
   if (!m_hooks.take_retry()) return FailWith(*error);
   return NextCandidate(now, *error);
 }
@@ -129,7 +142,10 @@
   m_target = target;
   m_attempt = m_hooks.new_attempt();
   m_pull_failures = 0;
-  return {.kind = StepKind::kSubmit, .target = m_target, .attempt = m_attempt};
+  return {.kind = StepKind::kSubmit,
+          .target = m_target,
+          .attempt = m_attempt,
+          .last_resort = m_last_resort};
 }
 
 Step CallPlan::Pull() const {
@@ -156,8 +172,39 @@
 }
 
 Step CallPlan::NextCandidate(TimePoint now, const Error& error) {
-  const bool exhausted = m_next >= m_order.size() || m_attempts >= kMaxAttempts;
-  if (exhausted) return FailWith(error);
+  if (m_attempts >= m_max_attempts) return FailWith(error);
+  if (m_next >= m_order.size()) {
+    const bool suspect = m_hooks.known_crashes() > 0;
+    if (!suspect || m_last_resort) return FailWith(error);
+    m_last_resort = true;
+    m_next = 0;
+    m_max_attempts += static_cast<int>(m_order.size());
+    if (m_order.empty()) return FailWith(error);
+  }
+  return Submit(now, m_order[m_next++]);
+}
+
+Step CallPlan::AfterCrash(TimePoint now, const Error& error) {
+  if (m_hooks.known_crashes() >= kQuarantineCrashes) {
+    return EndQuarantined(now, {error.kind, "quarantined",
+                                RowOf(ErrorKind::kQuarantined).retry_after});
+  }
+  if (!m_hooks.take_retry()) return FailWith(error);
+  // Side processes before this one in the order may know of other crashes.
+  m_next = 0;
+  m_max_attempts += m_attempts;
+  return NextCandidate(now, error);
+}
+
+Step CallPlan::EndQuarantined(TimePoint now, const Error& error) {
+  m_last_word = error;
+  m_next = 0;
+  return TellNext(now);
+}
+
+Step CallPlan::TellNext(TimePoint now) {
+  const bool over = m_next >= m_order.size() || now >= m_spec.deadline;
+  if (over) return FailWith(*m_last_word);
   return Submit(now, m_order[m_next++]);
 }
 
--- a/src/wasabiwall/coordination/call_plan.h
+++ b/src/wasabiwall/coordination/call_plan.h
@@ -43,6 +43,8 @@
   state::BackendServerId target;
   state::AttemptId attempt;
   std::int64_t offset = 0;
+  /// All other backend servers have been asked.
+  bool last_resort = false;
   std::chrono::milliseconds wait{0};
   protocol::Error error;
 };
@@ -62,6 +64,9 @@
   /// Asks the retry budget for one more attempt after a failure that cost a
   /// backend server work; false ends the call.
   std::function<bool()> take_retry;
+  /// Number of engine crashes at which the request is known to have been in
+  /// flight.
+  std::function<int()> known_crashes = [] { return 0; };
 };
 
 /// Decides, without I/O, how one call goes through candidates, refusals, cut
@@ -117,6 +122,11 @@
   Step Wait(std::chrono::milliseconds wait, AfterWait after);
   Step FailWith(const protocol::Error& error) const;
   Step NextCandidate(TimePoint now, const protocol::Error& error);
+  Step AfterCrash(TimePoint now, const protocol::Error& error);
+  /// Tells all candidates of the crashes, so that a repeat through any entry
+  /// is refused, then fails.
+  Step EndQuarantined(TimePoint now, const protocol::Error& error);
+  Step TellNext(TimePoint now);
   Step AfterLostAttempt(TimePoint now);
   bool MayRunAgain() const;
 
@@ -125,6 +135,10 @@
   CallPlanHooks m_hooks;
   std::size_t m_next = 0;
   int m_attempts = 0;
+  int m_max_attempts;
+  bool m_last_resort = false;
+  /// The error to end with, while candidates are being told.
+  std::optional<protocol::Error> m_last_word;
   int m_redirects = 0;
   int m_pull_failures = 0;
   /// Whether the current or an earlier attempt may have been run, so that no
--- /dev/null
+++ b/src/wasabiwall/coordination/crash_records.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "wasabiwall/coordination/clock.h"
+#include "wasabiwall/protocol/gen/wasabiwall_types.h"
+
+namespace wasabiwall::coordination {
+
+/// Crashes at which a fingerprint is quarantined.
+inline constexpr int kQuarantineCrashes = 2;
+
+/// Bounds of a table of crash records.
+struct CrashRecordsOptions {
+  /// Time after which a crash no longer counts.
+  std::chrono::milliseconds retention = std::chrono::minutes(10);
+  /// Most crashes kept; the oldest give way.
+  std::size_t max_records = 4096;
+  /// Most records passed on unasked in one second.
+  std::size_t records_per_second = 20;
+};
+
+/// Remembers which requests were in flight when an engine crashed. Each crash
+/// has an identifier, so that hearing of it twice counts once. Safe for
+/// concurrent use.
+class CrashRecords {
+ public:
+  explicit CrashRecords(CrashRecordsOptions options = {});
+
+  /// Takes in records of another process; malformed ones are ignored.
+  void Observe(const std::vector<protocol::gen::CrashRecord>& records,
+               TimePoint now);
+
+  /// Records that a request was in flight at a crash.
+  void Add(const std::string& fingerprint, std::int64_t crash, TimePoint now);
+
+  /// Takes back a record of a request that turned out to have survived.
+  void Withdraw(const std::string& fingerprint, std::int64_t crash);
+
+  /// @return Number of crashes within the retention.
+  int Count(const std::string& fingerprint, TimePoint now) const;
+
+  /// @return Records of one fingerprint, to be sent with its own messages.
+  std::vector<protocol::gen::CrashRecord> Of(const std::string& fingerprint,
+                                             TimePoint now) const;
+
+  /// @return Records to pass on with any message, least often sent first;
+  /// bounded in number per call and per second.
+  std::vector<protocol::gen::CrashRecord> TakeForPeers(std::size_t max_records,
+                                                       TimePoint now);
+
+  /// @return Number of records held.
+  std::size_t Size() const;
+
+ private:
+  struct Record {
+    std::int64_t crash = 0;
+    TimePoint crashed_at;
+    std::int64_t sends = 0;
+  };
+  using Table = std::unordered_map<std::string, std::vector<Record>>;
+
+  void Insert(const std::string& fingerprint, const Record& record,
+              TimePoint now);
+  void DropExpired(TimePoint now);
+  void DropOldest();
+  bool Expired(const Record& record, TimePoint now) const;
+
+  CrashRecordsOptions m_options;
+  mutable std::mutex m_mutex;
+  Table m_table;
+  std::size_t m_size = 0;
+  TimePoint m_second_start;
+  std::size_t m_sent_in_second = 0;
+};
+
+}  // namespace wasabiwall::coordination
--- a/src/wasabiwall/coordination/entry_node.cc
+++ b/src/wasabiwall/coordination/entry_node.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "wasabiwall/coordination/key_ledger.h"
+#include "wasabiwall/coordination/quarantine.h"
 #include "wasabiwall/coordination/routing_policies.h"
 #include "wasabiwall/coordination/shard_ownership.h"
 #include "wasabiwall/protocol/chat_request.h"
@@ -85,8 +86,14 @@
   PlannedCall planned;
   planned.streaming = chat->streaming;
   planned.spec = {.idempotent = true, .deadline = m_hooks.clock() + m_deadline};
+  const std::string fingerprint = FingerprintOf(workspace->value, call.body);
+  if (m_crashes.Count(fingerprint, m_hooks.clock()) >= kQuarantineCrashes) {
+    return Fail(ErrorKind::kQuarantined);
+  }
   std::string chat_id = call.chat_id.empty() ? chat->chat_id : call.chat_id;
-  if (chat_id.empty()) chat_id = RandomHex(m_hooks.random);
+  // Repeats of a body without a chat meet at the same backend servers, where
+  // crashes of their engines are known.
+  if (chat_id.empty()) chat_id = fingerprint;
   planned.order = Order(view, pool->second,
                         {.workspace = *workspace,
                          .chat = state::ChatId(chat_id),
@@ -101,6 +108,7 @@
   planned.request.cost_units = chat->CostUnits();
   planned.request.idempotent = true;
   planned.request.streaming = chat->streaming;
+  planned.request.fingerprint = fingerprint;
   return planned;
 }
 
@@ -145,6 +153,10 @@
   planned.request.cost_units = kServiceCostUnits;
   planned.request.idempotent = declared->idempotent;
   planned.request.idempotency_key = call.idempotency_key;
+  if (declared->idempotent) {
+    planned.request.fingerprint = FingerprintOf(
+        workspace->value, planned.request.path + "\n" + call.body);
+  }
   planned.request.body_digest = state::Sha256Hex(
       call.method + "\n" + planned.request.path + "\n" + call.body);
   return planned;
@@ -156,11 +168,16 @@
           call.order,
           {.new_attempt =
                [this] { return state::AttemptId(RandomHex(m_hooks.random)); },
-           .take_retry = [this] { return m_retries.Take(); }}};
+           .take_retry = [this] { return m_retries.Take(); },
+           .known_crashes =
+               [this, fingerprint = call.request.fingerprint] {
+                 return m_crashes.Count(fingerprint, m_hooks.clock());
+               }}};
 }
 
 void EntryNode::ObserveEnvelope(const std::string& address,
                                 const protocol::gen::Envelope& envelope) {
+  m_crashes.Observe(envelope.crashes, m_hooks.clock());
   const auto transit = m_message_age.OnMessage(address, envelope);
   if (transit) ObserveLoads(envelope.loads, *transit);
 }
--- a/src/wasabiwall/coordination/entry_node.h
+++ b/src/wasabiwall/coordination/entry_node.h
@@ -10,6 +10,7 @@
 #include "wasabiwall/coordination/call_plan.h"
 #include "wasabiwall/coordination/candidate_cache.h"
 #include "wasabiwall/coordination/clock.h"
+#include "wasabiwall/coordination/crash_records.h"
 #include "wasabiwall/coordination/membership.h"
 #include "wasabiwall/coordination/message_age.h"
 #include "wasabiwall/coordination/pool_load_estimate.h"
@@ -88,6 +89,9 @@
   /// @return Loads to send along with a message.
   std::vector<protocol::gen::LoadReport> LoadReports() const;
 
+  /// Crashes known of requests, to be sent along and learnt from replies.
+  CrashRecords& Crashes() { return m_crashes; }
+
   Membership& Members() { return m_membership; }
 
  private:
@@ -106,6 +110,7 @@
   CandidateCache m_candidates;
   MessageAge m_message_age;
   RetryBudget m_retries;
+  CrashRecords m_crashes;
 };
 
 }  // namespace wasabiwall::coordination
--- /dev/null
+++ b/src/wasabiwall/coordination/quarantine.cc
@@ -0,0 +1,102 @@
+#include "wasabiwall/coordination/quarantine.h"
+
+#include <utility>
+
+#include "wasabiwall/state/digest.h"
+
+namespace wasabiwall::coordination {
+namespace {
+
+constexpr std::size_t kFingerprintDigits = 32;
+
+}  // namespace
+
+Quarantine::Quarantine(ClockHook clock, RandomHook random,
+                       CrashRecordsOptions options)
+    : m_clock(std::move(clock)),
+      m_random(std::move(random)),
+      m_records(options),
+      m_retention(options.retention) {}
+
+QuarantineVerdict Quarantine::Judge(const std::string& fingerprint,
+                                    bool last_resort) {
+  const TimePoint now = m_clock();
+  const int crashes = m_records.Count(fingerprint, now);
+  if (crashes == 0) return QuarantineVerdict::kRun;
+  if (crashes >= kQuarantineCrashes) return QuarantineVerdict::kQuarantined;
+  if (last_resort) return QuarantineVerdict::kRunAlone;
+  const std::lock_guard lock(m_mutex);
+  const auto seen = m_seen_here.find(fingerprint);
+  const bool here =
+      seen != m_seen_here.end() && now - seen->second < m_retention;
+  return here ? QuarantineVerdict::kNotHere : QuarantineVerdict::kRunAlone;
+}
+
+bool Quarantine::Begin(const state::AttemptId& attempt,
+                       const std::string& fingerprint) {
+  const bool suspect =
+      !fingerprint.empty() && m_records.Count(fingerprint, m_clock()) > 0;
+  const std::lock_guard lock(m_mutex);
+  if (suspect && m_suspect_runs) {
+    m_runs[attempt] = {.fingerprint = fingerprint, .alone = true};
+    m_waiting.push_back(attempt);
+    return false;
+  }
+  m_suspect_runs = m_suspect_runs || suspect;
+  m_runs[attempt] = {.fingerprint = fingerprint, .alone = suspect};
+  return true;
+}
+
+void Quarantine::OnBroken(const state::AttemptId& attempt) {
+  const TimePoint now = m_clock();
+  const std::lock_guard lock(m_mutex);
+  const auto broken = m_runs.find(attempt);
+  if (broken == m_runs.end() || broken->second.broken) return;
+  broken->second.broken = true;
+  if (broken->second.crash != 0) return;
+  const std::int64_t crash = static_cast<std::int64_t>(m_random() | 1U);
+  const std::unordered_set<state::AttemptId> waiting(m_waiting.begin(),
+                                                     m_waiting.end());
+  std::erase_if(m_seen_here, [&](const auto& entry) {
+    return now - entry.second >= m_retention;
+  });
+  for (auto& [id, run] : m_runs) {
+    if (run.crash != 0 || waiting.count(id) > 0) continue;
+    run.crash = crash;
+    if (run.fingerprint.empty()) continue;
+    m_records.Add(run.fingerprint, crash, now);
+    m_seen_here[run.fingerprint] = now;
+  }
+}
+
+std::optional<state::AttemptId> Quarantine::OnEnded(
+    const state::AttemptId& attempt) {
+  const std::lock_guard lock(m_mutex);
+  const auto found = m_runs.find(attempt);
+  if (found == m_runs.end()) return std::nullopt;
+  const Run run = found->second;
+  m_runs.erase(found);
+  if (run.crash != 0 && !run.broken) {
+    m_records.Withdraw(run.fingerprint, run.crash);
+    m_seen_here.erase(run.fingerprint);
+  }
+  if (!run.alone) return std::nullopt;
+  m_suspect_runs = !m_waiting.empty();
+  if (m_waiting.empty()) return std::nullopt;
+  state::AttemptId next = std::move(m_waiting.front());
+  m_waiting.pop_front();
+  return next;
+}
+
+std::size_t Quarantine::Waiting() const {
+  const std::lock_guard lock(m_mutex);
+  return m_waiting.size();
+}
+
+std::string FingerprintOf(const std::string& workspace,
+                          const std::string& body) {
+  const std::string digest = state::Sha256Hex(workspace + "\n" + body);
+  return digest.substr(0, kFingerprintDigits);
+}
+
+}  // namespace wasabiwall::coordination
--- a/src/wasabiwall/coordination/side_node.cc
+++ b/src/wasabiwall/coordination/side_node.cc
@@ -27,6 +27,7 @@
 constexpr int kIncarnationWords = 4;
 constexpr milliseconds kMaxPullWait{5000};
 constexpr std::int64_t kMaxPullBytes = 1 << 20;
+constexpr std::size_t kMaxWaitingSuspects = 64;
 
 SubmitReply Refused(const Error& error, std::string owner = "") {
   SubmitReply reply;
@@ -76,10 +77,18 @@
       m_hooks(std::move(hooks)),
       m_loads(kLoadMaxAge),
       m_message_age(m_hooks.clock, m_hooks.random()),
-      m_ledger(DrawIncarnation(m_hooks.random)) {}
+      m_ledger(DrawIncarnation(m_hooks.random)),
+      m_quarantine(m_hooks.clock, m_hooks.random) {}
 
 SubmitReply SideNode::Submit(const SubmitRequest& request) {
   ObserveEnvelope(request.envelope);
+  Crashes().Observe(request.crashes, m_hooks.clock());
+  SubmitReply reply = Decide(request);
+  reply.crashes = Crashes().Of(request.fingerprint, m_hooks.clock());
+  return reply;
+}
+
+SubmitReply SideNode::Decide(const SubmitRequest& request) {
   const state::AttemptId attempt(request.attempt_id);
   const auto known =
       m_attempts.WithShard(attempt, [&](auto& table) -> std::optional<bool> {
@@ -92,6 +101,8 @@
   }
   const auto pool = CheckPlacement(request);
   if (!pool) return Refused(pool.error());
+  const auto harmless = CheckQuarantine(request);
+  if (!harmless) return Refused(harmless.error());
   const bool keyed = !request.idempotent && !request.idempotency_key.empty();
   return keyed ? SubmitKeyed(request, *pool) : SubmitPlain(request);
 }
@@ -121,6 +132,13 @@
   reply.detail = part.end.detail;
   reply.http_status = part.end.http_status;
   reply.content_type = part.end.content_type;
+  if (reply.error_kind == RowOf(ErrorKind::kBackendServerCrashed).name) {
+    // The runner reports the end only after the reader has been woken.
+    m_quarantine.OnBroken(state::AttemptId(request.attempt_id));
+    reply.crashes =
+        Crashes().Of(FingerprintOfAttempt(state::AttemptId(request.attempt_id)),
+                     m_hooks.clock());
+  }
   return reply;
 }
 
@@ -146,7 +164,12 @@
   if (!answer) return;
   const state::AttemptPart whole = answer->Read(0, INT64_MAX, milliseconds(0));
   const bool completed = whole.end.error_kind.empty();
+  if (whole.end.error_kind == RowOf(ErrorKind::kBackendServerCrashed).name) {
+    m_quarantine.OnBroken(attempt);
+  }
   Release(attempt, completed);
+  const auto next = m_quarantine.OnEnded(attempt);
+  if (next) StartWaiting(*next);
   m_ledger.OnOutcome(attempt, {whole.data, whole.end});
   if (m_ledger.HasWork()) m_hooks.wake_committer();
 }
@@ -218,6 +241,7 @@
 }
 
 void SideNode::ObserveEnvelope(const protocol::gen::Envelope& envelope) {
+  Crashes().Observe(envelope.crashes, m_hooks.clock());
   const auto transit = m_message_age.OnMessage(envelope.sender, envelope);
   if (!transit) return;
   const TimePoint sent_at = m_hooks.clock() - *transit;
@@ -313,10 +337,55 @@
     m_admission.Finish(CostOf(request), false);
     return Refused({ErrorKind::kTombstoned, "", {}});
   }
-  m_hooks.run(request, answer);
+  const state::AttemptId attempt(request.attempt_id);
+  if (m_quarantine.Begin(attempt, request.fingerprint)) {
+    m_hooks.run(request, answer);
+  }
   return Admitted();
 }
 
+protocol::Result<void> SideNode::CheckQuarantine(const SubmitRequest& request) {
+  if (request.fingerprint.empty()) return {};
+  switch (m_quarantine.Judge(request.fingerprint, request.last_resort)) {
+    case QuarantineVerdict::kRun:
+      return {};
+    case QuarantineVerdict::kRunAlone:
+      if (m_quarantine.Waiting() < kMaxWaitingSuspects) return {};
+      return Fail(ErrorKind::kOverloaded, "suspected of a crash");
+    case QuarantineVerdict::kNotHere:
+      return Fail(ErrorKind::kOverloaded, "suspected of a crash");
+    case QuarantineVerdict::kQuarantined:
+      return Fail(ErrorKind::kQuarantined);
+  }
+  return Fail(ErrorKind::kInternal);
+}
+
+void SideNode::StartWaiting(const state::AttemptId& attempt) {
+  const auto waiting = m_attempts.WithShard(
+      attempt, [&](auto& table) -> std::optional<SideAttempt> {
+        const auto found = table.find(attempt);
+        if (found == table.end()) return std::nullopt;
+        return found->second;
+      });
+  if (!waiting) return;
+  SubmitRequest request = waiting->request;
+  const auto waited = std::chrono::duration_cast<milliseconds>(
+      m_hooks.clock() - waiting->created_at);
+  request.deadline_ms -= waited.count();
+  ErrorKind refusal = ErrorKind::kInternal;
+  const bool known_bad = Crashes().Count(request.fingerprint,
+                                         m_hooks.clock()) >= kQuarantineCrashes;
+  if (known_bad) refusal = ErrorKind::kQuarantined;
+  if (request.deadline_ms <= 0) refusal = ErrorKind::kDeadlineTooShort;
+  if (waiting->answer->Cancelled()) refusal = ErrorKind::kTombstoned;
+  if (refusal == ErrorKind::kInternal) {
+    m_hooks.run(request, waiting->answer);
+    return;
+  }
+  waiting->answer->Finish(RowOf(refusal).name, "");
+  OnRunEnded(attempt);
+}
+
 void SideNode::Act(const LedgerDecision& decision) {
   using Action = LedgerDecision::Action;
   const std::shared_ptr<state::Attempt> answer = AnswerOf(decision.attempt);
@@ -365,6 +434,14 @@
   if (cost >= 0) m_admission.Finish(cost, completed);
 }
 
+std::string SideNode::FingerprintOfAttempt(const state::AttemptId& attempt) {
+  return m_attempts.WithShard(attempt, [&](auto& table) {
+    const auto found = table.find(attempt);
+    return found == table.end() ? std::string()
+                                : found->second.request.fingerprint;
+  });
+}
+
 std::shared_ptr<state::Attempt> SideNode::AnswerOf(
     const state::AttemptId& attempt) {
   return m_attempts.WithShard(attempt, [&](auto& table) {
--- a/src/wasabiwall/coordination/side_node.h
+++ b/src/wasabiwall/coordination/side_node.h
@@ -14,6 +14,7 @@
 #include "wasabiwall/coordination/key_ledger.h"
 #include "wasabiwall/coordination/message_age.h"
 #include "wasabiwall/coordination/pool_load_estimate.h"
+#include "wasabiwall/coordination/quarantine.h"
 #include "wasabiwall/protocol/gen/wasabiwall_types.h"
 #include "wasabiwall/state/attempt.h"
 #include "wasabiwall/state/config_store.h"
@@ -90,6 +91,7 @@
   /// Forgets ended attempts and tombstones that are old enough.
   void Sweep();
 
+  CrashRecords& Crashes() { return m_quarantine.Records(); }
   KeyLedger& Ledger() { return m_ledger; }
   PoolLoadEstimate& Loads() { return m_loads; }
   const AdmissionController& Admission() const { return m_admission; }
@@ -126,10 +128,16 @@
   protocol::Result<void> AdmitCost(const protocol::gen::SubmitRequest& request);
   protocol::gen::SubmitReply SubmitKeyed(
       const protocol::gen::SubmitRequest& request, const state::Pool& pool);
+  protocol::gen::SubmitReply Decide(
+      const protocol::gen::SubmitRequest& request);
+  protocol::Result<void> CheckQuarantine(
+      const protocol::gen::SubmitRequest& request);
+  void StartWaiting(const state::AttemptId& attempt);
   protocol::gen::SubmitReply SubmitPlain(
       const protocol::gen::SubmitRequest& request);
   void Act(const LedgerDecision& decision);
   void Release(const state::AttemptId& attempt, bool completed);
+  std::string FingerprintOfAttempt(const state::AttemptId& attempt);
   std::shared_ptr<state::Attempt> AnswerOf(const state::AttemptId& attempt);
   bool Insert(const protocol::gen::SubmitRequest& request,
               const std::shared_ptr<state::Attempt>& answer, bool keyed,
@@ -142,6 +150,7 @@
   PoolLoadEstimate m_loads;
   MessageAge m_message_age;
   KeyLedger m_ledger;
+  Quarantine m_quarantine;
   Attempts m_attempts;
   mutable std::mutex m_mutex;
   bool m_draining = false;
--- a/src/wasabiwall/protocol/wasabiwall.thrift
+++ b/src/wasabiwall/protocol/wasabiwall.thrift
@@ -10,6 +10,16 @@
   4: i64 warmup_limit_units
 }
 
+/** A request that was in flight when an engine crashed. */
+struct CrashRecord {
+  /** 32 hex digits over workspace and body. */
+  1: string fingerprint
+  /** Identifier of the crash, unique in the fleet. */
+  2: i64 crash
+  /** Time since the crash at the time of sending. */
+  3: i64 age_ms
+}
+
 /** Fields that every message carries. */
 struct Envelope {
   1: string sender
@@ -23,6 +33,7 @@
   6: i64 echo_clock_us
   /** Time since that reading was heard, at sending. */
   7: i64 echo_age_us
+  40: list<CrashRecord> crashes
 }
 
 /** One call to be run by the backend server beside the receiver. */
@@ -44,6 +55,12 @@
   14: string body_digest
   15: bool streaming
   16: i32 priority
+  /** Empty for calls that are never run again. */
+  40: string fingerprint
+  /** Crashes that the sender knows of this fingerprint. */
+  41: list<CrashRecord> crashes
+  /** All other backend servers have been asked. */
+  42: bool last_resort
 }
 
 struct SubmitReply {
@@ -54,6 +71,8 @@
   5: i64 retry_after_ms
   /** Backend server that owns the key's shard, when this one does not. */
   6: string owner
+  /** Crashes that the receiver knows of the fingerprint. */
+  40: list<CrashRecord> crashes
 }
 
 struct PullRequest {
@@ -77,6 +96,7 @@
   10: i32 http_status
   11: string content_type
   12: i64 retry_after_ms
+  40: list<CrashRecord> crashes
 }
 
 struct TombstoneRequest {
--- a/src/wasabiwall/transport/backend_runner.cc
+++ b/src/wasabiwall/transport/backend_runner.cc
@@ -67,6 +67,7 @@
 void BackendRunner::RunNow(const protocol::gen::SubmitRequest& request,
                            state::Attempt* answer) {
   HttpRequest http;
+  http.send_once = true;
   http.method = request.method;
   http.url = m_base_url() + request.path;
   http.body = request.body;
--- a/src/wasabiwall/transport/call_driver.cc
+++ b/src/wasabiwall/transport/call_driver.cc
@@ -97,6 +97,9 @@
     request.attempt_id = step.attempt.value;
     request.request_id = m_call.request.request_id;
     request.deadline_ms = Until(m_call.spec.deadline, m_clock()).count();
+    request.crashes =
+        m_driver->m_entry->Crashes().Of(request.fingerprint, m_clock());
+    request.last_resort = step.last_resort;
     m_outcome.backend_server = step.target.value;
     m_outcome.attempt = step.attempt.value;
     const auto reply =
@@ -106,6 +109,7 @@
       return m_plan.OnSubmitFailed(m_clock(), reply.error());
     }
     Heard(step.target, reply->envelope);
+    m_driver->m_entry->Crashes().Observe(reply->crashes, m_clock());
     if (reply->admitted) return m_plan.OnAdmitted(m_clock());
     return m_plan.OnRefused(
         m_clock(),
@@ -127,6 +131,7 @@
       return m_plan.OnPullFailed(m_clock());
     }
     Heard(step.target, reply->envelope);
+    m_driver->m_entry->Crashes().Observe(reply->crashes, m_clock());
     // A late or crossed reply is not this attempt's next part.
     if (reply->attempt_id != step.attempt.value ||
         reply->offset != step.offset) {
--- a/src/wasabiwall/transport/http_client.cc
+++ b/src/wasabiwall/transport/http_client.cc
@@ -124,6 +124,9 @@
                      static_cast<curl_off_t>(request.body.size()));
     curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.data());
   }
+  const long once = request.send_once ? 1L : 0L;  // NOLINT
+  curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, once);
+  curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, once);
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &OnData);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, transfer);
   curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
--- a/src/wasabiwall/transport/http_client.h
+++ b/src/wasabiwall/transport/http_client.h
@@ -28,6 +28,9 @@
   std::chrono::seconds idle_timeout{0};
   std::chrono::milliseconds total_timeout{10000};
   std::int64_t max_response_bytes = 16 << 20;
+  /// Never use a kept connection: libcurl sends a request a second time, and
+  /// tells nobody, when a kept connection turns out to be closed.
+  bool send_once = false;
   /// Receives status and content type before the first byte of the body.
   std::function<void(int status, const std::string& content_type)> on_head;
   /// Receives the body as it arrives; the response's body stays empty then.
--- /dev/null
+++ b/tests/coordination/quarantine_test.cc
@@ -0,0 +1,148 @@
+#include "wasabiwall/coordination/quarantine.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+
+#include "fakes/virtual_fleet.h"
+
+namespace wasabiwall::coordination {
+
+using fakes::VirtualFleet;
+using protocol::ErrorKind;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t kEntries = 3;
+constexpr int kBystandersPerEntry = 8;
+
+/// Random steps over the fleet; each copy of the crashing request is sent
+/// when fewer than `copies` are on their way.
+void Shake(VirtualFleet* fleet, std::size_t copies) {
+  const auto pick = [](std::size_t end) {
+    return *rc::gen::inRange<std::size_t>(0, end);
+  };
+  std::vector<VirtualFleet::Call*> poison;
+  int bystanders = 0;
+  for (int step = 0; step < 120; ++step) {
+    auto& calls = fleet->Calls();
+    const std::size_t engine = pick(fleet->Engines());
+    switch (pick(10)) {
+      case 0:
+        if (bystanders == kBystandersPerEntry) break;
+        fleet->Send(pick(kEntries), "by" + std::to_string(bystanders++));
+        break;
+      case 1:
+        if (poison.size() - std::count_if(poison.begin(), poison.end(),
+                                          [](auto* c) { return c->Over(); }) <
+            copies) {
+          poison.push_back(fleet->Send(pick(kEntries), "CRASH"));
+        }
+        break;
+      case 2:
+        // Refusals make calls overflow to other backend servers.
+        if (engine > 0) fleet->Side(engine).SetDraining(pick(2) == 0);
+        break;
+      case 3:
+        fleet->TickEngine(engine);
+        break;
+      default:
+        if (!calls.empty()) fleet->Advance(calls[pick(calls.size())].get());
+    }
+  }
+  fleet->Settle();
+}
+
+int Repeat(VirtualFleet* fleet, int times) {
+  for (int i = 0; i < times; ++i) {
+    fleet->Send(i % kEntries, "CRASH");
+    fleet->Settle();
+  }
+  return fleet->crashes;
+}
+
+}  // namespace
+
+TEST_CASE("a request that crashes engines crashes two in all", "[quarantine]") {
+  VirtualFleet unaware(kEntries, 8);
+  unaware.records = false;
+  // The harness shows the fault where crashes are not recorded.
+  CHECK(Repeat(&unaware, 1) > 2);
+
+  for (const std::size_t engines : {1, 2, 3, 8}) {
+    VirtualFleet fleet(kEntries, engines);
+    CHECK(Repeat(&fleet, 9) == 2);
+    CHECK(fleet.Calls().back()->step.error.kind == ErrorKind::kQuarantined);
+    fleet.Pass(std::chrono::minutes(11));
+    CHECK(fleet.Send(0, "harmless")->step.kind == StepKind::kSubmit);
+    fleet.Settle();
+    CHECK(fleet.Calls().back()->Answered());
+    // Forgotten after the retention.
+    CHECK(Repeat(&fleet, 1) == 4);
+  }
+}
+
+TEST_CASE("at most two crashes, bystanders answered", "[quarantine][fuzz]") {
+  rc::prop("sent again through any entry, without any news passed on", [] {
+    VirtualFleet fleet(kEntries, *rc::gen::inRange<std::size_t>(1, 6));
+    fleet.gossip = *rc::gen::arbitrary<bool>();
+    Shake(&fleet, 1);
+    RC_ASSERT(fleet.crashes <= 2);
+    for (const auto& call : fleet.Calls()) {
+      const bool poison =
+          call->planned.request.body.find("CRASH") != std::string::npos;
+      if (poison) RC_ASSERT(!call->Answered());
+      const bool bystander = call->plan && !poison;
+      if (bystander) RC_ASSERT(call->Answered());
+    }
+  });
+  rc::prop("copies at the same time add at most one crash each", [] {
+    VirtualFleet fleet(kEntries, *rc::gen::inRange<std::size_t>(1, 6));
+    const std::size_t copies = *rc::gen::inRange<std::size_t>(1, 4);
+    Shake(&fleet, copies);
+    RC_ASSERT(fleet.crashes <= static_cast<int>(copies) + 1);
+  });
+}
+
+TEST_CASE("crash records are bounded, merged and expire", "[crash_records]") {
+  const TimePoint start{std::chrono::seconds(10)};
+  CrashRecords records({.retention = milliseconds(1000),
+                        .max_records = 10,
+                        .records_per_second = 5});
+  const std::string print(32, 'a');
+  records.Add(print, 7, start);
+  records.Observe(records.Of(print, start), start);
+  CHECK(records.Count(print, start) == 1);
+  protocol::gen::CrashRecord forged;
+  forged.fingerprint = "short";
+  records.Observe({forged}, start);
+  CHECK(records.Size() == 1);
+  CHECK(records.Count(print, start + milliseconds(1000)) == 0);
+  for (int i = 0; i < 100; ++i) {
+    records.Add(FingerprintOf("w", std::to_string(i)), i, start);
+  }
+  CHECK(records.Size() == 10);
+  CHECK(records.TakeForPeers(4, start).size() == 4);
+  CHECK(records.TakeForPeers(4, start).size() == 1);
+  CHECK(records.TakeForPeers(4, start).empty());
+}
+
+TEST_CASE("attempts that survive a broken connection are no suspects",
+          "[quarantine]") {
+  TimePoint now{std::chrono::seconds(10)};
+  Quarantine quarantine([&] { return now; }, [] { return 8; });
+  const std::string survivor(32, 'a');
+  const std::string lost(32, 'b');
+  quarantine.Begin(state::AttemptId("1"), survivor);
+  quarantine.Begin(state::AttemptId("2"), lost);
+  quarantine.OnBroken(state::AttemptId("2"));
+  CHECK(quarantine.Judge(survivor, false) == QuarantineVerdict::kNotHere);
+  quarantine.OnEnded(state::AttemptId("1"));
+  quarantine.OnEnded(state::AttemptId("2"));
+  CHECK(quarantine.Judge(survivor, false) == QuarantineVerdict::kRun);
+  CHECK(quarantine.Judge(lost, false) == QuarantineVerdict::kNotHere);
+  CHECK(quarantine.Judge(lost, true) == QuarantineVerdict::kRunAlone);
+}
+
+}  // namespace wasabiwall::coordination
