--- a/programs/entry_daemon.cc
+++ b/programs/entry_daemon.cc
@@ -20,6 +20,7 @@
 constexpr std::chrono::milliseconds kVmListInterval{1000};
 constexpr std::chrono::milliseconds kVmListTimeout{1000};
 constexpr std::chrono::milliseconds kPeerReplyTimeout{3000};
+constexpr std::size_t kCrashesPerMessage = 4;
 constexpr char kChatPath[] = "/v1/chat/completions";
 constexpr char kServicePrefix[] = "/v1/services/";
 constexpr char kBearer[] = "Bearer ";
@@ -204,6 +205,8 @@
   gen::Envelope envelope = MakeEnvelope();
   envelope.loads = m_load_news.For(receiver, refused,
                                    [this] { return m_node.LoadReports(); });
+  envelope.crashes = m_node.Crashes().TakeForPeers(
+      kCrashesPerMessage, coordination::SteadyClock()());
   return envelope;
 }
 
--- a/programs/side_daemon.cc
+++ b/programs/side_daemon.cc
@@ -21,6 +21,7 @@
 constexpr milliseconds kCommitRetryWait{20};
 constexpr milliseconds kIdlePoll{20};
 constexpr milliseconds kPeerReplyTimeout{3000};
+constexpr std::size_t kCrashesPerMessage = 4;
 constexpr int kStatusThreads = 8;
 constexpr int kRunnerThreads = 512;
 
@@ -275,6 +276,8 @@
   gen::Envelope envelope = MakeEnvelope();
   envelope.loads = m_load_news.For(receiver, refused,
                                    [this] { return m_node.LoadReports(); });
+  envelope.crashes = m_node.Crashes().TakeForPeers(
+      kCrashesPerMessage, coordination::SteadyClock()());
   return envelope;
 }
 
--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -54,7 +54,7 @@
       return reply;
     };
     handlers.on_envelope = [this](const auto&) { ++m_envelopes; };
-    handlers.make_envelope = [] { return gen::Envelope(); };
+    handlers.make_envelope = [](const auto&, bool) { return gen::Envelope(); };
     return handlers;
   }
 
