Answers are written by the thread that makes them; long answers are not cut

Timeouts for slow senders are now our own, per connection, and do not run while an answer is written. Writes go straight to the connection's socket under a descriptor of their own, so that a number used again by another caller cannot get them, and without waking the library's thread for each token. A second request before the first answer is not read on.

--- a/src/wasabiwall/transport/http_server.cc
+++ b/src/wasabiwall/transport/http_server.cc
@@ -11,6 +11,8 @@
 #include <utility>
 
 #include "wasabiwall/protocol/error_kind.h"
+#include "wasabiwall/transport/connection_watch.h"
+#include "wasabiwall/transport/server_connection.h"
 #include "wasabiwall/transport/worker_pool.h"
 
 namespace wasabiwall::transport {
@@ -21,7 +23,10 @@
 constexpr std::size_t kQueuePerWorker = 4;
 /// Past this multiple of the body's limit Pistache itself cuts a request off.
 constexpr std::size_t kBufferPerBody = 4;
-constexpr std::int64_t kMaxUnsentBytes = 4 << 20;
+/// Pistache counts the time of an answer as time of the next request, and
+/// would cut long answers; ConnectionWatch does not.
+constexpr std::chrono::hours kLibraryTimeout{24};
+constexpr char kConnectionData[] = "connection";
 constexpr std::chrono::milliseconds kStopPoll{10};
 
 std::string RawHeader(const http::Request& request, const std::string& name) {
@@ -42,82 +47,84 @@
   return read;
 }
 
-/// Answers through a Pistache response writer.
-class PistacheResponse : public ServerResponse {
+/// Status line and the headers that every answer has. Pistache 0.0.5 leaves raw
+/// headers out of its own answers and closes connections that HTTP/1.1 keeps
+/// open.
+std::string Head(int status, const std::string& content_type, bool close) {
+  return "HTTP/1.1 " + std::to_string(status) + " " +
+         http::codeString(static_cast<http::Code>(status)) +
+         "\r\nContent-Type: " + content_type +
+         (close ? "\r\nConnection: close\r\n" : "\r\n");
+}
+
+std::string WholeAnswer(int status, const std::string& content_type,
+                        const std::string& body,
+                        std::chrono::milliseconds retry_after, bool close) {
+  std::string answer = Head(status, content_type, close);
+  if (retry_after.count() > 0) {
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(retry_after);
+    answer += "Retry-After: " + std::to_string(seconds.count()) + "\r\n";
+  }
+  answer += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  return answer + body;
+}
+
+/// Writes one answer to its connection. Pistache's own writers are not used:
+/// ResponseStream::flush races with the connection's thread and ends the
+/// process, and queued writes cost a wake-up of that thread for each token.
+class ConnectionResponse : public ServerResponse {
  public:
   /// @param close Whether the caller asked for the connection to be closed.
-  PistacheResponse(http::ResponseWriter writer, bool close)
-      : m_writer(std::move(writer)), m_close(close) {}
+  ConnectionResponse(std::shared_ptr<ServerConnection> connection, bool close)
+      : m_connection(std::move(connection)), m_close(close) {}
+
+  ~ConnectionResponse() override {
+    // An answer that was not finished must not look whole.
+    if (!m_finished) m_connection->Shutdown();
+  }
 
   bool Send(int status, const std::string& content_type,
             const std::string& body,
             std::chrono::milliseconds retry_after) override {
-    std::string head = Head(status, content_type);
-    if (retry_after.count() > 0) {
-      const auto seconds = std::chrono::ceil<std::chrono::seconds>(retry_after);
-      head += "Retry-After: " + std::to_string(seconds.count()) + "\r\n";
-    }
-    head += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-    return Queue(head + body) && Finish();
+    return Finish(
+        WholeAnswer(status, content_type, body, retry_after, m_close));
   }
 
   bool Begin(int status, const std::string& content_type) override {
-    return Queue(Head(status, content_type) +
-                 "Transfer-Encoding: chunked\r\n\r\n");
+    return m_connection->Write(Head(status, content_type, m_close) +
+                               "Transfer-Encoding: chunked\r\n\r\n");
   }
 
   bool Write(std::string_view data) override {
     if (data.empty()) return true;
     std::ostringstream chunk;
     chunk << std::hex << data.size() << "\r\n" << data << "\r\n";
-    return Queue(chunk.str());
+    return m_connection->Write(chunk.str());
   }
 
-  bool End() override { return Queue("0\r\n\r\n") && Finish(); }
+  bool End() override { return Finish("0\r\n\r\n"); }
 
  private:
-  /// Status line and the headers that every answer has. Pistache 0.0.5 leaves
-  /// raw headers out of its own answers and closes connections that HTTP/1.1
-  /// keeps open.
-  std::string Head(int status, const std::string& content_type) const {
-    return "HTTP/1.1 " + std::to_string(status) + " " +
-           http::codeString(static_cast<http::Code>(status)) +
-           "\r\nContent-Type: " + content_type +
-           (m_close ? "\r\nConnection: close\r\n" : "\r\n");
-  }
-
-  /// Lets the connection's idle time start.
-  bool Finish() {
-    const std::shared_ptr<Pistache::Tcp::Peer> peer = m_writer.getPeer();
-    if (peer) peer->setIdle(true);
-    return peer != nullptr;
+  bool Finish(const std::string& bytes) {
+    m_finished = true;
+    // The next request may arrive as soon as the last byte is out.
+    m_connection->FinishRequest();
+    const bool written = m_connection->Write(bytes);
+    if (!written) m_connection->Shutdown();
+    return written;
   }
 
-  /// Hands bytes to the connection's own thread. Pistache's ResponseStream
-  /// flushes from the calling thread, which races with that thread and ends
-  /// the process; a queued write does not.
-  bool Queue(const std::string& bytes) {
-    const std::shared_ptr<Pistache::Tcp::Peer> peer = m_writer.getPeer();
-    if (!peer) return false;
-    const auto length = static_cast<std::int64_t>(bytes.size());
-    const bool too_slow =
-        *m_unsent_bytes > 0 && *m_unsent_bytes + length > kMaxUnsentBytes;
-    if (too_slow) return false;
-    *m_unsent_bytes += length;
-    const auto unsent = m_unsent_bytes;
-    peer->send(Pistache::RawBuffer(bytes, bytes.size()))
-        .then([unsent, length](ssize_t) { *unsent -= length; },
-              [](const std::exception_ptr&) {});
-    return true;
-  }
-
-  http::ResponseWriter m_writer;
+  std::shared_ptr<ServerConnection> m_connection;
   bool m_close;
-  /// Shared with writes that outlive this object.
-  std::shared_ptr<std::atomic<std::int64_t>> m_unsent_bytes =
-      std::make_shared<std::atomic<std::int64_t>>(0);
+  bool m_finished = false;
 };
 
+std::string ErrorAnswer(protocol::ErrorKind kind) {
+  const protocol::Error error{kind, "", {}};
+  return WholeAnswer(protocol::RowOf(kind).http_status, "application/json",
+                     protocol::ErrorBody(error), error.RetryAfter(), true);
+}
+
 void SendError(ServerResponse* response, protocol::ErrorKind kind) {
   const protocol::Error error{kind, "", {}};
   response->Send(protocol::RowOf(kind).http_status, "application/json",
@@ -130,19 +137,28 @@
   HTTP_PROTOTYPE(Handler)
 
   Handler(ServerHandler handler, std::shared_ptr<WorkerPool> workers,
-          std::size_t max_body_bytes)
+          std::shared_ptr<ConnectionWatch> watch, std::size_t max_body_bytes)
       : m_handler(std::move(handler)),
         m_workers(std::move(workers)),
+        m_watch(std::move(watch)),
         m_max_body_bytes(max_body_bytes) {}
 
   void onRequest(const http::Request& request,
                  http::ResponseWriter writer) override {
-    const auto connection =
-        request.headers().tryGet<http::Header::Connection>();
+    const auto peer = writer.getPeer();
+    if (!peer) return;
+    const auto connection = std::static_pointer_cast<ServerConnection>(
+        peer->getData(kConnectionData));
+    if (!connection->StartRequest()) {
+      // A request sent before the answer to the one before it; answers written
+      // at the same time could cross.
+      connection->StopReading();
+      return;
+    }
+    const auto control = request.headers().tryGet<http::Header::Connection>();
     const bool close =
-        connection && connection->control() == http::ConnectionControl::Close;
-    auto response =
-        std::make_shared<PistacheResponse>(std::move(writer), close);
+        control && control->control() == http::ConnectionControl::Close;
+    auto response = std::make_shared<ConnectionResponse>(connection, close);
     if (request.body().size() > m_max_body_bytes) {
       SendError(response.get(), protocol::ErrorKind::kBodyTooLarge);
       return;
@@ -154,15 +170,9 @@
     SendError(response.get(), protocol::ErrorKind::kOverloaded);
   }
 
-  void onTimeout(const http::Request& /*request*/,
-                 http::ResponseWriter writer) override {
-    PistacheResponse response(std::move(writer), true);
-    SendError(&response, protocol::ErrorKind::kSlowRequest);
-  }
-
  private:
   static void Handle(const ServerHandler& handler, const ServerRequest& request,
-                     const std::shared_ptr<PistacheResponse>& response) {
+                     const std::shared_ptr<ConnectionResponse>& response) {
     try {
       handler(request, response);
     } catch (const std::exception&) {
@@ -170,8 +180,18 @@
     }
   }
 
+  /// Gives the connection its parser, as the base class does, and its record.
+  void onConnection(const std::shared_ptr<Pistache::Tcp::Peer>& peer) override {
+    peer->putData(ParserData,
+                  std::make_shared<http::RequestParser>(getMaxRequestSize()));
+    const auto connection = std::make_shared<ServerConnection>(peer->fd());
+    peer->putData(kConnectionData, connection);
+    m_watch->Add(connection);
+  }
+
   ServerHandler m_handler;
   std::shared_ptr<WorkerPool> m_workers;
+  std::shared_ptr<ConnectionWatch> m_watch;
   std::size_t m_max_body_bytes;
 };
 
@@ -186,8 +206,12 @@
             m_options.worker_threads,
             kQueuePerWorker *
                 static_cast<std::size_t>(m_options.worker_threads))),
-        m_handler(std::make_shared<Handler>(std::move(handler), m_workers,
-                                            m_options.max_body_bytes)) {}
+        m_handler(std::make_shared<Handler>(
+            std::move(handler), m_workers,
+            std::make_shared<ConnectionWatch>(
+                m_options.header_timeout + m_options.body_timeout,
+                ErrorAnswer(protocol::ErrorKind::kSlowRequest)),
+            m_options.max_body_bytes)) {}
 
   bool Start() {
     try {
@@ -199,8 +223,9 @@
               .flags(Pistache::Tcp::Options::ReuseAddr |
                      Pistache::Tcp::Options::NoDelay)
               .maxRequestSize(kBufferPerBody * m_options.max_body_bytes)
-              .headerTimeout(m_options.header_timeout)
-              .bodyTimeout(m_options.body_timeout));
+              .headerTimeout(kLibraryTimeout)
+              .bodyTimeout(kLibraryTimeout)
+              .keepaliveTimeout(kLibraryTimeout));
       m_endpoint->setHandler(m_handler);
       m_endpoint->serveThreaded();
     } catch (const std::exception&) {
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -5,7 +5,9 @@
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
+#include <memory>
 #include <string>
+#include <thread>
 
 #include "fakes/test_port.h"
 #include "wasabiwall/transport/http_client.h"
@@ -27,7 +29,8 @@
                   .max_body_bytes = kMaxBody,
                   .header_timeout = std::chrono::milliseconds(200),
                   .body_timeout = std::chrono::milliseconds(200)},
-                 [](const auto& request, const auto& response) {
+                 [this](const auto& request, const auto& response) {
+                   if (request.path == "/hang") m_hanging = response;
                    if (request.path == "/hang") return;
                    if (request.path != "/stream") {
                      response->Send(503, "text/plain", request.body,
@@ -42,6 +45,7 @@
   }
 
  private:
+  std::shared_ptr<ServerResponse> m_hanging;
   HttpServer m_server;
 };
 
@@ -117,6 +121,42 @@
   }
 }
 
+TEST_CASE("an answer may take longer than a request", "[http_server]") {
+  HttpServer server(
+      {.address = fakes::TestAddress(3),
+       .header_timeout = std::chrono::milliseconds(50),
+       .body_timeout = std::chrono::milliseconds(50)},
+      [](const auto&, const auto& response) {
+        response->Begin(200, "text/plain");
+        for (int i = 0; i < 6; ++i) {
+          std::this_thread::sleep_for(std::chrono::milliseconds(60));
+          response->Write("x");
+        }
+        response->End();
+      });
+  REQUIRE(server.Start());
+  const auto answer = HttpClient::Send(Post(fakes::TestPort(3), "/", ""));
+  REQUIRE(answer);
+  CHECK(answer->body == "xxxxxx");
+}
+
+TEST_CASE("answers to requests sent at once do not cross", "[http_server]") {
+  HttpServer server({.address = fakes::TestAddress(7), .worker_threads = 4},
+                    [](const auto& request, const auto& response) {
+                      response->Begin(200, "text/plain");
+                      for (int i = 0; i < 50; ++i) {
+                        response->Write(request.path);
+                      }
+                      response->End();
+                    });
+  REQUIRE(server.Start());
+  const std::string raw = Exchange(fakes::TestPort(7),
+                                   "GET /first HTTP/1.1\r\nHost: a\r\n\r\n"
+                                   "GET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK(raw.find("/first") != std::string::npos);
+  CHECK(raw.find("/second") == std::string::npos);
+}
+
 TEST_CASE("a timeout on a kept connection is not taken for no connection",
           "[http_client]") {
   const EchoServer server(kKeptPort);
