--- a/src/wasabiwall/transport/peer_client.cc
+++ b/src/wasabiwall/transport/peer_client.cc
@@ -2,7 +2,6 @@
 
 #include <sys/socket.h>
 #include <thrift/protocol/TBinaryProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TSocket.h>
 
 #include <cerrno>
@@ -12,12 +11,12 @@
 
 #include "wasabiwall/protocol/gen/Side.h"
 #include "wasabiwall/transport/address.h"
+#include "wasabiwall/transport/peer_transport.h"
 
 namespace wasabiwall::transport {
 namespace {
 
 using apache::thrift::protocol::TBinaryProtocol;
-using apache::thrift::transport::TFramedTransport;
 using apache::thrift::transport::TSocket;
 using coordination::DeliveryFailure;
 
@@ -33,6 +32,7 @@
 struct Connection {
   std::shared_ptr<TSocket> socket;
   std::unique_ptr<protocol::gen::SideClient> client;
+  std::chrono::milliseconds receive_timeout{0};
 };
 
 }  // namespace
@@ -51,10 +51,7 @@
                         std::chrono::milliseconds extra_wait, Call call) {
     std::unique_ptr<Connection> connection = Take(address);
     if (!connection) return tl::make_unexpected(DeliveryFailure::kNotDelivered);
-    const auto timeout = m_reply_timeout + extra_wait;
-    connection->socket->setRecvTimeout(static_cast<int>(timeout.count()));
-    connection->socket->setSendTimeout(
-        static_cast<int>(m_reply_timeout.count()));
+    SetReceiveTimeout(connection.get(), m_reply_timeout + extra_wait);
     try {
       Reply reply;
       call(connection->client.get(), &reply);
@@ -66,6 +63,14 @@
   }
 
  private:
+  /// Each change is a system call, so an unchanged one is left out.
+  static void SetReceiveTimeout(Connection* connection,
+                                std::chrono::milliseconds timeout) {
+    if (connection->receive_timeout == timeout) return;
+    connection->receive_timeout = timeout;
+    connection->socket->setRecvTimeout(static_cast<int>(timeout.count()));
+  }
+
   std::unique_ptr<Connection> Take(const std::string& address) {
     {
       const std::lock_guard lock(m_mutex);
@@ -87,11 +92,13 @@
     connection->socket->setConnTimeout(
         static_cast<int>(m_connect_timeout.count()));
     connection->socket->setNoDelay(true);
-    const auto framed = std::make_shared<TFramedTransport>(connection->socket);
+    connection->socket->setSendTimeout(
+        static_cast<int>(m_reply_timeout.count()));
+    const auto buffered = BufferedTransport(connection->socket);
     connection->client = std::make_unique<protocol::gen::SideClient>(
-        std::make_shared<TBinaryProtocol>(framed));
+        std::make_shared<TBinaryProtocol>(buffered));
     try {
-      framed->open();
+      buffered->open();
     } catch (const apache::thrift::TException&) {
       return nullptr;
     }
--- a/src/wasabiwall/transport/peer_server.cc
+++ b/src/wasabiwall/transport/peer_server.cc
@@ -2,7 +2,6 @@
 
 #include <thrift/protocol/TBinaryProtocol.h>
 #include <thrift/server/TThreadedServer.h>
-#include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TServerSocket.h>
 
 #include <atomic>
@@ -14,6 +13,7 @@
 #include "wasabiwall/protocol/gen/Side.h"
 #include "wasabiwall/state/digest.h"
 #include "wasabiwall/transport/address.h"
+#include "wasabiwall/transport/peer_transport.h"
 
 namespace wasabiwall::transport {
 namespace {
@@ -119,8 +119,7 @@
     m_server = std::make_unique<apache::thrift::server::TThreadedServer>(
         std::make_shared<gen::SideProcessor>(
             std::make_shared<Handler>(std::move(secret), std::move(handlers))),
-        m_socket,
-        std::make_shared<apache::thrift::transport::TFramedTransportFactory>(),
+        m_socket, std::make_shared<BufferedTransportFactory>(),
         std::make_shared<apache::thrift::protocol::TBinaryProtocolFactory>());
     m_server->setConcurrentClientLimit(kMaxConnections);
   }
