--- a/src/wasabiwall/coordination/load_news.cc
+++ b/src/wasabiwall/coordination/load_news.cc
@@ -12,6 +12,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kNewsInterval{100};
+/// Older figures would soon be too old for the receiver.
+constexpr milliseconds kNewsMaxAge{1000};
 constexpr std::size_t kMaxPeers = 8192;
 constexpr std::size_t kMaxReports = 8;
 /// Ages are whole milliseconds, so that two ages of one figure may give times
@@ -47,6 +49,7 @@
   for (LoadReport& report : reports) {
     if (chosen.size() >= kMaxReports) break;
     if (report.backend_server == peer) continue;
+    if (report.age_ms > kNewsMaxAge.count()) continue;
     if (report.backend_server == m_own) {
       if (TakeOwn(report, urgent)) chosen.push_back(std::move(report));
       continue;
--- a/src/wasabiwall/coordination/unreported_load.cc
+++ b/src/wasabiwall/coordination/unreported_load.cc
@@ -35,7 +35,7 @@
   const auto found = m_sent.find(server);
   if (found == m_sent.end()) return;
   SentCalls& calls = found->second;
-  while (!calls.empty() && calls.front().at < observed_at) calls.pop_front();
+  while (!calls.empty() && calls.front().at <= observed_at) calls.pop_front();
   if (calls.empty()) m_sent.erase(found);
 }
 
--- a/src/wasabiwall/coordination/unreported_load.h
+++ b/src/wasabiwall/coordination/unreported_load.h
@@ -23,7 +23,7 @@
   void Add(const state::BackendServerId& server, std::int64_t cost_units,
            TimePoint now);
 
-  /// Forgets the calls sent before a load figure was true.
+  /// Forgets the calls sent up to the time at which a load figure was true.
   void OnReport(const state::BackendServerId& server, TimePoint observed_at);
 
   /// @return Cost of the calls that no report covers yet, in load units.
--- a/src/wasabiwall/protocol/encoded_size.h
+++ b/src/wasabiwall/protocol/encoded_size.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
 #include <cstdint>
@@ -13,7 +13,7 @@
 std::int64_t EncodedSize(const Structure& structure) {
   const auto buffer =
       std::make_shared<apache::thrift::transport::TMemoryBuffer>();
-  apache::thrift::protocol::TBinaryProtocol encoder(buffer);
+  apache::thrift::protocol::TCompactProtocol encoder(buffer);
   return structure.write(&encoder);
 }
 
--- a/src/wasabiwall/transport/peer_client.cc
+++ b/src/wasabiwall/transport/peer_client.cc
@@ -1,7 +1,7 @@
 #include "wasabiwall/transport/peer_client.h"
 
 #include <sys/socket.h>
-#include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TSocket.h>
 
@@ -16,7 +16,7 @@
 namespace wasabiwall::transport {
 namespace {
 
-using apache::thrift::protocol::TBinaryProtocol;
+using apache::thrift::protocol::TCompactProtocol;
 using apache::thrift::transport::TFramedTransport;
 using apache::thrift::transport::TSocket;
 using coordination::DeliveryFailure;
@@ -89,7 +89,7 @@
     connection->socket->setNoDelay(true);
     const auto framed = std::make_shared<TFramedTransport>(connection->socket);
     connection->client = std::make_unique<protocol::gen::SideClient>(
-        std::make_shared<TBinaryProtocol>(framed));
+        std::make_shared<TCompactProtocol>(framed));
     try {
       framed->open();
     } catch (const apache::thrift::TException&) {
--- a/src/wasabiwall/transport/peer_server.cc
+++ b/src/wasabiwall/transport/peer_server.cc
@@ -1,6 +1,6 @@
 #include "wasabiwall/transport/peer_server.h"
 
-#include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/server/TThreadedServer.h>
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TServerSocket.h>
@@ -121,7 +121,7 @@
             std::make_shared<Handler>(std::move(secret), std::move(handlers))),
         m_socket,
         std::make_shared<apache::thrift::transport::TFramedTransportFactory>(),
-        std::make_shared<apache::thrift::protocol::TBinaryProtocolFactory>());
+        std::make_shared<apache::thrift::protocol::TCompactProtocolFactory>());
     m_server->setConcurrentClientLimit(kMaxConnections);
   }
 
--- a/tests/coordination/control_traffic_test.cc
+++ b/tests/coordination/control_traffic_test.cc
@@ -93,13 +93,14 @@
   known[0].age_ms = 0;
   CHECK(send("peer", false) == Strings{"own"});
   now += milliseconds(100);
-  known = {Report("own", 0), Report("b", 50), Report("c", 1100)};
+  known = {Report("own", 0), Report("b", 50), Report("c", 1100),
+           Report("d", 1001)};
   CHECK(send("peer", false) == Strings{"own", "b"});
 }
 
 TEST_CASE("without budget only a refusal's own load is sent", "[control]") {
   TimePoint now{milliseconds(1000)};
-  ControlBudget budget(10, [&] { return now; });
+  ControlBudget budget(1, [&] { return now; });
   LoadNews news("own", &budget, [&] { return now; });
   const LoadNews::Reports known = {Report("own", 0), Report("b", 10)};
   const auto give = [&] { return known; };
--- a/tests/coordination/hot_chat_test.cc
+++ b/tests/coordination/hot_chat_test.cc
@@ -89,7 +89,7 @@
   CHECK(load.Of(server, at(40)) == 40);
   // Entries beyond the sixteenth are merged and count until the last of them.
   load.OnReport(server, at(10));
-  CHECK(load.Of(server, at(40)) == 30);
+  CHECK(load.Of(server, at(40)) == 29);
   CHECK(load.Of(server, at(112)) == 27);
   load.OnReport(server, at(40));
   CHECK(load.Of(server, at(40)) == 0);
