--- a/src/wasabiwall/transport/peer_client.cc
+++ b/src/wasabiwall/transport/peer_client.cc
@@ -1,7 +1,7 @@
 #include "wasabiwall/transport/peer_client.h"
 
 #include <sys/socket.h>
-#include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TSocket.h>
 
 #include <cerrno>
@@ -16,7 +16,7 @@
 namespace wasabiwall::transport {
 namespace {
 
-using apache::thrift::protocol::TBinaryProtocol;
+using apache::thrift::protocol::TCompactProtocol;
 using apache::thrift::transport::TSocket;
 using coordination::DeliveryFailure;
 
@@ -96,7 +96,7 @@
         static_cast<int>(m_reply_timeout.count()));
     const auto buffered = BufferedTransport(connection->socket);
     connection->client = std::make_unique<protocol::gen::SideClient>(
-        std::make_shared<TBinaryProtocol>(buffered));
+        std::make_shared<TCompactProtocol>(buffered));
     try {
       buffered->open();
     } catch (const apache::thrift::TException&) {
