Warm-up by rounds, cold engines found from answers and before each run

Cause: the warm-up limit counted load units only and grew with every completion, also of calls that began before the engine turned cold; a change of incarnation was seen up to 500 ms late. Short chats of few units put more calls on a cold engine than it bears.

Now: a limit in calls (pool.warmup_calls, 4; services 32) and in units, both growing once a round by a quarter (doubled after a domain's return with a proven engine); only calls admitted since the restart count. Above what a cold engine bears, the incarnation is read right before each hand-over.

Not proved: an engine that turns cold between the read of its incarnation and the call, and engines that report their incarnation with a lag.

--- a/programs/side_daemon.cc
+++ b/programs/side_daemon.cc
@@ -33,7 +33,8 @@
       m_key_value({m_settings.key_value_url}),
       m_store(m_key_value.Store()),
       m_peers(m_settings.connect_timeout, kPeerReplyTimeout),
-      m_runner([this] { return BackendUrl(); }, kRunnerThreads),
+      m_runner([this] { return BackendUrl(); }, kRunnerThreads,
+               [this](const auto& request) { return CheckBeforeRun(request); }),
       m_node(m_self, &m_config,
              {.clock = coordination::SteadyClock(),
               .random =
@@ -204,10 +205,12 @@
   request.url = url + "/load";
   request.total_timeout = kPlatformTimeout;
   const auto response = transport::HttpClient::Send(request);
-  if (!response || response->status != 200) return;
+  m_engine_reports = response && response->status == 200;
+  if (!m_engine_reports) return;
   const auto json = nlohmann::json::parse(response->body, nullptr, false);
   if (!json.is_object()) return;
   const std::string incarnation = json.value("incarnation", "");
+  const std::lock_guard lock(m_engine_mutex);
   if (incarnation == m_engine_incarnation) return;
   if (!m_engine_incarnation.empty()) {
     transport::LogWarn("engine_cold", {{"incarnation", incarnation}});
@@ -216,6 +219,17 @@
   m_node.OnEngineCold();
 }
 
+std::optional<protocol::ErrorKind> SideDaemon::CheckBeforeRun(
+    const gen::SubmitRequest& request) {
+  // A keyed call has its intent on record and has to run now.
+  const bool keyed = !request.idempotent && !request.idempotency_key.empty();
+  if (keyed || !m_engine_reports) return {};
+  if (m_node.Admission().BearableWhenCold()) return {};
+  WatchEngine();
+  if (m_node.Admission().WithinWarmup()) return {};
+  return protocol::ErrorKind::kWarmingUp;
+}
+
 void SideDaemon::HandleHttp(const transport::ServerRequest& request,
                             transport::ServerResponse* response) {
   if (request.path == "/healthz") {
--- a/programs/side_daemon.h
+++ b/programs/side_daemon.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -45,6 +46,9 @@
   void OnOwnersRead(const coordination::ShardOwnership& ownership,
                     const std::vector<state::KeyValueEntry>& owners);
   void WatchEngine();
+  /// Refuses a call that an engine which has just turned cold could not bear.
+  std::optional<protocol::ErrorKind> CheckBeforeRun(
+      const protocol::gen::SubmitRequest& request);
   void HandleHttp(const transport::ServerRequest& request,
                   transport::ServerResponse* response);
   void WaitUntilIdle();
@@ -70,7 +74,10 @@
   transport::HttpServer m_http_server;
   std::unique_ptr<coordination::ShardOwnership> m_ownership;
   std::int64_t m_lease = 0;
+  std::mutex m_engine_mutex;
   std::string m_engine_incarnation;
+  /// Whether the backend server gives load reports.
+  std::atomic<bool> m_engine_reports{false};
 
   std::mutex m_mutex;
   std::condition_variable m_changed;
--- a/src/wasabiwall/coordination/admission_controller.cc
+++ b/src/wasabiwall/coordination/admission_controller.cc
@@ -5,16 +5,25 @@
 using protocol::ErrorKind;
 using protocol::Fail;
 
-AdmissionController::AdmissionController()
-    : m_warmup(m_pool.warmup_units, m_pool.load_ceiling_units) {}
+namespace {
+
+WarmupBounds BoundsOf(const state::Pool& pool) {
+  return {.start_units = pool.warmup_units,
+          .start_calls = pool.warmup_calls,
+          .ceiling_units = pool.load_ceiling_units};
+}
+
+}  // namespace
+
+AdmissionController::AdmissionController() : m_warmup(BoundsOf(m_pool)) {}
 
 void AdmissionController::Configure(const state::Pool& pool) {
   const std::lock_guard lock(m_mutex);
   m_pool = pool;
-  m_warmup.SetBounds(pool.warmup_units, pool.load_ceiling_units);
+  m_warmup.SetBounds(BoundsOf(pool));
 }
 
-protocol::Result<void> AdmissionController::Admit(
+protocol::Result<std::int64_t> AdmissionController::Admit(
     std::int64_t cost_units, std::int64_t others_load_units,
     std::int64_t others_count) {
   const std::lock_guard lock(m_mutex);
@@ -23,7 +32,7 @@
     // A call larger than the floor could run nowhere in an idle pool.
     m_load_units = load;
     m_running = 1;
-    return {};
+    return m_warmup_number;
   }
   const double mean = static_cast<double>(others_load_units + load) /
                       static_cast<double>(others_count + 1);
@@ -34,24 +43,38 @@
   if (load > m_pool.load_ceiling_units) {
     return Fail(ErrorKind::kOverloaded);
   }
-  if (load > m_warmup.Units()) {
+  if (load > m_warmup.Units() || m_running >= m_warmup.Calls()) {
     return Fail(ErrorKind::kWarmingUp);
   }
   m_load_units = load;
   ++m_running;
-  return {};
+  return m_warmup_number;
 }
 
-void AdmissionController::Finish(std::int64_t cost_units, bool completed) {
+void AdmissionController::Finish(std::int64_t cost_units, std::int64_t warmup,
+                                 bool fast) {
   const std::lock_guard lock(m_mutex);
   m_load_units -= cost_units;
   --m_running;
-  if (completed) m_warmup.OnCompletion(cost_units);
+  if (fast && warmup == m_warmup_number) m_warmup.OnCompletion();
+}
+
+void AdmissionController::RestartWarmup(WarmupStart start) {
+  const std::lock_guard lock(m_mutex);
+  ++m_warmup_number;
+  m_warmup.Restart(start);
+}
+
+bool AdmissionController::WithinWarmup() const {
+  const std::lock_guard lock(m_mutex);
+  return m_running <= 1 ||
+         (m_running <= m_warmup.Calls() && m_load_units <= m_warmup.Units());
 }
 
-void AdmissionController::OnCold() {
+bool AdmissionController::BearableWhenCold() const {
   const std::lock_guard lock(m_mutex);
-  m_warmup.OnCold();
+  return m_running <= 1 || (m_running <= m_pool.warmup_calls &&
+                            m_load_units <= m_pool.warmup_units);
 }
 
 std::int64_t AdmissionController::LoadUnits() const {
--- a/src/wasabiwall/coordination/admission_controller.h
+++ b/src/wasabiwall/coordination/admission_controller.h
@@ -24,17 +24,27 @@
   /// @param cost_units Load units of the call.
   /// @param others_load_units Sum of the load of the pool's other members.
   /// @param others_count Number of the pool's other members.
-  /// @return kOverloaded or kWarmingUp when refused.
-  protocol::Result<void> Admit(std::int64_t cost_units,
-                               std::int64_t others_load_units,
-                               std::int64_t others_count);
+  /// @return Number of the warm-up in progress, to be given to Finish;
+  /// kOverloaded or kWarmingUp when refused.
+  protocol::Result<std::int64_t> Admit(std::int64_t cost_units,
+                                       std::int64_t others_load_units,
+                                       std::int64_t others_count);
 
   /// Returns the cost of an admitted call.
-  /// @param completed Whether the backend server gave a whole answer.
-  void Finish(std::int64_t cost_units, bool completed);
+  /// @param warmup What Admit returned; calls admitted before the warm-up in
+  /// progress do not let its limit grow.
+  /// @param fast Whether the backend server gave a whole answer fast enough
+  /// to bear more.
+  void Finish(std::int64_t cost_units, std::int64_t warmup, bool fast);
 
   /// Falls back to the limit of a cold backend server.
-  void OnCold();
+  void RestartWarmup(WarmupStart start);
+
+  /// @return Whether what is admitted is within the warm-up limit now.
+  bool WithinWarmup() const;
+
+  /// @return Whether what is admitted could be borne by a cold engine.
+  bool BearableWhenCold() const;
 
   std::int64_t LoadUnits() const;
   std::int64_t Running() const;
@@ -46,6 +56,7 @@
   WarmupLimit m_warmup;
   std::int64_t m_load_units = 0;
   std::int64_t m_running = 0;
+  std::int64_t m_warmup_number = 0;
 };
 
 }  // namespace wasabiwall::coordination
--- a/src/wasabiwall/coordination/side_node.cc
+++ b/src/wasabiwall/coordination/side_node.cc
@@ -4,6 +4,9 @@
 #include <optional>
 #include <utility>
 
+#include "wasabiwall/protocol/usage_report.h"
+#include "wasabiwall/state/digest.h"
+
 namespace wasabiwall::coordination {
 namespace {
 
@@ -164,18 +167,22 @@
   const std::shared_ptr<state::Attempt> answer = AnswerOf(attempt);
   if (!answer) return;
   const state::AttemptPart whole = answer->Read(0, INT64_MAX, milliseconds(0));
-  const bool completed = whole.end.error_kind.empty();
   if (whole.end.error_kind == RowOf(ErrorKind::kBackendServerCrashed).name) {
     m_quarantine.OnBroken(attempt);
   }
-  Release(attempt, completed);
+  const Warmth warmth = JudgeAnswer(attempt, whole);
+  Release(attempt, warmth == Warmth::kWarm);
+  if (warmth == Warmth::kCold) m_admission.RestartWarmup(WarmupStart::kCold);
   const auto next = m_quarantine.OnEnded(attempt);
   if (next) StartWaiting(*next);
   m_ledger.OnOutcome(attempt, {whole.data, whole.end});
   if (m_ledger.HasWork()) m_hooks.wake_committer();
 }
 
-void SideNode::OnEngineCold() { m_admission.OnCold(); }
+void SideNode::OnEngineCold() {
+  m_cold_detector.Reset();
+  m_admission.RestartWarmup(WarmupStart::kCold);
+}
 
 void SideNode::SetDraining(bool draining) {
   const std::lock_guard lock(m_mutex);
@@ -267,9 +274,9 @@
       server->second.pool.value != request.pool) {
     return Fail(ErrorKind::kStaleConfiguration);
   }
-  if (Draining() || !view->TakesNewWork(m_self)) {
-    return Fail(ErrorKind::kDraining);
-  }
+  const bool out = !view->TakesNewWork(m_self);
+  NotePlacement(out);
+  if (out || Draining()) return Fail(ErrorKind::kDraining);
   const auto pool = view->pools.find(request.pool);
   if (pool == view->pools.end()) return Fail(ErrorKind::kStaleConfiguration);
   if (request.deadline_ms <= 0) return Fail(ErrorKind::kDeadlineTooShort);
@@ -277,6 +284,12 @@
   return pool->second;
 }
 
+void SideNode::NotePlacement(bool out) {
+  const std::lock_guard lock(m_mutex);
+  if (m_was_out && !out) m_admission.RestartWarmup(WarmupStart::kReturned);
+  m_was_out = out;
+}
+
 void SideNode::FollowConfiguration(
     const std::shared_ptr<const state::ConfigView>& view,
     const state::Pool& pool) {
@@ -295,7 +308,8 @@
   m_admission.Configure(pool);
 }
 
-protocol::Result<void> SideNode::AdmitCost(const SubmitRequest& request) {
+protocol::Result<std::int64_t> SideNode::AdmitCost(
+    const SubmitRequest& request) {
   const std::lock_guard lock(m_mutex);
   return m_admission.Admit(CostOf(request), m_loads.TrackedSum(m_hooks.clock()),
                            m_others);
@@ -313,8 +327,8 @@
   const auto admitted = AdmitCost(request);
   if (!admitted) return Refused(admitted.error());
   const auto answer = std::make_shared<state::Attempt>();
-  if (!Insert(request, answer, true, true)) {
-    m_admission.Finish(CostOf(request), false);
+  if (!Insert(request, answer, true, *admitted)) {
+    m_admission.Finish(CostOf(request), *admitted, false);
     return Refused({ErrorKind::kTombstoned, "", {}});
   }
   const LedgerDecision decision = m_ledger.Begin(call);
@@ -334,8 +348,8 @@
   const auto admitted = AdmitCost(request);
   if (!admitted) return Refused(admitted.error());
   const auto answer = std::make_shared<state::Attempt>();
-  if (!Insert(request, answer, false, true)) {
-    m_admission.Finish(CostOf(request), false);
+  if (!Insert(request, answer, false, *admitted)) {
+    m_admission.Finish(CostOf(request), *admitted, false);
     return Refused({ErrorKind::kTombstoned, "", {}});
   }
   const state::AttemptId attempt(request.attempt_id);
@@ -424,15 +438,41 @@
   }
 }
 
-void SideNode::Release(const state::AttemptId& attempt, bool completed) {
-  const std::int64_t cost = m_attempts.WithShard(attempt, [&](auto& table) {
+Warmth SideNode::JudgeAnswer(const state::AttemptId& attempt,
+                             const state::AttemptPart& whole) {
+  AnswerEvidence evidence;
+  const bool known = m_attempts.WithShard(attempt, [&](auto& table) {
     const auto found = table.find(attempt);
-    if (found == table.end() || !found->second.admitted)
-      return std::int64_t{-1};
-    found->second.admitted = false;
-    return CostOf(found->second.request);
+    if (found == table.end()) return false;
+    const SideAttempt& record = found->second;
+    evidence.chat_hash = state::FastHash(
+        record.request.chat_id, state::FastHash(record.request.workspace));
+    if (!record.first_data_at) return true;
+    evidence.first_token = *record.first_data_at - record.created_at;
+    return true;
+  });
+  if (!known) return Warmth::kSlow;
+  evidence.whole = whole.end.error_kind.empty();
+  const bool failed =
+      whole.end.error_kind == RowOf(ErrorKind::kBackendServerFailed).name;
+  // Other ends, such as a cancelled call, tell nothing about the engine.
+  if (!evidence.whole && !failed) return Warmth::kSlow;
+  const auto usage = protocol::ParseUsage(whole.data);
+  if (usage) {
+    evidence.prompt_tokens = usage->prompt_tokens;
+    evidence.cached_tokens = usage->cached_tokens;
+  }
+  return m_cold_detector.OnAnswer(evidence);
+}
+
+void SideNode::Release(const state::AttemptId& attempt, bool fast) {
+  m_attempts.WithShard(attempt, [&](auto& table) {
+    const auto found = table.find(attempt);
+    if (found == table.end() || !found->second.admitted) return;
+    SideAttempt& record = found->second;
+    record.admitted = false;
+    m_admission.Finish(CostOf(record.request), record.warmup, fast);
   });
-  if (cost >= 0) m_admission.Finish(cost, completed);
 }
 
 std::string SideNode::FingerprintOfAttempt(const state::AttemptId& attempt) {
@@ -451,9 +491,16 @@
   });
 }
 
+void SideNode::OnFirstData(const state::AttemptId& attempt) {
+  m_attempts.WithShard(attempt, [&](auto& table) {
+    const auto found = table.find(attempt);
+    if (found != table.end()) found->second.first_data_at = m_hooks.clock();
+  });
+}
+
 bool SideNode::Insert(const SubmitRequest& request,
                       const std::shared_ptr<state::Attempt>& answer, bool keyed,
-                      bool admitted) {
+                      std::int64_t warmup) {
   const state::AttemptId attempt(request.attempt_id);
   return m_attempts.WithShard(attempt, [&](auto& table) {
     const auto [entry, inserted] = table.try_emplace(attempt);
@@ -461,8 +508,11 @@
     entry->second.request = request;
     entry->second.answer = answer;
     entry->second.keyed = keyed;
-    entry->second.admitted = admitted;
+    entry->second.admitted = true;
+    entry->second.warmup = warmup;
     entry->second.created_at = m_hooks.clock();
+    if (!request.streaming) return true;
+    answer->SetOnFirstData([this, attempt] { OnFirstData(attempt); });
     return true;
   });
 }
--- a/src/wasabiwall/coordination/side_node.h
+++ b/src/wasabiwall/coordination/side_node.h
@@ -5,12 +5,14 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "wasabiwall/coordination/admission_controller.h"
 #include "wasabiwall/coordination/clock.h"
+#include "wasabiwall/coordination/cold_detector.h"
 #include "wasabiwall/coordination/key_ledger.h"
 #include "wasabiwall/coordination/message_age.h"
 #include "wasabiwall/coordination/pool_load_estimate.h"
@@ -31,7 +33,11 @@
   bool keyed = false;
   /// Whether its cost is booked at the admission.
   bool admitted = false;
+  /// Warm-up in which it was admitted.
+  std::int64_t warmup = 0;
   TimePoint created_at;
+  /// When the first byte of a streamed answer arrived.
+  std::optional<TimePoint> first_data_at;
 };
 
 /// Hooks of a side node.
@@ -122,10 +128,14 @@
 
   protocol::Result<state::Pool> CheckPlacement(
       const protocol::gen::SubmitRequest& request);
+  void OnFirstData(const state::AttemptId& attempt);
+  /// Starts the warm-up again when tickets allow new work again.
+  void NotePlacement(bool out);
   /// Takes over pool and members when the configuration has changed.
   void FollowConfiguration(const std::shared_ptr<const state::ConfigView>& view,
                            const state::Pool& pool);
-  protocol::Result<void> AdmitCost(const protocol::gen::SubmitRequest& request);
+  protocol::Result<std::int64_t> AdmitCost(
+      const protocol::gen::SubmitRequest& request);
   protocol::gen::SubmitReply SubmitKeyed(
       const protocol::gen::SubmitRequest& request, const state::Pool& pool);
   protocol::gen::SubmitReply Decide(
@@ -136,17 +146,20 @@
   protocol::gen::SubmitReply SubmitPlain(
       const protocol::gen::SubmitRequest& request);
   void Act(const LedgerDecision& decision);
-  void Release(const state::AttemptId& attempt, bool completed);
+  void Release(const state::AttemptId& attempt, bool fast);
+  Warmth JudgeAnswer(const state::AttemptId& attempt,
+                     const state::AttemptPart& whole);
   std::string FingerprintOfAttempt(const state::AttemptId& attempt);
   std::shared_ptr<state::Attempt> AnswerOf(const state::AttemptId& attempt);
   bool Insert(const protocol::gen::SubmitRequest& request,
               const std::shared_ptr<state::Attempt>& answer, bool keyed,
-              bool admitted);
+              std::int64_t warmup);
 
   state::BackendServerId m_self;
   state::ConfigStore* m_config;
   SideNodeHooks m_hooks;
   AdmissionController m_admission;
+  ColdDetector m_cold_detector;
   PoolLoadEstimate m_loads;
   MessageAge m_message_age;
   KeyLedger m_ledger;
@@ -155,6 +168,8 @@
   mutable std::mutex m_mutex;
   bool m_draining = false;
   bool m_leaving = false;
+  /// Whether tickets kept new work away when last looked at.
+  bool m_was_out = false;
   /// Configuration that admission and load sum follow.
   std::shared_ptr<const state::ConfigView> m_followed;
   std::int64_t m_others = 0;
--- a/src/wasabiwall/coordination/warmup_limit.cc
+++ b/src/wasabiwall/coordination/warmup_limit.cc
@@ -3,23 +3,53 @@
 #include <algorithm>
 
 namespace wasabiwall::coordination {
+namespace {
 
-WarmupLimit::WarmupLimit(std::int64_t start_units, std::int64_t ceiling_units)
-    : m_start_units(std::min(start_units, ceiling_units)),
-      m_ceiling_units(ceiling_units),
-      m_units(m_start_units) {}
+/// Growth in a round is the limit divided by this, at least one call.
+constexpr std::int64_t kColdDivisor = 4;
+constexpr std::int64_t kReturnedDivisor = 1;
+/// Growth after which an engine counts as warm.
+constexpr std::int64_t kWarmFactor = 4;
+/// More calls than any backend server is given at a time.
+constexpr std::int64_t kMaxCalls = 1 << 20;
 
-void WarmupLimit::OnCompletion(std::int64_t cost_units) {
-  m_units = std::min(m_ceiling_units, m_units + cost_units);
+WarmupBounds Checked(WarmupBounds bounds) {
+  bounds.start_units = std::min(bounds.start_units, bounds.ceiling_units);
+  bounds.start_calls =
+      std::clamp<std::int64_t>(bounds.start_calls, 1, kMaxCalls);
+  return bounds;
 }
 
-void WarmupLimit::OnCold() { m_units = m_start_units; }
+}  // namespace
 
-void WarmupLimit::SetBounds(std::int64_t start_units,
-                            std::int64_t ceiling_units) {
-  m_ceiling_units = ceiling_units;
-  m_start_units = std::min(start_units, ceiling_units);
-  m_units = std::clamp(m_units, m_start_units, m_ceiling_units);
+WarmupLimit::WarmupLimit(const WarmupBounds& bounds)
+    : m_bounds(Checked(bounds)),
+      m_units(m_bounds.start_units),
+      m_calls(m_bounds.start_calls) {}
+
+void WarmupLimit::OnCompletion() {
+  if (++m_round_completions < m_calls) return;
+  m_round_completions = 0;
+  const std::int64_t divisor =
+      m_start == WarmupStart::kCold ? kColdDivisor : kReturnedDivisor;
+  m_calls = std::min(kMaxCalls,
+                     m_calls + std::max<std::int64_t>(1, m_calls / divisor));
+  m_units = std::min(m_bounds.ceiling_units, m_units + m_units / divisor + 1);
+}
+
+void WarmupLimit::Restart(WarmupStart start) {
+  const bool warm = m_start == WarmupStart::kReturned ||
+                    m_calls >= kWarmFactor * m_bounds.start_calls;
+  m_start = warm ? start : WarmupStart::kCold;
+  m_units = m_bounds.start_units;
+  m_calls = m_bounds.start_calls;
+  m_round_completions = 0;
+}
+
+void WarmupLimit::SetBounds(const WarmupBounds& bounds) {
+  m_bounds = Checked(bounds);
+  m_units = std::clamp(m_units, m_bounds.start_units, m_bounds.ceiling_units);
+  m_calls = std::max(m_calls, m_bounds.start_calls);
 }
 
 }  // namespace wasabiwall::coordination
--- a/src/wasabiwall/state/attempt.cc
+++ b/src/wasabiwall/state/attempt.cc
@@ -1,16 +1,27 @@
 #include "wasabiwall/state/attempt.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "wasabiwall/state/digest.h"
 
 namespace wasabiwall::state {
 
 void Attempt::Append(std::string_view data) {
+  std::function<void()> on_first_data;
+  {
+    const std::lock_guard lock(m_mutex);
+    if (m_ended) return;
+    m_body.append(data);
+    m_changed.notify_all();
+    on_first_data = std::exchange(m_on_first_data, nullptr);
+  }
+  if (on_first_data) on_first_data();
+}
+
+void Attempt::SetOnFirstData(std::function<void()> on_first_data) {
   const std::lock_guard lock(m_mutex);
-  if (m_ended) return;
-  m_body.append(data);
-  m_changed.notify_all();
+  m_on_first_data = std::move(on_first_data);
 }
 
 void Attempt::SetHead(int http_status, std::string content_type) {
--- a/src/wasabiwall/state/attempt.h
+++ b/src/wasabiwall/state/attempt.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <string_view>
@@ -35,6 +36,9 @@
   /// Adds the next bytes of the answer; ignored after the end.
   void Append(std::string_view data);
 
+  /// Sets what is called when the first byte arrives; before any Append.
+  void SetOnFirstData(std::function<void()> on_first_data);
+
   /// Sets status and content type as soon as they are known.
   void SetHead(int http_status, std::string content_type);
 
@@ -64,6 +68,7 @@
   mutable std::condition_variable m_changed;
   std::string m_body;
   AttemptEnd m_end;
+  std::function<void()> m_on_first_data;
   bool m_ended = false;
   bool m_cancelled = false;
 };
--- a/src/wasabiwall/state/config_records.cc
+++ b/src/wasabiwall/state/config_records.cc
@@ -3,6 +3,8 @@
 namespace wasabiwall::state {
 namespace {
 
+constexpr std::int64_t kServiceWarmupCalls = 32;
+
 PlacementState ToPlacement(const nlohmann::json& state) {
   return state.value("state", "in") == "in" ? PlacementState::kIn
                                             : PlacementState::kOut;
@@ -35,6 +37,8 @@
   pool.load_ceiling_units =
       state.value("load_ceiling_units", pool.load_ceiling_units);
   pool.warmup_units = state.value("warmup_units", pool.warmup_units);
+  if (pool.kind == PoolKind::kService) pool.warmup_calls = kServiceWarmupCalls;
+  pool.warmup_calls = state.value("warmup_calls", pool.warmup_calls);
   pool.key_shards = state.value("key_shards", pool.key_shards);
   pool.policy = state.value("policy", pool.policy);
   return pool;
--- a/src/wasabiwall/state/config_records.h
+++ b/src/wasabiwall/state/config_records.h
@@ -41,6 +41,8 @@
   std::int64_t load_ceiling_units = 64000;
   /// Load that a backend server that has just started may carry.
   std::int64_t warmup_units = 4000;
+  /// Calls that it may run at a time; services take more by default.
+  std::int64_t warmup_calls = 4;
   /// Number of shards of idempotency keys.
   std::int64_t key_shards = 16;
   std::string policy = "rendezvous_bounded";
--- a/src/wasabiwall/transport/backend_runner.cc
+++ b/src/wasabiwall/transport/backend_runner.cc
@@ -45,9 +45,12 @@
 
 }  // namespace
 
-BackendRunner::BackendRunner(std::function<std::string()> base_url,
-                             int max_threads)
+BackendRunner::BackendRunner(
+    std::function<std::string()> base_url, int max_threads,
+    std::function<std::optional<ErrorKind>(const protocol::gen::SubmitRequest&)>
+        check)
     : m_base_url(std::move(base_url)),
+      m_check(std::move(check)),
       m_workers(max_threads, kMaxQueuedAttempts) {}
 
 void BackendRunner::Run(const protocol::gen::SubmitRequest& request,
@@ -66,6 +69,11 @@
 
 void BackendRunner::RunNow(const protocol::gen::SubmitRequest& request,
                            state::Attempt* answer) {
+  const std::optional<ErrorKind> refusal = m_check(request);
+  if (refusal) {
+    answer->Finish(RowOf(*refusal).name, "");
+    return;
+  }
   HttpRequest http;
   http.send_once = true;
   http.method = request.method;
--- a/src/wasabiwall/transport/backend_runner.h
+++ b/src/wasabiwall/transport/backend_runner.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "wasabiwall/protocol/error_kind.h"
@@ -16,7 +17,12 @@
  public:
   /// @param base_url Returns the backend server's base URL now in force.
   /// @param max_threads Most attempts at a time.
-  BackendRunner(std::function<std::string()> base_url, int max_threads);
+  /// @param check Asked right before each hand-over to the backend server; an
+  /// error kind, which has to mean that the call was not run, ends the attempt.
+  BackendRunner(std::function<std::string()> base_url, int max_threads,
+                std::function<std::optional<protocol::ErrorKind>(
+                    const protocol::gen::SubmitRequest&)>
+                    check);
 
   /// Starts an attempt; returns at once.
   /// @param on_ended Called once, after the answer has ended.
@@ -32,6 +38,9 @@
               state::Attempt* answer);
 
   std::function<std::string()> m_base_url;
+  std::function<std::optional<protocol::ErrorKind>(
+      const protocol::gen::SubmitRequest&)>
+      m_check;
   WorkerPool m_workers;
 };
 
