A side process that was frozen starts nothing it cannot vouch for

Cause: calls that waited in the sockets of a frozen side process were run after the thaw under the configuration of before; leaving by VM list was read in the loop that also waits for the key-value service.

Now: ticks each 100 ms; after a gap of more than 750 ms the side process refuses with stale_configuration (not run) until configuration (from the service, or from a peer in an outage) and VM list have been read by reads begun after the pause. Placement is looked at again right before the hand-over. The VM list has a loop of its own.

--- a/programs/side_daemon.cc
+++ b/programs/side_daemon.cc
@@ -17,6 +17,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kPlatformInterval{500};
+constexpr milliseconds kTickInterval{100};
 constexpr milliseconds kPlatformTimeout{1000};
 constexpr milliseconds kCommitRetryWait{20};
 constexpr milliseconds kIdlePoll{20};
@@ -59,10 +60,13 @@
                        coordination::SteadyClock()),
       m_load_news(m_settings.backend_server, &m_control_budget,
                   coordination::SteadyClock()),
-      m_follower({.reads_key_value = m_settings.reads_configuration,
-                  .peers = m_settings.peers},
-                 m_store, &m_config, &m_peers,
-                 [this] { return MakeEnvelope(); }),
+      m_follower(
+          {.reads_key_value = m_settings.reads_configuration,
+           .peers = m_settings.peers,
+           .on_read =
+               [this](auto began_at) { m_node.OnConfigurationRead(began_at); },
+           .read_wanted = [this] { return m_node.ConfigurationWanted(); }},
+          m_store, &m_config, &m_peers, [this] { return MakeEnvelope(); }),
       m_peer_server(m_settings.peer_address, m_settings.secret,
                     MakePeerHandlers()),
       m_http_server({.address = m_settings.http_address,
@@ -76,6 +80,8 @@
   m_follower.Start();
   m_commit_thread = std::thread([this] { CommitLoop(); });
   m_platform_thread = std::thread([this] { PlatformLoop(); });
+  m_tick_thread = std::thread([this] { TickLoop(); });
+  m_vm_list_thread = std::thread([this] { VmListLoop(); });
   return m_peer_server.Start() && m_http_server.Start();
 }
 
@@ -89,6 +95,8 @@
   m_changed.notify_all();
   m_commit_thread.join();
   m_platform_thread.join();
+  m_tick_thread.join();
+  m_vm_list_thread.join();
   // Gives the shards free for the next owner at once.
   if (m_lease != 0) m_store.revoke_lease(m_lease);
   m_peer_server.Stop();
@@ -119,14 +127,35 @@
     HoldLease();
     ClaimShards();
     WatchEngine();
+    m_node.Sweep();
+    lock.lock();
+    m_changed.wait_for(lock, kPlatformInterval, [this] { return m_stopped; });
+  }
+}
+
+void SideDaemon::TickLoop() {
+  std::unique_lock lock(m_mutex);
+  while (!m_stopped) {
+    lock.unlock();
+    m_node.Tick();
+    lock.lock();
+    m_changed.wait_for(lock, kTickInterval, [this] { return m_stopped; });
+  }
+}
+
+void SideDaemon::VmListLoop() {
+  std::unique_lock lock(m_mutex);
+  while (!m_stopped) {
+    lock.unlock();
+    const auto began_at = coordination::SteadyClock()();
     const auto list =
         transport::FetchVmList(m_settings.vm_list_url, kPlatformTimeout);
     if (list) {
       const auto self = list->find(m_self);
-      m_node.SetLeaving(self != list->end() &&
-                        self->second == coordination::VmState::kLeaving);
+      const bool leaving = self != list->end() &&
+                           self->second == coordination::VmState::kLeaving;
+      m_node.OnVmList(leaving, began_at);
     }
-    m_node.Sweep();
     lock.lock();
     m_changed.wait_for(lock, kPlatformInterval, [this] { return m_stopped; });
   }
@@ -223,7 +252,9 @@
     const gen::SubmitRequest& request) {
   // A keyed call has its intent on record and has to run now.
   const bool keyed = !request.idempotent && !request.idempotency_key.empty();
-  if (keyed || !m_engine_reports) return {};
+  if (keyed) return {};
+  const auto refusal = m_node.CheckStart();
+  if (refusal || !m_engine_reports) return refusal;
   if (m_node.Admission().BearableWhenCold()) return {};
   WatchEngine();
   if (m_node.Admission().WithinWarmup()) return {};
--- a/programs/side_daemon.h
+++ b/programs/side_daemon.h
@@ -41,6 +41,9 @@
  private:
   void CommitLoop();
   void PlatformLoop();
+  /// Ticks the node.
+  void TickLoop();
+  void VmListLoop();
   void HoldLease();
   void ClaimShards();
   void OnOwnersRead(const coordination::ShardOwnership& ownership,
@@ -85,6 +88,8 @@
   bool m_commit_wanted = false;
   std::thread m_commit_thread;
   std::thread m_platform_thread;
+  std::thread m_tick_thread;
+  std::thread m_vm_list_thread;
 };
 
 }  // namespace wasabiwall::programs
--- a/src/wasabiwall/coordination/side_node.cc
+++ b/src/wasabiwall/coordination/side_node.cc
@@ -25,6 +25,8 @@
 constexpr std::chrono::minutes kTombstoneRetention{10};
 /// Keeps sums of forged costs from overflowing.
 constexpr std::int64_t kMaxCostUnits = std::int64_t{1} << 40;
+/// With the read interval it stays under the 2 s in which work must end.
+constexpr milliseconds kMaxTickGap{750};
 /// Newest load figures from which the news for a peer is chosen.
 constexpr std::size_t kLoadsKnown = 256;
 constexpr std::size_t kKeysPerTransaction = 32;
@@ -79,6 +81,7 @@
     : m_self(std::move(self)),
       m_config(config),
       m_hooks(std::move(hooks)),
+      m_pause_guard(kMaxTickGap),
       m_loads(kLoadMaxAge),
       m_message_age(m_hooks.clock, m_hooks.random()),
       m_ledger(DrawIncarnation(m_hooks.random)),
@@ -189,9 +192,35 @@
   m_draining = draining;
 }
 
-void SideNode::SetLeaving(bool leaving) {
+void SideNode::OnVmList(bool leaving, TimePoint read_began_at) {
+  {
+    const std::lock_guard lock(m_mutex);
+    m_leaving = leaving;
+  }
+  m_pause_guard.OnVmListRead(read_began_at);
+}
+
+void SideNode::OnConfigurationRead(TimePoint read_began_at) {
+  m_pause_guard.OnConfigurationRead(read_began_at);
+}
+
+void SideNode::Tick() {
+  m_pause_guard.OnTick(m_hooks.clock());
+  NotePlacement(!m_config->View()->TakesNewWork(m_self));
+}
+
+bool SideNode::ConfigurationWanted() {
+  return m_pause_guard.ConfigurationWanted(m_hooks.clock());
+}
+
+std::optional<ErrorKind> SideNode::CheckStart() {
+  if (!m_pause_guard.Confirmed(m_hooks.clock())) {
+    return ErrorKind::kStaleConfiguration;
+  }
+  const bool out = !m_config->View()->TakesNewWork(m_self);
   const std::lock_guard lock(m_mutex);
-  m_leaving = leaving;
+  if (out || m_leaving) return ErrorKind::kDraining;
+  return {};
 }
 
 void SideNode::SetOwners(
@@ -268,6 +297,9 @@
 
 protocol::Result<state::Pool> SideNode::CheckPlacement(
     const SubmitRequest& request) {
+  if (!m_pause_guard.Confirmed(m_hooks.clock())) {
+    return Fail(ErrorKind::kStaleConfiguration);
+  }
   const auto view = m_config->View();
   const auto server = view->backend_servers.find(m_self.value);
   if (server == view->backend_servers.end() ||
--- a/src/wasabiwall/coordination/side_node.h
+++ b/src/wasabiwall/coordination/side_node.h
@@ -15,6 +15,7 @@
 #include "wasabiwall/coordination/cold_detector.h"
 #include "wasabiwall/coordination/key_ledger.h"
 #include "wasabiwall/coordination/message_age.h"
+#include "wasabiwall/coordination/pause_guard.h"
 #include "wasabiwall/coordination/pool_load_estimate.h"
 #include "wasabiwall/coordination/quarantine.h"
 #include "wasabiwall/protocol/gen/wasabiwall_types.h"
@@ -82,7 +83,19 @@
   /// Stops or resumes taking new work.
   void SetDraining(bool draining);
   /// Records what the VM list says of this VM.
-  void SetLeaving(bool leaving);
+  /// @param read_began_at When the read of the list was begun.
+  void OnVmList(bool leaving, TimePoint read_began_at);
+  /// Records that the configuration store has all that was accepted before a
+  /// read of the key-value service, or of a peer, was begun.
+  void OnConfigurationRead(TimePoint read_began_at);
+  /// To be called at regular intervals, several times a second; a gap shows
+  /// that the process was paused.
+  void Tick();
+  /// @return Whether a pause makes a new read of the configuration urgent.
+  bool ConfigurationWanted();
+  /// Asked right before an admitted call is handed to the backend server.
+  /// @return Why it may not start after all; such a call was not run.
+  std::optional<protocol::ErrorKind> CheckStart();
   /// Records the owners of the pool's shards, for redirects.
   void SetOwners(
       std::unordered_map<std::int64_t, state::BackendServerId> owners);
@@ -160,6 +173,7 @@
   SideNodeHooks m_hooks;
   AdmissionController m_admission;
   ColdDetector m_cold_detector;
+  PauseGuard m_pause_guard;
   PoolLoadEstimate m_loads;
   MessageAge m_message_age;
   KeyLedger m_ledger;
--- a/src/wasabiwall/transport/config_follower.cc
+++ b/src/wasabiwall/transport/config_follower.cc
@@ -59,8 +59,10 @@
 
 void ConfigFollower::OnRevisionHeard(std::int64_t revision,
                                      const std::string& address) {
-  if (address.empty() || revision <= m_config->Revision()) return;
+  if (address.empty()) return;
   const std::lock_guard lock(m_mutex);
+  m_last_heard = address;
+  if (revision <= m_config->Revision()) return;
   m_newer_at = address;
   m_changed.notify_all();
 }
@@ -84,31 +86,52 @@
     const std::string newer_at = std::exchange(m_newer_at, "");
     lock.unlock();
     if (!newer_at.empty()) FetchFrom(newer_at);
-    if (m_options.reads_key_value) ReadKeyValue();
+    const bool read = m_options.reads_key_value && ReadKeyValue();
+    const bool wanted = m_options.read_wanted && m_options.read_wanted();
+    if (!read && wanted) ConfirmFromPeers();
     lock.lock();
     m_changed.wait_for(lock, m_options.poll_interval,
                        [this] { return m_stopped || !m_newer_at.empty(); });
   }
 }
 
-void ConfigFollower::ReadKeyValue() {
+bool ConfigFollower::ReadKeyValue() {
+  const coordination::TimePoint began_at = coordination::SteadyClock()();
   coordination::TicketAcceptor acceptor(m_store);
   const auto items = acceptor.ReadItems(m_config->Revision());
-  if (items) m_config->Apply(*items);
+  if (!items) return false;
+  m_config->Apply(*items);
+  if (m_options.on_read) m_options.on_read(began_at);
+  return true;
 }
 
-void ConfigFollower::FetchFrom(const std::string& address) {
+void ConfigFollower::ConfirmFromPeers() {
+  std::string last_heard;
+  {
+    const std::lock_guard lock(m_mutex);
+    last_heard = m_last_heard;
+  }
+  const coordination::TimePoint began_at = coordination::SteadyClock()();
+  bool read = !last_heard.empty() && FetchFrom(last_heard);
+  for (const std::string& peer : m_options.peers) {
+    if (!read) read = FetchFrom(peer);
+  }
+  if (read && m_options.on_read) m_options.on_read(began_at);
+}
+
+bool ConfigFollower::FetchFrom(const std::string& address) {
   gen::ItemsRequest request;
   request.envelope = m_make_envelope();
   request.since_revision = m_config->Revision();
   const auto reply = m_peers->ItemsSince(address, request);
-  if (!reply) return;
+  if (!reply) return false;
   std::vector<state::ConfigItem> items;
   for (const gen::ItemRecord& record : reply->items) {
     state::ConfigItem item;
     if (FromRecord(record, &item)) items.push_back(std::move(item));
   }
   m_config->Apply(items);
+  return true;
 }
 
 }  // namespace wasabiwall::transport
--- a/src/wasabiwall/transport/config_follower.h
+++ b/src/wasabiwall/transport/config_follower.h
@@ -9,6 +9,7 @@
 #include <thread>
 #include <vector>
 
+#include "wasabiwall/coordination/clock.h"
 #include "wasabiwall/protocol/gen/wasabiwall_types.h"
 #include "wasabiwall/state/config_store.h"
 #include "wasabiwall/state/key_value.h"
@@ -23,6 +24,10 @@
   /// Thrift addresses to start from.
   std::vector<std::string> peers;
   std::chrono::milliseconds poll_interval{500};
+  /// Told after each complete read when it was begun; may be empty.
+  std::function<void(coordination::TimePoint began_at)> on_read;
+  /// Asked whether a read is urgent, from a peer if need be; may be empty.
+  std::function<bool()> read_wanted;
 };
 
 /// Keeps a process's configuration current, from the key-value service and
@@ -47,8 +52,10 @@
 
  private:
   void Work();
-  void ReadKeyValue();
-  void FetchFrom(const std::string& address);
+  bool ReadKeyValue();
+  bool FetchFrom(const std::string& address);
+  /// Reads from any peer while the key-value service is out.
+  void ConfirmFromPeers();
 
   ConfigFollowerOptions m_options;
   state::KeyValueStore m_store;
@@ -58,6 +65,8 @@
   std::mutex m_mutex;
   std::condition_variable m_changed;
   std::string m_newer_at;
+  /// Process heard from last.
+  std::string m_last_heard;
   bool m_stopped = false;
   std::thread m_thread;
 };
