--- a/src/wasabiwall/coordination/side_node.h
+++ b/src/wasabiwall/coordination/side_node.h
@@ -5,14 +5,17 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "wasabiwall/coordination/admission_controller.h"
 #include "wasabiwall/coordination/clock.h"
+#include "wasabiwall/coordination/cold_detector.h"
 #include "wasabiwall/coordination/key_ledger.h"
 #include "wasabiwall/coordination/message_age.h"
+#include "wasabiwall/coordination/pause_guard.h"
 #include "wasabiwall/coordination/pool_load_estimate.h"
 #include "wasabiwall/coordination/quarantine.h"
 #include "wasabiwall/protocol/gen/wasabiwall_types.h"
@@ -31,7 +34,11 @@
   bool keyed = false;
   /// Whether its cost is booked at the admission.
   bool admitted = false;
+  /// Warm-up in which it was admitted.
+  std::int64_t warmup = 0;
   TimePoint created_at;
+  /// When the first byte of a streamed answer arrived.
+  std::optional<TimePoint> first_data_at;
 };
 
 /// Hooks of a side node.
@@ -76,7 +83,19 @@
   /// Stops or resumes taking new work.
   void SetDraining(bool draining);
   /// Records what the VM list says of this VM.
-  void SetLeaving(bool leaving);
+  /// @param read_began_at When the read of the list was begun.
+  void OnVmList(bool leaving, TimePoint read_began_at);
+  /// Records that the configuration store has all that was accepted before a
+  /// read of the key-value service, or of a peer, was begun.
+  void OnConfigurationRead(TimePoint read_began_at);
+  /// To be called at regular intervals, several times a second; a gap shows
+  /// that the process was paused.
+  void Tick();
+  /// @return Whether a pause makes a new read of the configuration urgent.
+  bool ConfigurationWanted();
+  /// Asked right before an admitted call is handed to the backend server.
+  /// @return Why it may not start after all; such a call was not run.
+  std::optional<protocol::ErrorKind> CheckStart();
   /// Records the owners of the pool's shards, for redirects.
   void SetOwners(
       std::unordered_map<std::int64_t, state::BackendServerId> owners);
@@ -122,10 +141,14 @@
 
   protocol::Result<state::Pool> CheckPlacement(
       const protocol::gen::SubmitRequest& request);
+  void OnFirstData(const state::AttemptId& attempt);
+  /// Starts the warm-up again when tickets allow new work again.
+  void NotePlacement(bool out);
   /// Takes over pool and members when the configuration has changed.
   void FollowConfiguration(const std::shared_ptr<const state::ConfigView>& view,
                            const state::Pool& pool);
-  protocol::Result<void> AdmitCost(const protocol::gen::SubmitRequest& request);
+  protocol::Result<std::int64_t> AdmitCost(
+      const protocol::gen::SubmitRequest& request);
   protocol::gen::SubmitReply SubmitKeyed(
       const protocol::gen::SubmitRequest& request, const state::Pool& pool);
   protocol::gen::SubmitReply Decide(
@@ -136,17 +159,21 @@
   protocol::gen::SubmitReply SubmitPlain(
       const protocol::gen::SubmitRequest& request);
   void Act(const LedgerDecision& decision);
-  void Release(const state::AttemptId& attempt, bool completed);
+  void Release(const state::AttemptId& attempt, bool fast);
+  Warmth JudgeAnswer(const state::AttemptId& attempt,
+                     const state::AttemptPart& whole);
   std::string FingerprintOfAttempt(const state::AttemptId& attempt);
   std::shared_ptr<state::Attempt> AnswerOf(const state::AttemptId& attempt);
   bool Insert(const protocol::gen::SubmitRequest& request,
               const std::shared_ptr<state::Attempt>& answer, bool keyed,
-              bool admitted);
+              std::int64_t warmup);
 
   state::BackendServerId m_self;
   state::ConfigStore* m_config;
   SideNodeHooks m_hooks;
   AdmissionController m_admission;
+  ColdDetector m_cold_detector;
+  PauseGuard m_pause_guard;
   PoolLoadEstimate m_loads;
   MessageAge m_message_age;
   KeyLedger m_ledger;
@@ -155,6 +182,8 @@
   mutable std::mutex m_mutex;
   bool m_draining = false;
   bool m_leaving = false;
+  /// Whether tickets kept new work away when last looked at.
+  bool m_was_out = false;
   /// Configuration that admission and load sum follow.
   std::shared_ptr<const state::ConfigView> m_followed;
   std::int64_t m_others = 0;
