Nothing starts at a backend server for 500 ms after its engine crashed

Cause: a suspect that waited behind the crashing one was started 0.2 ms after the crash; its connection still reached the ending process, broke, and counted as a second crash of its own, so a bystander was quarantined.

Ruled out: not counting breaks shortly after a crash (an engine that restarts at once would crash uncounted).

--- a/src/wasabiwall/coordination/quarantine.cc
+++ b/src/wasabiwall/coordination/quarantine.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t kFingerprintDigits = 32;
+constexpr std::chrono::milliseconds kSettleTime{500};
 
 }  // namespace
 
@@ -57,6 +58,7 @@
   const std::int64_t crash = static_cast<std::int64_t>(m_random() | 1U);
   const std::unordered_set<state::AttemptId> waiting(m_waiting.begin(),
                                                      m_waiting.end());
+  m_crashed_at = now;
   std::erase_if(m_seen_here, [&](const auto& entry) {
     return now - entry.second >= m_retention;
   });
@@ -88,6 +90,12 @@
   return next;
 }
 
+bool Quarantine::Settling() const {
+  const TimePoint now = m_clock();
+  const std::lock_guard lock(m_mutex);
+  return m_crashed_at && now - *m_crashed_at < kSettleTime;
+}
+
 std::size_t Quarantine::Waiting() const {
   const std::lock_guard lock(m_mutex);
   return m_waiting.size();
--- a/src/wasabiwall/coordination/quarantine.h
+++ b/src/wasabiwall/coordination/quarantine.h
@@ -52,6 +52,10 @@
   /// @return The suspect whose turn it is now, when there is one.
   std::optional<state::AttemptId> OnEnded(const state::AttemptId& attempt);
 
+  /// @return Whether the engine crashed so lately that a new connection may
+  /// still reach the process that is ending; nothing may start.
+  bool Settling() const;
+
   /// @return Number of suspects that wait.
   std::size_t Waiting() const;
 
@@ -74,6 +78,7 @@
   std::unordered_map<state::AttemptId, Run> m_runs;
   std::deque<state::AttemptId> m_waiting;
   bool m_suspect_runs = false;
+  std::optional<TimePoint> m_crashed_at;
   /// Fingerprints present at a crash of this engine, with its time.
   std::unordered_map<std::string, TimePoint> m_seen_here;
 };
--- a/src/wasabiwall/coordination/side_node.cc
+++ b/src/wasabiwall/coordination/side_node.cc
@@ -346,6 +346,7 @@
 }
 
 protocol::Result<void> SideNode::CheckQuarantine(const SubmitRequest& request) {
+  if (m_quarantine.Settling()) return Fail(ErrorKind::kNoBackendServer);
   if (request.fingerprint.empty()) return {};
   switch (m_quarantine.Judge(request.fingerprint, request.last_resort)) {
     case QuarantineVerdict::kRun:
@@ -379,6 +380,7 @@
   if (known_bad) refusal = ErrorKind::kQuarantined;
   if (request.deadline_ms <= 0) refusal = ErrorKind::kDeadlineTooShort;
   if (waiting->answer->Cancelled()) refusal = ErrorKind::kTombstoned;
+  if (m_quarantine.Settling()) refusal = ErrorKind::kNoBackendServer;
   if (refusal == ErrorKind::kInternal) {
     m_hooks.run(request, waiting->answer);
     return;
