Own shards by a watch, hold a lease only when needed, hand shards over

Cause: every side process read all owner records, renewed a lease and did so every 500 ms, also beside engines: about four calls a second for each process, far above 2,000 reads a second at 4,200 side processes. A shard never moved back to its preferred owner, and a draining owner kept its shards.

Now only side processes of service pools take part: one watch on the owner records, and, only for a process that owns or wants a shard, a lease renewed at a third of its lifetime with jitter. The preferred owner asks for its shard by a request record bound to its lease, so that the present owner hands over to a live process only: it stops new intents, finishes, and deletes its record by compare-and-swap. A draining owner does the same at once. An owner that has just gone is passed over in the order, so that the next candidate does not wait for it. Ruled out: handing over on the word of the configuration, which lists dead backend servers too.

The decisions stand in coordination; ShardOwnerLoop carries them out.

--- a/programs/side_daemon.h
+++ b/programs/side_daemon.h
@@ -11,7 +11,6 @@
 
 #include "wasabiwall/coordination/control_budget.h"
 #include "wasabiwall/coordination/load_news.h"
-#include "wasabiwall/coordination/shard_ownership.h"
 #include "wasabiwall/coordination/side_node.h"
 #include "wasabiwall/protocol/settings.h"
 #include "wasabiwall/state/config_store.h"
@@ -22,6 +21,7 @@
 #include "wasabiwall/transport/metrics.h"
 #include "wasabiwall/transport/peer_client.h"
 #include "wasabiwall/transport/peer_server.h"
+#include "wasabiwall/transport/shard_owner_loop.h"
 
 namespace wasabiwall::programs {
 
@@ -40,10 +40,7 @@
  private:
   void CommitLoop();
   void PlatformLoop();
-  void HoldLease();
-  void ClaimShards();
-  void OnOwnersRead(const coordination::ShardOwnership& ownership,
-                    const std::vector<state::KeyValueEntry>& owners);
+  void TendShards();
   void WatchEngine();
   void HandleHttp(const transport::ServerRequest& request,
                   transport::ServerResponse* response);
@@ -68,8 +65,8 @@
   transport::Metrics m_metrics;
   transport::PeerServer m_peer_server;
   transport::HttpServer m_http_server;
-  std::unique_ptr<coordination::ShardOwnership> m_ownership;
-  std::int64_t m_lease = 0;
+  state::PoolId m_shard_pool;
+  std::unique_ptr<transport::ShardOwnerLoop> m_shard_owner;
   std::string m_engine_incarnation;
 
   std::mutex m_mutex;
