--- a/src/wasabiwall/transport/connection_watch.cc
+++ b/src/wasabiwall/transport/connection_watch.cc
@@ -36,6 +36,14 @@
   m_connections.push_back(connection);
 }
 
+void ConnectionWatch::ShutdownAll() {
+  const std::lock_guard lock(m_mutex);
+  for (const auto& watched : m_connections) {
+    if (const auto connection = watched.lock()) connection->Shutdown();
+  }
+  m_connections.clear();
+}
+
 void ConnectionWatch::Check() {
   const auto now = ServerConnection::Clock::now();
   const std::lock_guard lock(m_mutex);
--- a/src/wasabiwall/transport/connection_watch.h
+++ b/src/wasabiwall/transport/connection_watch.h
@@ -22,6 +22,9 @@
   /// Watches a connection for as long as it lives.
   void Add(const std::shared_ptr<ServerConnection>& connection);
 
+  /// Ends all connections.
+  void ShutdownAll();
+
  private:
   void Check();
 
--- a/src/wasabiwall/transport/http_server.cc
+++ b/src/wasabiwall/transport/http_server.cc
@@ -206,12 +206,12 @@
             m_options.worker_threads,
             kQueuePerWorker *
                 static_cast<std::size_t>(m_options.worker_threads))),
+        m_watch(std::make_shared<ConnectionWatch>(
+            m_options.header_timeout + m_options.body_timeout,
+            ErrorAnswer(protocol::ErrorKind::kSlowRequest))),
         m_handler(std::make_shared<Handler>(
-            std::move(handler), m_workers,
-            std::make_shared<ConnectionWatch>(
-                m_options.header_timeout + m_options.body_timeout,
-                ErrorAnswer(protocol::ErrorKind::kSlowRequest)),
-            m_options.max_body_bytes)) {}
+            std::move(handler), m_workers, m_watch, m_options.max_body_bytes)) {
+  }
 
   bool Start() {
     try {
@@ -242,6 +242,8 @@
       std::this_thread::sleep_for(kStopPoll);
     }
     m_workers->Stop();
+    // Pistache leaves kept connections open.
+    m_watch->ShutdownAll();
     m_endpoint->shutdown();
     m_endpoint.reset();
   }
@@ -251,6 +253,7 @@
  private:
   HttpServerOptions m_options;
   std::shared_ptr<WorkerPool> m_workers;
+  std::shared_ptr<ConnectionWatch> m_watch;
   std::shared_ptr<Handler> m_handler;
   std::unique_ptr<http::Endpoint> m_endpoint;
 };
