--- a/gen/wasabiwall/protocol/gen/wasabiwall_types.cpp
+++ b/gen/wasabiwall/protocol/gen/wasabiwall_types.cpp
@@ -2245,6 +2245,14 @@
 void ItemsRequest::__set_since_revision(const int64_t val) {
   this->since_revision = val;
 }
+
+void ItemsRequest::__set_after_kind(const std::string& val) {
+  this->after_kind = val;
+}
+
+void ItemsRequest::__set_after_name(const std::string& val) {
+  this->after_name = val;
+}
 std::ostream& operator<<(std::ostream& out, const ItemsRequest& obj)
 {
   obj.printTo(out);
@@ -2289,6 +2297,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->after_kind);
+          this->__isset.after_kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->after_name);
+          this->__isset.after_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2314,6 +2338,14 @@
   xfer += oprot->writeI64(this->since_revision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("after_kind", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->after_kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("after_name", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->after_name);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2323,17 +2355,23 @@
   using ::std::swap;
   swap(a.envelope, b.envelope);
   swap(a.since_revision, b.since_revision);
+  swap(a.after_kind, b.after_kind);
+  swap(a.after_name, b.after_name);
   swap(a.__isset, b.__isset);
 }
 
 ItemsRequest::ItemsRequest(const ItemsRequest& other50) {
   envelope = other50.envelope;
   since_revision = other50.since_revision;
+  after_kind = other50.after_kind;
+  after_name = other50.after_name;
   __isset = other50.__isset;
 }
 ItemsRequest& ItemsRequest::operator=(const ItemsRequest& other51) {
   envelope = other51.envelope;
   since_revision = other51.since_revision;
+  after_kind = other51.after_kind;
+  after_name = other51.after_name;
   __isset = other51.__isset;
   return *this;
 }
@@ -2342,6 +2380,8 @@
   out << "ItemsRequest(";
   out << "envelope=" << to_string(envelope);
   out << ", " << "since_revision=" << to_string(since_revision);
+  out << ", " << "after_kind=" << to_string(after_kind);
+  out << ", " << "after_name=" << to_string(after_name);
   out << ")";
 }
 
@@ -2357,6 +2397,14 @@
 void ItemsReply::__set_items(const std::vector<ItemRecord> & val) {
   this->items = val;
 }
+
+void ItemsReply::__set_more(const bool val) {
+  this->more = val;
+}
+
+void ItemsReply::__set_complete_revision(const int64_t val) {
+  this->complete_revision = val;
+}
 std::ostream& operator<<(std::ostream& out, const ItemsReply& obj)
 {
   obj.printTo(out);
@@ -2413,6 +2461,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->more);
+          this->__isset.more = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->complete_revision);
+          this->__isset.complete_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2446,6 +2510,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("more", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->more);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("complete_revision", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->complete_revision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2455,17 +2527,23 @@
   using ::std::swap;
   swap(a.envelope, b.envelope);
   swap(a.items, b.items);
+  swap(a.more, b.more);
+  swap(a.complete_revision, b.complete_revision);
   swap(a.__isset, b.__isset);
 }
 
 ItemsReply::ItemsReply(const ItemsReply& other58) {
   envelope = other58.envelope;
   items = other58.items;
+  more = other58.more;
+  complete_revision = other58.complete_revision;
   __isset = other58.__isset;
 }
 ItemsReply& ItemsReply::operator=(const ItemsReply& other59) {
   envelope = other59.envelope;
   items = other59.items;
+  more = other59.more;
+  complete_revision = other59.complete_revision;
   __isset = other59.__isset;
   return *this;
 }
@@ -2474,6 +2552,8 @@
   out << "ItemsReply(";
   out << "envelope=" << to_string(envelope);
   out << ", " << "items=" << to_string(items);
+  out << ", " << "more=" << to_string(more);
+  out << ", " << "complete_revision=" << to_string(complete_revision);
   out << ")";
 }
 
@@ -2601,6 +2681,10 @@
 void StatusReply::__set_key_value_calls(const int64_t val) {
   this->key_value_calls = val;
 }
+
+void StatusReply::__set_heard_from(const std::vector<std::string> & val) {
+  this->heard_from = val;
+}
 std::ostream& operator<<(std::ostream& out, const StatusReply& obj)
 {
   obj.printTo(out);
@@ -2685,6 +2769,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->heard_from.clear();
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->heard_from.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
+            {
+              xfer += iprot->readString(this->heard_from[_i66]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.heard_from = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2730,6 +2834,18 @@
   xfer += oprot->writeI64(this->key_value_calls);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("heard_from", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->heard_from.size()));
+    std::vector<std::string> ::const_iterator _iter67;
+    for (_iter67 = this->heard_from.begin(); _iter67 != this->heard_from.end(); ++_iter67)
+    {
+      xfer += oprot->writeString((*_iter67));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2744,28 +2860,31 @@
   swap(a.load_units, b.load_units);
   swap(a.running, b.running);
   swap(a.key_value_calls, b.key_value_calls);
+  swap(a.heard_from, b.heard_from);
   swap(a.__isset, b.__isset);
 }
 
-StatusReply::StatusReply(const StatusReply& other62) {
-  envelope = other62.envelope;
-  process = other62.process;
-  failure_domain = other62.failure_domain;
-  draining = other62.draining;
-  load_units = other62.load_units;
-  running = other62.running;
-  key_value_calls = other62.key_value_calls;
-  __isset = other62.__isset;
-}
-StatusReply& StatusReply::operator=(const StatusReply& other63) {
-  envelope = other63.envelope;
-  process = other63.process;
-  failure_domain = other63.failure_domain;
-  draining = other63.draining;
-  load_units = other63.load_units;
-  running = other63.running;
-  key_value_calls = other63.key_value_calls;
-  __isset = other63.__isset;
+StatusReply::StatusReply(const StatusReply& other68) {
+  envelope = other68.envelope;
+  process = other68.process;
+  failure_domain = other68.failure_domain;
+  draining = other68.draining;
+  load_units = other68.load_units;
+  running = other68.running;
+  key_value_calls = other68.key_value_calls;
+  heard_from = other68.heard_from;
+  __isset = other68.__isset;
+}
+StatusReply& StatusReply::operator=(const StatusReply& other69) {
+  envelope = other69.envelope;
+  process = other69.process;
+  failure_domain = other69.failure_domain;
+  draining = other69.draining;
+  load_units = other69.load_units;
+  running = other69.running;
+  key_value_calls = other69.key_value_calls;
+  heard_from = other69.heard_from;
+  __isset = other69.__isset;
   return *this;
 }
 void StatusReply::printTo(std::ostream& out) const {
@@ -2778,6 +2897,7 @@
   out << ", " << "load_units=" << to_string(load_units);
   out << ", " << "running=" << to_string(running);
   out << ", " << "key_value_calls=" << to_string(key_value_calls);
+  out << ", " << "heard_from=" << to_string(heard_from);
   out << ")";
 }
 
--- a/gen/wasabiwall/protocol/gen/wasabiwall_types.h
+++ b/gen/wasabiwall/protocol/gen/wasabiwall_types.h
@@ -949,9 +949,11 @@
 std::ostream& operator<<(std::ostream& out, const ItemRecord& obj);
 
 typedef struct _ItemsRequest__isset {
-  _ItemsRequest__isset() : envelope(false), since_revision(false) {}
+  _ItemsRequest__isset() : envelope(false), since_revision(false), after_kind(false), after_name(false) {}
   bool envelope :1;
   bool since_revision :1;
+  bool after_kind :1;
+  bool after_name :1;
 } _ItemsRequest__isset;
 
 class ItemsRequest : public virtual ::apache::thrift::TBase {
@@ -960,12 +962,23 @@
   ItemsRequest(const ItemsRequest&);
   ItemsRequest& operator=(const ItemsRequest&);
   ItemsRequest() noexcept
-               : since_revision(0) {
+               : since_revision(0),
+                 after_kind(),
+                 after_name() {
   }
 
   virtual ~ItemsRequest() noexcept;
   Envelope envelope;
+  /**
+   * Revision of the last item known; the items after it are wanted.
+   */
   int64_t since_revision;
+  /**
+   * Kind and name of the last item given of that revision; empty when all
+   * items of that revision are known.
+   */
+  std::string after_kind;
+  std::string after_name;
 
   _ItemsRequest__isset __isset;
 
@@ -973,12 +986,20 @@
 
   void __set_since_revision(const int64_t val);
 
+  void __set_after_kind(const std::string& val);
+
+  void __set_after_name(const std::string& val);
+
   bool operator == (const ItemsRequest & rhs) const
   {
     if (!(envelope == rhs.envelope))
       return false;
     if (!(since_revision == rhs.since_revision))
       return false;
+    if (!(after_kind == rhs.after_kind))
+      return false;
+    if (!(after_name == rhs.after_name))
+      return false;
     return true;
   }
   bool operator != (const ItemsRequest &rhs) const {
@@ -998,9 +1019,11 @@
 std::ostream& operator<<(std::ostream& out, const ItemsRequest& obj);
 
 typedef struct _ItemsReply__isset {
-  _ItemsReply__isset() : envelope(false), items(false) {}
+  _ItemsReply__isset() : envelope(false), items(false), more(false), complete_revision(false) {}
   bool envelope :1;
   bool items :1;
+  bool more :1;
+  bool complete_revision :1;
 } _ItemsReply__isset;
 
 class ItemsReply : public virtual ::apache::thrift::TBase {
@@ -1008,12 +1031,22 @@
 
   ItemsReply(const ItemsReply&);
   ItemsReply& operator=(const ItemsReply&);
-  ItemsReply() noexcept {
+  ItemsReply() noexcept
+             : more(0),
+               complete_revision(0) {
   }
 
   virtual ~ItemsReply() noexcept;
   Envelope envelope;
   std::vector<ItemRecord>  items;
+  /**
+   * Whether items follow after the last of `items`.
+   */
+  bool more;
+  /**
+   * Revision up to which the sender leaves nothing out.
+   */
+  int64_t complete_revision;
 
   _ItemsReply__isset __isset;
 
@@ -1021,12 +1054,20 @@
 
   void __set_items(const std::vector<ItemRecord> & val);
 
+  void __set_more(const bool val);
+
+  void __set_complete_revision(const int64_t val);
+
   bool operator == (const ItemsReply & rhs) const
   {
     if (!(envelope == rhs.envelope))
       return false;
     if (!(items == rhs.items))
       return false;
+    if (!(more == rhs.more))
+      return false;
+    if (!(complete_revision == rhs.complete_revision))
+      return false;
     return true;
   }
   bool operator != (const ItemsReply &rhs) const {
@@ -1088,7 +1129,7 @@
 std::ostream& operator<<(std::ostream& out, const StatusRequest& obj);
 
 typedef struct _StatusReply__isset {
-  _StatusReply__isset() : envelope(false), process(false), failure_domain(false), draining(false), load_units(false), running(false), key_value_calls(false) {}
+  _StatusReply__isset() : envelope(false), process(false), failure_domain(false), draining(false), load_units(false), running(false), key_value_calls(false), heard_from(false) {}
   bool envelope :1;
   bool process :1;
   bool failure_domain :1;
@@ -1096,6 +1137,7 @@
   bool load_units :1;
   bool running :1;
   bool key_value_calls :1;
+  bool heard_from :1;
 } _StatusReply__isset;
 
 class StatusReply : public virtual ::apache::thrift::TBase {
@@ -1120,6 +1162,10 @@
   int64_t load_units;
   int64_t running;
   int64_t key_value_calls;
+  /**
+   * Addresses of processes heard from lately.
+   */
+  std::vector<std::string>  heard_from;
 
   _StatusReply__isset __isset;
 
@@ -1137,6 +1183,8 @@
 
   void __set_key_value_calls(const int64_t val);
 
+  void __set_heard_from(const std::vector<std::string> & val);
+
   bool operator == (const StatusReply & rhs) const
   {
     if (!(envelope == rhs.envelope))
@@ -1153,6 +1201,8 @@
       return false;
     if (!(key_value_calls == rhs.key_value_calls))
       return false;
+    if (!(heard_from == rhs.heard_from))
+      return false;
     return true;
   }
   bool operator != (const StatusReply &rhs) const {
--- a/programs/cli_main.cc
+++ b/programs/cli_main.cc
@@ -1,12 +1,16 @@
 #include <popt.h>
 
 #include <cstdlib>
+#include <deque>
 #include <iostream>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "command_line.h"
+#include "wasabiwall/coordination/config_reader.h"
 #include "wasabiwall/coordination/ticket_acceptor.h"
+#include "wasabiwall/coordination/ticket_diff.h"
 #include "wasabiwall/protocol/ticket.h"
 #include "wasabiwall/state/config_view.h"
 #include "wasabiwall/transport/key_value_client.h"
@@ -19,7 +23,10 @@
 using Outcome = coordination::TicketResult::Outcome;
 
 constexpr char kUsage[] =
-    "check FILE… | apply FILE… | show [KIND [NAME]] | history | status";
+    "check FILE… | diff FILE… | apply FILE… | show [KIND [NAME]] | history | "
+    "status [ADDRESS…]";
+/// Bound of the processes that status asks.
+constexpr std::size_t kMaxProcesses = 20000;
 
 struct CliOptions {
   std::string key_value_url;
@@ -108,6 +115,7 @@
       return ExitCode::kExitOk;
     case Outcome::kConflict:
     case Outcome::kStale:
+    case Outcome::kBrokenReference:
       std::cout << "refused: " << result.reason << "\n";
       return ExitCode::kExitRefused;
     case Outcome::kNotDone:
@@ -136,15 +144,66 @@
   return ExitCode::kExitUnavailable;
 }
 
+tl::expected<coordination::ConfigItems, int> ReadItems(
+    const state::KeyValueStore& store) {
+  const auto changes = coordination::ReadConfigChanges(store, 0);
+  if (!changes) return tl::make_unexpected(Unavailable());
+  coordination::ConfigItems items;
+  for (const state::ConfigItem& item : changes->items) {
+    coordination::MergeItem(item, &items);
+  }
+  return items;
+}
+
+void PrintChange(const coordination::ItemChange& change) {
+  using Kind = coordination::ItemChange::Kind;
+  const std::string label = std::string(state::ItemKindName(change.item.kind)) +
+                            " " + change.item.name;
+  switch (change.kind) {
+    case Kind::kAdded:
+      std::cout << "+ " << label << "\n";
+      break;
+    case Kind::kChanged:
+      std::cout << "~ " << label << "\n";
+      break;
+    case Kind::kRemoved:
+      std::cout << "- " << label << "\n";
+      break;
+    case Kind::kUnchanged:
+      std::cout << "= " << label << "\n";
+      break;
+  }
+  for (const std::string& field : change.fields) {
+    std::cout << "    " << field << "\n";
+  }
+}
+
+int Diff(const CliOptions& options, const state::KeyValueStore& store) {
+  const auto held = ReadItems(store);
+  if (!held) return held.error();
+  int code = ExitCode::kExitOk;
+  for (const std::string& file : options.arguments) {
+    const auto ticket = LoadTicket(file);
+    if (!ticket) return ticket.error();
+    for (const auto& change : coordination::DiffTicket(*ticket, *held)) {
+      PrintChange(change);
+    }
+    const auto refused = coordination::CheckAgainst(*ticket, *held);
+    if (!refused) continue;
+    std::cout << "would be refused: " << refused->reason << "\n";
+    code = ExitCode::kExitRefused;
+  }
+  return code;
+}
+
 int Show(const CliOptions& options, const state::KeyValueStore& store) {
-  coordination::TicketAcceptor acceptor(store);
-  const auto items = acceptor.ReadItems(0);
-  if (!items) return Unavailable();
+  const auto items = ReadItems(store);
+  if (!items) return items.error();
   const std::string kind =
       !options.arguments.empty() ? options.arguments[0] : "";
   const std::string name =
       options.arguments.size() > 1 ? options.arguments[1] : "";
-  for (const state::ConfigItem& item : *items) {
+  for (const auto& [key, item] : *items) {
     if (!kind.empty() && kind != state::ItemKindName(item.kind)) continue;
     if (!name.empty() && name != item.name) continue;
     std::cout << state::ItemKindName(item.kind) << " " << item.name
@@ -165,31 +224,58 @@
   return ExitCode::kExitOk;
 }
 
+void PrintStatus(const std::string& address,
+                 const protocol::gen::StatusReply& reply) {
+  std::cout << address << " " << reply.process << " failure_domain "
+            << reply.failure_domain << " revision "
+            << reply.envelope.config_revision << " load " << reply.load_units
+            << " running " << reply.running
+            << (reply.draining ? " draining" : "") << "\n";
+}
+
+/// Prints the revision in force at every process: those named, those in the
+/// configuration, and those that any of them has heard from.
 int Status(const CliOptions& options, const state::KeyValueStore& store) {
-  coordination::TicketAcceptor acceptor(store);
-  const auto items = acceptor.ReadItems(0);
-  if (!items) return Unavailable();
-  const auto view = state::BuildConfigView(*items, 0);
+  std::deque<std::string> waiting(options.arguments.begin(),
+                                  options.arguments.end());
+  const auto items = ReadItems(store);
+  // Without the service the processes named still lead to all others.
+  if (!items && waiting.empty()) return items.error();
+  if (items) {
+    for (const auto& [key, item] : *items) {
+      const bool server =
+          item.kind == state::ItemKind::kBackendServer && !item.deleted;
+      if (server) waiting.push_back(state::ToBackendServer(item).side);
+    }
+  }
   transport::PeerClient peers(std::chrono::milliseconds(500),
                               std::chrono::milliseconds(1000));
   protocol::gen::StatusRequest request;
   request.envelope.secret = options.secret;
-  std::vector<std::string> addresses = options.arguments;
-  for (const auto& [name, server] : view->backend_servers) {
-    addresses.push_back(server.side);
-  }
-  for (const std::string& address : addresses) {
+  std::set<std::string> asked;
+  std::set<std::int64_t> revisions;
+  std::size_t silent = 0;
+  while (!waiting.empty() && asked.size() < kMaxProcesses) {
+    const std::string address = waiting.front();
+    waiting.pop_front();
+    if (!asked.insert(address).second) continue;
     const auto reply = peers.Status(address, request);
     if (!reply || reply->process.empty()) {
       std::cout << address << " no answer\n";
+      ++silent;
       continue;
     }
-    std::cout << address << " " << reply->process << " failure_domain "
-              << reply->failure_domain << " revision "
-              << reply->envelope.config_revision << " load "
-              << reply->load_units << " running " << reply->running
-              << (reply->draining ? " draining" : "") << "\n";
+    PrintStatus(address, *reply);
+    revisions.insert(reply->envelope.config_revision);
+    waiting.insert(waiting.end(), reply->heard_from.begin(),
+                   reply->heard_from.end());
+  }
+  std::cout << asked.size() << " processes, " << silent << " without answer";
+  if (!revisions.empty()) {
+    std::cout << ", revisions " << *revisions.begin() << " to "
+              << *revisions.rbegin();
   }
+  std::cout << "\n";
   return ExitCode::kExitOk;
 }
 
@@ -200,7 +286,8 @@
   if (options.command == "check" && !options.arguments.empty()) {
     return Check(options);
   }
-  const bool known = options.command == "apply" || options.command == "show" ||
+  const bool known = options.command == "diff" || options.command == "apply" ||
+                     options.command == "show" ||
                      options.command == "history" ||
                      options.command == "status";
   if (!known || options.key_value_url.empty()) {
@@ -209,6 +296,7 @@
   }
   const transport::KeyValueClient client({options.key_value_url});
   const state::KeyValueStore store = client.Store();
+  if (options.command == "diff") return Diff(options, store);
   if (options.command == "apply") return Apply(options, store);
   if (options.command == "show") return Show(options, store);
   if (options.command == "history") return History(store);
--- a/programs/entry_daemon.cc
+++ b/programs/entry_daemon.cc
@@ -63,8 +63,10 @@
       m_control_budget(m_settings.control_bytes_per_second,
                        coordination::SteadyClock()),
       m_load_news("", &m_control_budget, coordination::SteadyClock()),
-      m_follower({.reads_key_value = m_settings.reads_configuration,
-                  .peers = m_settings.peers},
+      m_follower({.failure_domain = m_settings.failure_domain,
+                  .address = m_settings.peer_address,
+                  .peers = m_settings.peers,
+                  .may_read_service = m_settings.reads_configuration},
                  m_key_value.Store(), &m_config, &m_peers,
                  [this] { return MakeEnvelope(); }),
       m_driver(&m_node, &m_config, &m_peers,
@@ -222,6 +224,7 @@
     reply.draining = m_draining;
     reply.running = m_http_server.InProgress();
     reply.key_value_calls = m_key_value.Calls();
+    reply.heard_from = m_follower.HeardFrom();
     return reply;
   };
   handlers.on_envelope = [this](const auto& envelope) { OnEnvelope(envelope); };
--- a/programs/side_daemon.cc
+++ b/programs/side_daemon.cc
@@ -60,13 +60,19 @@
                        coordination::SteadyClock()),
       m_load_news(m_settings.backend_server, &m_control_budget,
                   coordination::SteadyClock()),
-      m_follower(
-          {.reads_key_value = m_settings.reads_configuration,
-           .peers = m_settings.peers,
-           .on_read =
-               [this](auto began_at) { m_node.OnConfigurationRead(began_at); },
-           .read_wanted = [this] { return m_node.ConfigurationWanted(); }},
-          m_store, &m_config, &m_peers, [this] { return MakeEnvelope(); }),
+      m_follower({.backend_server = m_settings.backend_server,
+                  .failure_domain = m_settings.failure_domain,
+                  .address = m_settings.peer_address,
+                  .peers = m_settings.peers,
+                  .may_read_service = m_settings.reads_configuration},
+                 m_store, &m_config, &m_peers,
+                 [this] { return MakeEnvelope(); },
+                 {.on_read =
+                      [this](auto began_at) {
+                        m_node.OnConfigurationRead(began_at);
+                      },
+                  .read_wanted =
+                      [this] { return m_node.ConfigurationWanted(); }}),
       m_peer_server(m_settings.peer_address, m_settings.secret,
                     MakePeerHandlers()),
       m_http_server({.address = m_settings.http_address,
@@ -307,6 +313,7 @@
     reply.load_units = m_node.Admission().LoadUnits();
     reply.running = m_node.Admission().Running();
     reply.key_value_calls = m_key_value.Calls();
+    reply.heard_from = m_follower.HeardFrom();
     return reply;
   };
   handlers.on_envelope = [this](const auto& envelope) {
--- /dev/null
+++ b/src/wasabiwall/coordination/config_fetch.cc
@@ -0,0 +1,85 @@
+#include "wasabiwall/coordination/config_fetch.h"
+
+#include <vector>
+
+namespace wasabiwall::coordination {
+namespace {
+
+namespace gen = protocol::gen;
+using state::ConfigItem;
+
+gen::ItemRecord ToRecord(const ConfigItem& item) {
+  gen::ItemRecord record;
+  record.kind = state::ItemKindName(item.kind);
+  record.name = item.name;
+  record.ticket = item.ticket;
+  record.revision = item.revision;
+  record.deleted = item.deleted;
+  record.state = item.state.dump();
+  return record;
+}
+
+bool FromRecord(const gen::ItemRecord& record, ConfigItem* item) {
+  if (!state::ParseItemKind(record.kind, &item->kind)) return false;
+  item->name = record.name;
+  item->ticket = record.ticket;
+  item->revision = record.revision;
+  item->deleted = record.deleted;
+  item->state = nlohmann::json::parse(record.state, nullptr, false);
+  return !item->state.is_discarded();
+}
+
+}  // namespace
+
+gen::ItemsReply AnswerItems(const state::ConfigStore& config,
+                            const gen::ItemsRequest& request,
+                            std::size_t max_bytes) {
+  state::ConfigCursor after;
+  after.revision = request.since_revision;
+  after.name = request.after_name;
+  if (!state::ParseItemKind(request.after_kind, &after.kind)) {
+    after = {.revision = request.since_revision + 1};
+  }
+  const state::ConfigPart part = config.ItemsAfter(after, max_bytes);
+  gen::ItemsReply reply;
+  for (const ConfigItem& item : part.items) {
+    reply.items.push_back(ToRecord(item));
+  }
+  reply.more = !part.last;
+  reply.complete_revision = part.complete_revision;
+  return reply;
+}
+
+ConfigFetch::ConfigFetch(state::ConfigStore* config) : m_config(config) {
+  m_next.since_revision = config->Revision();
+}
+
+gen::ItemsRequest ConfigFetch::NextRequest() const { return m_next; }
+
+bool ConfigFetch::OnReply(const gen::ItemsReply& reply) {
+  // Items that the sender takes later have a later place, so that the replies
+  // leave nothing out up to what it had at the first one.
+  if (m_first) m_complete_revision = reply.complete_revision;
+  m_first = false;
+  std::vector<ConfigItem> items;
+  bool readable = true;
+  for (const gen::ItemRecord& record : reply.items) {
+    ConfigItem item;
+    if (FromRecord(record, &item)) {
+      items.push_back(std::move(item));
+    } else {
+      readable = false;
+    }
+  }
+  if (!readable) m_complete_revision = 0;
+  const bool more = reply.more && !reply.items.empty();
+  m_config->Apply(items, more ? 0 : m_complete_revision);
+  if (!more) return false;
+  const gen::ItemRecord& last = reply.items.back();
+  m_next.since_revision = last.revision;
+  m_next.after_kind = last.kind;
+  m_next.after_name = last.name;
+  return true;
+}
+
+}  // namespace wasabiwall::coordination
--- /dev/null
+++ b/src/wasabiwall/coordination/config_spread.cc
@@ -0,0 +1,134 @@
+#include "wasabiwall/coordination/config_spread.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "wasabiwall/state/digest.h"
+
+namespace wasabiwall::coordination {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/// One question in this many goes to another failure domain.
+constexpr std::uint64_t kOtherDomainShare = 4;
+
+struct Ranked {
+  std::uint64_t rank = 0;
+  const state::BackendServer* server = nullptr;
+};
+
+}  // namespace
+
+ConfigSpread::ConfigSpread(ConfigSpreadOptions options, ClockHook clock,
+                           RandomHook random)
+    : m_options(std::move(options)),
+      m_clock(std::move(clock)),
+      m_random(std::move(random)),
+      m_last_answer(m_clock()) {}
+
+SpreadStep ConfigSpread::Next(
+    const std::shared_ptr<const state::ConfigView>& view) {
+  FindReaders(view);
+  if (view->revision == 0) return StartStep();
+  if (m_is_reader && m_options.may_read_service) {
+    return Due(SpreadStep::Kind::kReadService, m_options.reader_interval,
+               &m_next_read);
+  }
+  const bool nobody = m_own_readers.empty() && m_other_readers.empty();
+  const bool isolated =
+      nobody || m_clock() - m_last_answer > m_options.isolation_time;
+  if (isolated && m_options.may_read_service) {
+    SpreadStep read = Due(SpreadStep::Kind::kReadService,
+                          m_options.isolated_interval, &m_next_read);
+    if (nobody || read.kind != SpreadStep::Kind::kWait) return read;
+  }
+  SpreadStep step =
+      Due(SpreadStep::Kind::kAskPeer, m_options.ask_interval, &m_next_ask);
+  if (step.kind == SpreadStep::Kind::kAskPeer) step.address = ChoosePeer();
+  if (step.address.empty()) step.kind = SpreadStep::Kind::kWait;
+  return step;
+}
+
+void ConfigSpread::OnAnswer() { m_last_answer = m_clock(); }
+
+bool ConfigSpread::IsReader() const { return m_is_reader; }
+
+void ConfigSpread::FindReaders(
+    const std::shared_ptr<const state::ConfigView>& view) {
+  if (view == m_view) return;
+  m_view = view;
+  m_own_readers.clear();
+  m_other_readers.clear();
+  m_is_reader = false;
+  std::map<std::string, std::vector<Ranked>> domains;
+  for (const auto& [name, server] : view->backend_servers) {
+    const std::string& domain = server.failure_domain.value;
+    domains[domain].push_back(
+        {state::FastHash(name, state::FastHash(domain)), &server});
+  }
+  for (auto& [domain, ranked] : domains) {
+    const std::size_t count =
+        std::min(ranked.size(), m_options.readers_per_failure_domain);
+    std::partial_sort(
+        ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
+        ranked.end(),
+        [](const Ranked& a, const Ranked& b) { return a.rank < b.rank; });
+    auto& readers =
+        domain == m_options.failure_domain ? m_own_readers : m_other_readers;
+    for (std::size_t i = 0; i < count; ++i) {
+      const state::BackendServer& server = *ranked[i].server;
+      if (server.id.value == m_options.backend_server) m_is_reader = true;
+      if (server.side != m_options.address) readers.push_back(server.side);
+    }
+  }
+}
+
+SpreadStep ConfigSpread::StartStep() {
+  SpreadStep step = Due(SpreadStep::Kind::kReadService,
+                        m_options.start_interval, &m_next_read);
+  if (step.kind == SpreadStep::Kind::kWait) return step;
+  // Peers first: they also answer while the service is out.
+  const std::size_t choices = m_options.peers.size() + 1;
+  const std::size_t choice = m_starts++ % choices;
+  if (choice < m_options.peers.size()) {
+    m_next_read = m_clock();
+    return {SpreadStep::Kind::kAskPeer, m_options.peers[choice], {}};
+  }
+  if (!m_options.may_read_service) step.kind = SpreadStep::Kind::kWait;
+  return step;
+}
+
+SpreadStep ConfigSpread::Due(SpreadStep::Kind kind, Milliseconds interval,
+                             TimePoint* next_time) {
+  const TimePoint now = m_clock();
+  // A shorter interval counts at once, as when this process becomes a reader.
+  *next_time = std::min(*next_time, now + interval + interval / 4);
+  if (now < *next_time) {
+    const auto left = duration_cast<milliseconds>(*next_time - now);
+    return {SpreadStep::Kind::kWait, "", left + milliseconds(1)};
+  }
+  const Milliseconds wait = Jittered(interval);
+  *next_time = now + wait;
+  return {kind, "", wait};
+}
+
+std::string ConfigSpread::ChoosePeer() {
+  const bool other =
+      m_own_readers.empty() || m_random() % kOtherDomainShare == 0;
+  const auto& readers =
+      other && !m_other_readers.empty() ? m_other_readers : m_own_readers;
+  if (readers.empty()) return "";
+  return readers[m_random() % readers.size()];
+}
+
+ConfigSpread::Milliseconds ConfigSpread::Jittered(Milliseconds interval) {
+  // Three quarters to five quarters of the interval.
+  const auto spread = static_cast<std::uint64_t>(interval.count() / 2 + 1);
+  const auto shift = static_cast<std::int64_t>(m_random() % spread);
+  return interval * 3 / 4 + Milliseconds(shift);
+}
+
+}  // namespace wasabiwall::coordination
--- a/src/wasabiwall/coordination/ticket_acceptor.cc
+++ b/src/wasabiwall/coordination/ticket_acceptor.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 #include <utility>
+#include <vector>
 
 namespace wasabiwall::coordination {
 namespace {
@@ -13,54 +14,120 @@
 using state::KeyValueTxn;
 
 constexpr int kMaxRounds = 20;
-constexpr int kTicketDigits = 12;
+/// Bounds of a ticket in one transaction; the service takes 128 operations and
+/// 1.5 MB.
+constexpr std::size_t kMaxSingleItems = 100;
+constexpr std::size_t kMaxSingleBytes = 512UL << 10;
+constexpr std::size_t kPartBytes = 512UL << 10;
+constexpr std::size_t kMaxReasons = 5;
+constexpr int kPartDigits = 4;
 
-TicketResult Failed(KeyValueFailure failure, bool may_have_written) {
-  const bool unknown = may_have_written || failure == KeyValueFailure::kUnknown;
-  return {unknown ? Outcome::kUnknown : Outcome::kNotDone, 0,
+TicketResult Failed(bool may_have_written) {
+  return {may_have_written ? Outcome::kUnknown : Outcome::kNotDone, 0,
           "the key-value service gave no answer"};
 }
 
-TicketResult CompareWithAccepted(const protocol::Ticket& ticket,
-                                 const KeyValueEntry& entry) {
-  const nlohmann::json json =
-      nlohmann::json::parse(entry.value, nullptr, false);
-  if (json.is_object() && json.value("digest", "") == ticket.digest) {
-    return {Outcome::kAlreadyAccepted, entry.mod_revision, ""};
-  }
-  const std::string author =
-      json.is_object() ? json.value("author", "") : std::string();
-  return {Outcome::kConflict, entry.mod_revision,
-          "ticket " + std::to_string(ticket.number) +
-              " was accepted with other content from " + author};
-}
-
 std::string EncodeTicketRecord(const protocol::Ticket& ticket) {
-  nlohmann::json items = nlohmann::json::array();
-  for (const ConfigItem& item : ticket.items) {
-    items.push_back(std::string(state::ItemKindName(item.kind)) + "/" +
-                    item.name);
-  }
   return nlohmann::json{{"number", ticket.number},
                         {"author", ticket.author},
                         {"digest", ticket.digest},
-                        {"items", items}}
+                        {"items", ticket.items.size()}}
       .dump();
 }
 
-}  // namespace
+std::vector<std::string> EncodeParts(const protocol::Ticket& ticket) {
+  std::vector<std::string> parts;
+  nlohmann::json part = nlohmann::json::array();
+  std::size_t bytes = 0;
+  const auto finish = [&] {
+    parts.push_back(part.dump());
+    part = nlohmann::json::array();
+    bytes = 0;
+  };
+  for (const ConfigItem& item : ticket.items) {
+    std::string encoded = protocol::EncodeItem(item);
+    if (bytes > 0 && bytes + encoded.size() > kPartBytes) finish();
+    bytes += encoded.size();
+    part.push_back(std::move(encoded));
+  }
+  if (bytes > 0) finish();
+  return parts;
+}
+
+bool NeedsParts(const protocol::Ticket& ticket) {
+  if (ticket.items.size() > kMaxSingleItems) return true;
+  std::size_t bytes = 0;
+  for (const ConfigItem& item : ticket.items) {
+    bytes += protocol::EncodeItem(item).size();
+  }
+  return bytes > kMaxSingleBytes;
+}
+
+std::string PartKey(const protocol::Ticket& ticket, std::size_t index) {
+  const std::string digits = std::to_string(index);
+  return PartsPrefix(ticket.number, ticket.digest) +
+         std::string(
+             kPartDigits - std::min<std::size_t>(kPartDigits, digits.size()),
+             '0') +
+         digits;
+}
+
+/// The transaction that accepts a ticket if the head is unchanged.
+KeyValueTxn AcceptTxn(const protocol::Ticket& ticket,
+                      std::int64_t head_revision) {
+  KeyValueTxn txn;
+  txn.compares.push_back({kHeadKey, head_revision});
+  txn.create_compares.push_back({TicketKey(ticket.number), 0});
+  txn.writes.push_back({TicketKey(ticket.number), EncodeTicketRecord(ticket)});
+  txn.writes.push_back({kHeadKey, std::to_string(ticket.number)});
+  if (NeedsParts(ticket)) {
+    const nlohmann::json commit = {{"number", ticket.number},
+                                   {"digest", ticket.digest},
+                                   {"parts", EncodeParts(ticket).size()}};
+    txn.writes.push_back({PartedTicketKey(ticket.number), commit.dump()});
+    return txn;
+  }
+  for (const ConfigItem& item : ticket.items) {
+    txn.writes.push_back({ItemKey(item), protocol::EncodeItem(item)});
+  }
+  return txn;
+}
 
-std::string ItemKey(const ConfigItem& item) {
-  return std::string(kItemPrefix) + state::ItemKindName(item.kind) + "/" +
-         item.name;
+std::string Join(const std::vector<std::string>& reasons) {
+  std::string joined;
+  for (std::size_t i = 0; i < reasons.size() && i < kMaxReasons; ++i) {
+    if (!joined.empty()) joined += "; ";
+    joined += reasons[i];
+  }
+  if (reasons.size() > kMaxReasons) {
+    joined += "; and " + std::to_string(reasons.size() - kMaxReasons) + " more";
+  }
+  return joined;
 }
 
-std::string TicketKey(std::int64_t number) {
-  std::string digits = std::to_string(number);
-  digits.insert(
-      0, kTicketDigits - std::min<std::size_t>(kTicketDigits, digits.size()),
-      '0');
-  return kTicketPrefix + digits;
+}  // namespace
+
+/// The state in force as read for one attempt.
+struct TicketAcceptor::Head {
+  std::int64_t revision = 0;
+  ConfigItems items;
+};
+
+std::optional<TicketResult> CheckAgainst(const protocol::Ticket& ticket,
+                                         const ConfigItems& held) {
+  ConfigItems merged = held;
+  for (const ConfigItem& item : ticket.items) {
+    const auto current = held.find({item.kind, item.name});
+    if (current != held.end() && current->second.ticket >= ticket.number) {
+      return TicketResult{Outcome::kStale, current->second.revision,
+                          ItemKey(item) + " was set by ticket " +
+                              std::to_string(current->second.ticket)};
+    }
+    MergeItem(item, &merged);
+  }
+  const std::vector<std::string> broken = CheckReferences(merged);
+  if (broken.empty()) return std::nullopt;
+  return TicketResult{Outcome::kBrokenReference, 0, Join(broken)};
 }
 
 TicketAcceptor::TicketAcceptor(state::KeyValueStore store)
@@ -68,58 +135,94 @@
 
 TicketResult TicketAcceptor::Apply(const protocol::Ticket& ticket) {
   bool may_have_written = false;
+  bool parts_written = !NeedsParts(ticket);
   for (int round = 0; round < kMaxRounds; ++round) {
-    const auto accepted = m_store.range({TicketKey(ticket.number)});
-    if (!accepted) return Failed(accepted.error(), may_have_written);
-    if (!accepted->entries.empty()) {
-      return CompareWithAccepted(ticket, accepted->entries.front());
+    const auto accepted = FindAccepted(ticket, may_have_written);
+    if (accepted) return *accepted;
+    const auto head = ReadHead();
+    if (!head) return Failed(may_have_written);
+    const auto refused = CheckAgainst(ticket, head->items);
+    if (refused) {
+      // An acceptance whose answer was lost reads as stale against itself.
+      const auto accepted_since = FindAccepted(ticket, may_have_written);
+      if (accepted_since) return *accepted_since;
+      return *refused;
     }
-    KeyValueTxn txn;
-    txn.create_compares.push_back({TicketKey(ticket.number), 0});
-    txn.writes.push_back(
-        {TicketKey(ticket.number), EncodeTicketRecord(ticket)});
-    for (const ConfigItem& item : ticket.items) {
-      const auto held = m_store.range({ItemKey(item)});
-      if (!held) return Failed(held.error(), may_have_written);
-      std::int64_t revision = 0;
-      ConfigItem current;
-      if (!held->entries.empty()) {
-        revision = held->entries.front().mod_revision;
-        protocol::DecodeItem(held->entries.front().value, revision, &current);
-      }
-      if (current.ticket >= ticket.number) {
-        return {Outcome::kStale, revision,
-                ItemKey(item) + " was set by ticket " +
-                    std::to_string(current.ticket)};
-      }
-      txn.compares.push_back({ItemKey(item), revision});
-      txn.writes.push_back({ItemKey(item), protocol::EncodeItem(item)});
+    if (!parts_written) {
+      const auto written = WriteParts(ticket);
+      if (!written) return Failed(may_have_written);
+      parts_written = true;
     }
-    const auto result = m_store.txn(txn);
+    const auto result = m_store.txn(AcceptTxn(ticket, head->revision));
     if (!result) {
       may_have_written =
           may_have_written || result.error() == KeyValueFailure::kUnknown;
       continue;
     }
-    if (result->succeeded) return {Outcome::kAccepted, result->revision, ""};
+    if (!result->succeeded) continue;
+    if (NeedsParts(ticket)) RemoveParts(ticket, ticket.digest);
+    return {Outcome::kAccepted, result->revision, ""};
   }
-  return Failed(KeyValueFailure::kNotDone, may_have_written);
+  return Failed(may_have_written);
 }
 
-state::KeyValueResult<std::vector<ConfigItem>> TicketAcceptor::ReadItems(
-    std::int64_t since_revision) {
-  const auto result = m_store.range({.key = kItemPrefix,
-                                     .prefix = true,
-                                     .min_mod_revision = since_revision + 1});
-  if (!result) return tl::make_unexpected(result.error());
-  std::vector<ConfigItem> items;
-  for (const KeyValueEntry& entry : result->entries) {
-    ConfigItem item;
-    if (protocol::DecodeItem(entry.value, entry.mod_revision, &item)) {
-      items.push_back(std::move(item));
+std::optional<TicketResult> TicketAcceptor::FindAccepted(
+    const protocol::Ticket& ticket, bool may_have_written) {
+  const auto accepted = m_store.range({TicketKey(ticket.number)});
+  if (!accepted) return Failed(may_have_written);
+  if (accepted->entries.empty()) return std::nullopt;
+  const KeyValueEntry& entry = accepted->entries.front();
+  const nlohmann::json record =
+      nlohmann::json::parse(entry.value, nullptr, false);
+  const bool readable = record.is_object();
+  if (readable && record.value("digest", "") == ticket.digest) {
+    return TicketResult{Outcome::kAlreadyAccepted, entry.mod_revision, ""};
+  }
+  if (readable && NeedsParts(ticket)) {
+    RemoveParts(ticket, record.value("digest", ""));
+  }
+  const std::string author = readable ? record.value("author", "") : "";
+  return TicketResult{Outcome::kConflict, entry.mod_revision,
+                      "ticket " + std::to_string(ticket.number) +
+                          " was accepted with other content from " + author};
+}
+
+state::KeyValueResult<TicketAcceptor::Head> TicketAcceptor::ReadHead() {
+  const auto changes = ReadConfigChanges(m_store, 0);
+  if (!changes) return tl::make_unexpected(changes.error());
+  Head head;
+  head.revision = changes->complete_revision;
+  for (const ConfigItem& item : changes->items) MergeItem(item, &head.items);
+  return head;
+}
+
+state::KeyValueResult<bool> TicketAcceptor::WriteParts(
+    const protocol::Ticket& ticket) {
+  const std::vector<std::string> parts = EncodeParts(ticket);
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    KeyValueTxn txn;
+    txn.writes.push_back({PartKey(ticket, i), parts[i]});
+    auto result = m_store.txn(txn);
+    // The content belongs to the key, so that writing it twice does no harm.
+    for (int round = 1; !result && round < kMaxRounds; ++round) {
+      result = m_store.txn(txn);
     }
+    if (!result) return tl::make_unexpected(result.error());
+  }
+  return true;
+}
+
+void TicketAcceptor::RemoveParts(const protocol::Ticket& ticket,
+                                 const std::string& kept_digest) {
+  const auto parts = m_store.range({PartsPrefix(ticket.number), true});
+  if (!parts) return;
+  const std::string kept = PartsPrefix(ticket.number, kept_digest);
+  for (const KeyValueEntry& part : parts->entries) {
+    if (part.key.compare(0, kept.size(), kept) == 0) continue;
+    KeyValueTxn txn;
+    txn.writes.push_back({.key = part.key, .remove = true});
+    m_store.txn(txn);
   }
-  return items;
 }
 
 }  // namespace wasabiwall::coordination
--- a/src/wasabiwall/coordination/ticket_acceptor.h
+++ b/src/wasabiwall/coordination/ticket_acceptor.h
@@ -1,11 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
-#include <vector>
 
+#include "wasabiwall/coordination/config_reader.h"
+#include "wasabiwall/coordination/config_references.h"
 #include "wasabiwall/protocol/ticket.h"
-#include "wasabiwall/state/config_item.h"
 #include "wasabiwall/state/key_value.h"
 
 namespace wasabiwall::coordination {
@@ -20,6 +21,8 @@
     kConflict,
     /// A newer ticket has set one of the items.
     kStale,
+    /// An item refers to one that would not be in force.
+    kBrokenReference,
     /// The service could not be reached; nothing was written.
     kNotDone,
     /// The service may or may not have accepted; apply it again.
@@ -33,7 +36,11 @@
 };
 
 /// Accepts change tickets by compare-and-swap, so that one of several racing
-/// operators wins and no item goes back to an older ticket.
+/// operators wins and no item goes back to an older ticket. Every accepted
+/// ticket writes the head key on condition that it is unchanged since the state
+/// was read, so all checks hold at the moment of acceptance. A ticket too large
+/// for one transaction is first written in parts that nobody reads until the
+/// transaction names them.
 class TicketAcceptor {
  public:
   /// @param store Calls to the key-value service.
@@ -42,21 +49,25 @@
   /// Applies a ticket; repeating it is safe.
   TicketResult Apply(const protocol::Ticket& ticket);
 
-  /// Reads all items, deletions included.
-  state::KeyValueResult<std::vector<state::ConfigItem>> ReadItems(
-      std::int64_t since_revision);
-
  private:
-  state::KeyValueStore m_store;
-};
+  struct Head;
 
-/// @return Key of an item in the key-value service.
-std::string ItemKey(const state::ConfigItem& item);
+  state::KeyValueResult<Head> ReadHead();
+  std::optional<TicketResult> FindAccepted(const protocol::Ticket& ticket,
+                                           bool may_have_written);
+  state::KeyValueResult<bool> WriteParts(const protocol::Ticket& ticket);
+  /// Removes parts of this number that no commit record names.
+  void RemoveParts(const protocol::Ticket& ticket,
+                   const std::string& kept_digest);
 
-/// @return Key of a ticket in the key-value service.
-std::string TicketKey(std::int64_t number);
+  state::KeyValueStore m_store;
+};
 
-inline constexpr char kItemPrefix[] = "/wasabiwall/items/";
-inline constexpr char kTicketPrefix[] = "/wasabiwall/tickets/";
+/// Checks a ticket against the state in force.
+/// @param ticket Ticket to be applied.
+/// @param held All items in force.
+/// @return Why it would be refused; nothing when it would be accepted.
+std::optional<TicketResult> CheckAgainst(const protocol::Ticket& ticket,
+                                         const ConfigItems& held);
 
 }  // namespace wasabiwall::coordination
--- /dev/null
+++ b/src/wasabiwall/coordination/ticket_diff.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "wasabiwall/coordination/config_references.h"
+#include "wasabiwall/protocol/ticket.h"
+
+namespace wasabiwall::coordination {
+
+/// What a ticket would do to one item.
+struct ItemChange {
+  enum class Kind { kAdded, kChanged, kRemoved, kUnchanged };
+
+  Kind kind = Kind::kUnchanged;
+  state::ConfigItem item;
+  /// `field: old -> new` for each field that differs.
+  std::vector<std::string> fields;
+};
+
+/// Compares a ticket with the state in force.
+/// @return One change for each item of the ticket, in its order.
+std::vector<ItemChange> DiffTicket(const protocol::Ticket& ticket,
+                                   const ConfigItems& held);
+
+}  // namespace wasabiwall::coordination
--- a/src/wasabiwall/protocol/ticket.cc
+++ b/src/wasabiwall/protocol/ticket.cc
@@ -1,7 +1,6 @@
 #include "wasabiwall/protocol/ticket.h"
 
-#include <set>
-
+#include "wasabiwall/protocol/ticket_check.h"
 #include "wasabiwall/state/digest.h"
 
 namespace wasabiwall::protocol {
@@ -144,25 +143,17 @@
 
 tl::expected<Ticket, std::vector<TomlProblem>> ParseTicket(
     std::string_view text, const std::string& file) {
-  const auto root = ParseToml(text, file, TicketSchema());
+  TomlLines lines;
+  const auto root = ParseToml(text, file, TicketSchema(), &lines);
   if (!root) return tl::make_unexpected(root.error());
+  const std::vector<TomlProblem> problems =
+      CheckTicketValues(*root, file, lines);
+  if (!problems.empty()) return tl::make_unexpected(problems);
   Ticket ticket;
   ticket.number = root->at("ticket");
   ticket.author = root->at("author");
   ticket.items = CollectItems(*root, ticket.number);
   ticket.digest = state::Sha256Hex(root->dump());
-  std::vector<TomlProblem> problems;
-  if (ticket.items.empty()) {
-    problems.push_back({file, 1, "", "the ticket touches no item"});
-  }
-  std::set<std::pair<ItemKind, std::string>> seen;
-  for (const ConfigItem& item : ticket.items) {
-    if (seen.insert({item.kind, item.name}).second) continue;
-    problems.push_back(
-        {file, 1, std::string(state::ItemKindName(item.kind)) + "." + item.name,
-         "stands twice in the ticket"});
-  }
-  if (!problems.empty()) return tl::make_unexpected(problems);
   return ticket;
 }
 
--- a/src/wasabiwall/protocol/toml_schema.cc
+++ b/src/wasabiwall/protocol/toml_schema.cc
@@ -42,8 +42,8 @@
 /// Checks one parsed file and collects its problems.
 class Checker {
  public:
-  Checker(std::string file, Problems* problems)
-      : m_file(std::move(file)), m_problems(problems) {}
+  Checker(std::string file, Problems* problems, TomlLines* lines)
+      : m_file(std::move(file)), m_problems(problems), m_lines(lines) {}
 
   nlohmann::json CheckTable(const toml::table& table, const std::string& prefix,
                             const std::vector<FieldSpec>& schema) {
@@ -58,6 +58,7 @@
             "unknown key; allowed: " + Names(schema));
         continue;
       }
+      NoteLine(prefix + name, key.source().begin.line);
       result[name] = CheckNode(node, prefix + name, *spec);
     }
     for (const FieldSpec& field : schema) {
@@ -82,6 +83,10 @@
         {m_file, static_cast<int>(line), key, std::move(reason)});
   }
 
+  void NoteLine(const std::string& key, toml::source_index line) {
+    if (m_lines != nullptr) (*m_lines)[key] = static_cast<int>(line);
+  }
+
   nlohmann::json WrongType(const toml::node& node, const std::string& key,
                            const FieldSpec& spec) {
     Add(node.source().begin.line, key, "must be " + TypeName(spec.type));
@@ -152,9 +157,10 @@
     nlohmann::json tables = nlohmann::json::array();
     for (const toml::node& element : *node.as_array()) {
       if (!element.is_table()) return WrongType(element, key, spec);
-      const std::string prefix =
-          key + "[" + std::to_string(tables.size()) + "].";
-      tables.push_back(CheckTable(*element.as_table(), prefix, spec.fields));
+      const std::string path = key + "[" + std::to_string(tables.size()) + "]";
+      NoteLine(path, element.source().begin.line);
+      tables.push_back(
+          CheckTable(*element.as_table(), path + ".", spec.fields));
     }
     return tables;
   }
@@ -169,6 +175,7 @@
 
   std::string m_file;
   Problems* m_problems;
+  TomlLines* m_lines;
 };
 
 }  // namespace
@@ -180,11 +187,11 @@
 
 tl::expected<nlohmann::json, Problems> ParseToml(
     std::string_view text, const std::string& file,
-    const std::vector<FieldSpec>& schema) {
+    const std::vector<FieldSpec>& schema, TomlLines* lines) {
   Problems problems;
   try {
     const toml::table table = toml::parse(text, file);
-    Checker checker(file, &problems);
+    Checker checker(file, &problems, lines);
     nlohmann::json result = checker.CheckTable(table, "", schema);
     if (problems.empty()) return result;
   } catch (const toml::parse_error& error) {
--- a/src/wasabiwall/protocol/toml_schema.h
+++ b/src/wasabiwall/protocol/toml_schema.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
+#include <unordered_map>
 #include <vector>
 
 namespace wasabiwall::protocol {
@@ -45,13 +46,18 @@
   std::string Text() const;
 };
 
+/// Line of each key of a file, by its path such as `pool[0].name`; an element
+/// of an array of tables is under `pool[0]`.
+using TomlLines = std::unordered_map<std::string, int>;
+
 /// Parses and checks a TOML text.
 /// @param text The file's content.
 /// @param file File name for messages.
 /// @param schema Fields of the root table; others are refused.
+/// @param lines Receives the line of each key, unless null.
 /// @return The content as JSON, or every problem found.
 tl::expected<nlohmann::json, std::vector<TomlProblem>> ParseToml(
     std::string_view text, const std::string& file,
-    const std::vector<FieldSpec>& schema);
+    const std::vector<FieldSpec>& schema, TomlLines* lines = nullptr);
 
 }  // namespace wasabiwall::protocol
--- a/src/wasabiwall/protocol/wasabiwall.thrift
+++ b/src/wasabiwall/protocol/wasabiwall.thrift
@@ -123,12 +123,21 @@
 
 struct ItemsRequest {
   1: Envelope envelope
+  /** Revision of the last item known; the items after it are wanted. */
   2: i64 since_revision
+  /** Kind and name of the last item given of that revision; empty when all
+   * items of that revision are known. */
+  3: string after_kind
+  4: string after_name
 }
 
 struct ItemsReply {
   1: Envelope envelope
   2: list<ItemRecord> items
+  /** Whether items follow after the last of `items`. */
+  3: bool more
+  /** Revision up to which the sender leaves nothing out. */
+  4: i64 complete_revision
 }
 
 struct StatusRequest {
@@ -143,6 +152,8 @@
   5: i64 load_units
   6: i64 running
   7: i64 key_value_calls
+  /** Addresses of processes heard from lately. */
+  8: list<string> heard_from
 }
 
 /** Served by every process. */
--- a/src/wasabiwall/state/config_store.cc
+++ b/src/wasabiwall/state/config_store.cc
@@ -1,23 +1,45 @@
 #include "wasabiwall/state/config_store.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace wasabiwall::state {
+namespace {
+
+/// Size of an item's fixed fields in a message.
+constexpr std::size_t kItemOverheadBytes = 64;
+
+std::size_t SizeOf(const ConfigItem& item) {
+  return kItemOverheadBytes + item.name.size() + item.state.dump().size();
+}
+
+}  // namespace
 
 ConfigStore::ConfigStore() : m_view(BuildConfigView({}, 0)) {}
 
-std::size_t ConfigStore::Apply(const std::vector<ConfigItem>& items) {
+std::size_t ConfigStore::Apply(const std::vector<ConfigItem>& items,
+                               std::int64_t complete_revision) {
   const std::lock_guard lock(m_mutex);
-  std::size_t changed = 0;
+  std::vector<Key> keys;
+  for (const ConfigItem& item : items) {
+    if (ApplyOne(item)) keys.emplace_back(item.kind, item.name);
+  }
+  const bool advanced = complete_revision > m_revision;
+  if (keys.empty() && !advanced) return 0;
+  m_revision = std::max(m_revision, complete_revision);
+  std::vector<ConfigItem> changed;
+  changed.reserve(keys.size());
+  for (const Key& key : keys) changed.push_back(m_items.at(key));
+  m_view = UpdateConfigView(*m_view, changed, m_revision);
+  return changed.size();
+}
+
+std::size_t ConfigStore::Apply(const std::vector<ConfigItem>& items) {
+  std::int64_t newest = 0;
   for (const ConfigItem& item : items) {
-    if (ApplyOne(item)) ++changed;
+    newest = std::max(newest, item.revision);
   }
-  if (changed == 0) return 0;
-  std::vector<ConfigItem> all;
-  all.reserve(m_items.size());
-  for (const auto& [key, item] : m_items) all.push_back(item);
-  m_view = BuildConfigView(all, m_revision);
-  return changed;
+  return Apply(items, newest);
 }
 
 std::shared_ptr<const ConfigView> ConfigStore::View() const {
@@ -30,23 +52,37 @@
   return m_revision;
 }
 
-std::vector<ConfigItem> ConfigStore::ItemsSince(std::int64_t revision) const {
+ConfigPart ConfigStore::ItemsAfter(const ConfigCursor& after,
+                                   std::size_t max_bytes) const {
   const std::lock_guard lock(m_mutex);
-  std::vector<ConfigItem> newer;
-  for (const auto& [key, item] : m_items) {
-    if (item.revision > revision) newer.push_back(item);
+  ConfigPart part;
+  part.complete_revision = m_revision;
+  std::size_t bytes = 0;
+  const Place place{after.revision, after.kind, after.name};
+  for (auto item = m_by_revision.upper_bound(place);
+       item != m_by_revision.end(); ++item) {
+    bytes += SizeOf(*item->second);
+    if (bytes > max_bytes && !part.items.empty()) {
+      part.last = false;
+      return part;
+    }
+    part.items.push_back(*item->second);
   }
-  std::sort(newer.begin(), newer.end(), [](const auto& a, const auto& b) {
-    return a.revision < b.revision;
-  });
-  return newer;
+  return part;
+}
+
+std::vector<ConfigItem> ConfigStore::ItemsSince(std::int64_t revision) const {
+  return ItemsAfter({.revision = revision + 1},
+                    std::numeric_limits<std::size_t>::max())
+      .items;
 }
 
 bool ConfigStore::ApplyOne(const ConfigItem& item) {
   ConfigItem& held = m_items[{item.kind, item.name}];
   if (item.ticket <= held.ticket) return false;
+  m_by_revision.erase({held.revision, item.kind, item.name});
   held = item;
-  m_revision = std::max(m_revision, item.revision);
+  m_by_revision[{item.revision, item.kind, item.name}] = &held;
   return true;
 }
 
--- a/src/wasabiwall/state/config_view.cc
+++ b/src/wasabiwall/state/config_view.cc
@@ -31,6 +31,44 @@
   }
 }
 
+/// Removes a model or digest from an index, if it still leads to this owner.
+template <typename Index, typename Owner>
+void RemoveFromIndex(const std::string& key, const Owner& owner, Index* index) {
+  const auto found = index->find(key);
+  if (found != index->end() && found->second == owner) index->erase(found);
+}
+
+void RemoveItem(const ConfigItem& item, ConfigView* view) {
+  switch (item.kind) {
+    case ItemKind::kWorkspace: {
+      const auto held = view->workspaces.find(item.name);
+      if (held == view->workspaces.end()) return;
+      RemoveFromIndex(held->second.token_digest, held->second.id,
+                      &view->workspace_by_digest);
+      view->workspaces.erase(held);
+      return;
+    }
+    case ItemKind::kFailureDomain:
+      view->failure_domains.erase(item.name);
+      return;
+    case ItemKind::kPool: {
+      const auto held = view->pools.find(item.name);
+      if (held == view->pools.end()) return;
+      for (const std::string& model : held->second.models) {
+        RemoveFromIndex(model, held->second.id, &view->pool_by_model);
+      }
+      view->pools.erase(held);
+      return;
+    }
+    case ItemKind::kBackendServer:
+      view->backend_servers.erase(item.name);
+      return;
+    case ItemKind::kService:
+      view->services.erase(item.name);
+      return;
+  }
+}
+
 }  // namespace
 
 std::vector<BackendServer> ConfigView::Members(const PoolId& pool) const {
@@ -60,4 +98,17 @@
   return view;
 }
 
+std::shared_ptr<const ConfigView> UpdateConfigView(
+    const ConfigView& view, const std::vector<ConfigItem>& changed,
+    std::int64_t revision) {
+  auto updated = std::make_shared<ConfigView>(view);
+  updated->revision = revision;
+  // Removals first: a digest or model may move from one item to another.
+  for (const ConfigItem& item : changed) RemoveItem(item, updated.get());
+  for (const ConfigItem& item : changed) {
+    if (!item.deleted) AddItem(item, updated.get());
+  }
+  return updated;
+}
+
 }  // namespace wasabiwall::state
--- a/src/wasabiwall/state/config_view.h
+++ b/src/wasabiwall/state/config_view.h
@@ -38,4 +38,12 @@
 std::shared_ptr<const ConfigView> BuildConfigView(
     const std::vector<ConfigItem>& items, std::int64_t revision);
 
+/// Builds a view from an earlier one, decoding only what changed.
+/// @param view Earlier view.
+/// @param changed Items in the state that they are to have.
+/// @param revision Revision of the new view.
+std::shared_ptr<const ConfigView> UpdateConfigView(
+    const ConfigView& view, const std::vector<ConfigItem>& changed,
+    std::int64_t revision);
+
 }  // namespace wasabiwall::state
--- a/src/wasabiwall/transport/config_follower.cc
+++ b/src/wasabiwall/transport/config_follower.cc
@@ -1,51 +1,51 @@
 #include "wasabiwall/transport/config_follower.h"
 
+#include <algorithm>
+#include <random>
 #include <utility>
 
-#include "wasabiwall/coordination/ticket_acceptor.h"
+#include "wasabiwall/coordination/config_fetch.h"
+#include "wasabiwall/coordination/config_reader.h"
 
 namespace wasabiwall::transport {
 namespace {
 
-namespace gen = protocol::gen;
-
-gen::ItemRecord ToRecord(const state::ConfigItem& item) {
-  gen::ItemRecord record;
-  record.kind = state::ItemKindName(item.kind);
-  record.name = item.name;
-  record.ticket = item.ticket;
-  record.revision = item.revision;
-  record.deleted = item.deleted;
-  record.state = item.state.dump();
-  return record;
-}
+using std::chrono::milliseconds;
+
+/// Least time between two fetches from processes heard to be newer.
+constexpr milliseconds kMinFetchInterval{50};
+constexpr milliseconds kUrgentPoll{500};
+constexpr milliseconds kWatchRetryInterval{1000};
+constexpr std::chrono::seconds kHeardRetention{60};
+constexpr std::size_t kMaxHeard = 2048;
+constexpr int kMaxRepliesPerFetch = 200;
 
-bool FromRecord(const gen::ItemRecord& record, state::ConfigItem* item) {
-  if (!state::ParseItemKind(record.kind, &item->kind)) return false;
-  item->name = record.name;
-  item->ticket = record.ticket;
-  item->revision = record.revision;
-  item->deleted = record.deleted;
-  item->state = nlohmann::json::parse(record.state, nullptr, false);
-  return !item->state.is_discarded();
+std::uint64_t RandomBits() {
+  thread_local std::mt19937_64 engine{std::random_device{}()};
+  return engine();
 }
 
 }  // namespace
 
-ConfigFollower::ConfigFollower(ConfigFollowerOptions options,
-                               state::KeyValueStore store,
-                               state::ConfigStore* config, PeerClient* peers,
-                               std::function<gen::Envelope()> make_envelope)
-    : m_options(std::move(options)),
+ConfigFollower::ConfigFollower(
+    coordination::ConfigSpreadOptions options, state::KeyValueStore store,
+    state::ConfigStore* config, PeerClient* peers,
+    std::function<protocol::gen::Envelope()> make_envelope,
+    ConfigFollowerHooks hooks)
+    : m_may_read_service(options.may_read_service),
+      m_start_peers(options.peers),
+      m_hooks(std::move(hooks)),
       m_store(std::move(store)),
       m_config(config),
       m_peers(peers),
-      m_make_envelope(std::move(make_envelope)) {}
+      m_make_envelope(std::move(make_envelope)),
+      m_spread(std::move(options), coordination::SteadyClock(), &RandomBits) {}
 
 ConfigFollower::~ConfigFollower() { Stop(); }
 
 void ConfigFollower::Start() {
   m_thread = std::thread([this] { Work(); });
+  m_watch_thread = std::thread([this] { Watch(); });
 }
 
 void ConfigFollower::Stop() {
@@ -55,83 +55,145 @@
   }
   m_changed.notify_all();
   if (m_thread.joinable()) m_thread.join();
+  if (m_watch_thread.joinable()) m_watch_thread.join();
 }
 
 void ConfigFollower::OnRevisionHeard(std::int64_t revision,
                                      const std::string& address) {
   if (address.empty()) return;
+  const bool newer = revision > m_config->Revision();
   const std::lock_guard lock(m_mutex);
+  NoteHeard(address);
   m_last_heard = address;
-  if (revision <= m_config->Revision()) return;
+  if (!newer) return;
   m_newer_at = address;
   m_changed.notify_all();
 }
 
-gen::ItemsReply ConfigFollower::ItemsSince(
-    const gen::ItemsRequest& request) const {
-  gen::ItemsReply reply;
-  for (const state::ConfigItem& item :
-       m_config->ItemsSince(request.since_revision)) {
-    reply.items.push_back(ToRecord(item));
+protocol::gen::ItemsReply ConfigFollower::ItemsSince(
+    const protocol::gen::ItemsRequest& request) const {
+  return coordination::AnswerItems(*m_config, request);
+}
+
+std::vector<std::string> ConfigFollower::HeardFrom() const {
+  const SteadyTime oldest = std::chrono::steady_clock::now() - kHeardRetention;
+  const std::lock_guard lock(m_mutex);
+  std::vector<std::string> addresses;
+  for (const auto& [address, time] : m_heard) {
+    if (time >= oldest) addresses.push_back(address);
   }
-  return reply;
+  return addresses;
 }
 
 void ConfigFollower::Work() {
-  if (m_config->Revision() == 0) {
-    for (const std::string& peer : m_options.peers) FetchFrom(peer);
-  }
+  using Kind = coordination::SpreadStep::Kind;
   std::unique_lock lock(m_mutex);
   while (!m_stopped) {
     const std::string newer_at = std::exchange(m_newer_at, "");
+    const bool read_wanted = std::exchange(m_read_wanted, false);
     lock.unlock();
-    if (!newer_at.empty()) FetchFrom(newer_at);
-    const bool read = m_options.reads_key_value && ReadKeyValue();
-    const bool wanted = m_options.read_wanted && m_options.read_wanted();
-    if (!read && wanted) ConfirmFromPeers();
+    bool answered = false;
+    if (read_wanted) answered = ReadKeyValue();
+    if (!newer_at.empty()) answered = FetchFrom(newer_at) || answered;
+    const bool urgent = m_hooks.read_wanted && m_hooks.read_wanted();
+    if (urgent) answered = Confirm() || answered;
+    const coordination::SpreadStep step = m_spread.Next(m_config->View());
+    if (step.kind == Kind::kReadService) answered = ReadKeyValue() || answered;
+    if (step.kind == Kind::kAskPeer) {
+      answered = FetchFrom(step.address) || answered;
+    }
+    if (answered) m_spread.OnAnswer();
+    m_watches = m_spread.IsReader();
     lock.lock();
-    m_changed.wait_for(lock, m_options.poll_interval,
-                       [this] { return m_stopped || !m_newer_at.empty(); });
+    if (step.kind != Kind::kWait) continue;
+    // A read that becomes urgent is noticed within the poll interval.
+    const milliseconds longest = m_hooks.read_wanted ? kUrgentPoll : step.wait;
+    m_changed.wait_for(lock, std::min(step.wait, longest), [this] {
+      return m_stopped || m_read_wanted || !m_newer_at.empty();
+    });
+    m_changed.wait_for(lock, kMinFetchInterval, [this] { return m_stopped; });
   }
 }
 
-bool ConfigFollower::ReadKeyValue() {
-  const coordination::TimePoint began_at = coordination::SteadyClock()();
-  coordination::TicketAcceptor acceptor(m_store);
-  const auto items = acceptor.ReadItems(m_config->Revision());
-  if (!items) return false;
-  m_config->Apply(*items);
-  if (m_options.on_read) m_options.on_read(began_at);
-  return true;
+void ConfigFollower::Watch() {
+  const auto wanted = [this] { return m_watches && !Stopped(); };
+  while (!Stopped()) {
+    if (wanted() && m_store.watch && ReadKeyValue()) {
+      m_store.watch(coordination::kConfigPrefix, m_service_revision + 1,
+                    [&](const auto& events) {
+                      if (!events.empty()) WantRead();
+                      return wanted();
+                    });
+    }
+    std::unique_lock lock(m_mutex);
+    m_changed.wait_for(lock, kWatchRetryInterval, [this] { return m_stopped; });
+  }
+}
+
+void ConfigFollower::WantRead() {
+  // The watch's own thread is inside its call to the service.
+  const std::lock_guard lock(m_mutex);
+  m_read_wanted = true;
+  m_changed.notify_all();
 }
 
-void ConfigFollower::ConfirmFromPeers() {
+bool ConfigFollower::Confirm() {
+  if (m_may_read_service && ReadKeyValue()) return true;
   std::string last_heard;
   {
     const std::lock_guard lock(m_mutex);
     last_heard = m_last_heard;
   }
+  if (!last_heard.empty() && FetchFrom(last_heard)) return true;
+  return std::any_of(
+      m_start_peers.begin(), m_start_peers.end(),
+      [this](const std::string& peer) { return FetchFrom(peer); });
+}
+
+bool ConfigFollower::ReadKeyValue() {
   const coordination::TimePoint began_at = coordination::SteadyClock()();
-  bool read = !last_heard.empty() && FetchFrom(last_heard);
-  for (const std::string& peer : m_options.peers) {
-    if (!read) read = FetchFrom(peer);
-  }
-  if (read && m_options.on_read) m_options.on_read(began_at);
+  const auto changes =
+      coordination::ReadConfigChanges(m_store, m_config->Revision());
+  if (!changes) return false;
+  m_config->Apply(changes->items, changes->complete_revision);
+  m_service_revision = changes->service_revision;
+  if (m_hooks.on_read) m_hooks.on_read(began_at);
+  return true;
 }
 
 bool ConfigFollower::FetchFrom(const std::string& address) {
-  gen::ItemsRequest request;
-  request.envelope = m_make_envelope();
-  request.since_revision = m_config->Revision();
-  const auto reply = m_peers->ItemsSince(address, request);
-  if (!reply) return false;
-  std::vector<state::ConfigItem> items;
-  for (const gen::ItemRecord& record : reply->items) {
-    state::ConfigItem item;
-    if (FromRecord(record, &item)) items.push_back(std::move(item));
+  const coordination::TimePoint began_at = coordination::SteadyClock()();
+  coordination::ConfigFetch fetch(m_config);
+  for (int i = 0; i < kMaxRepliesPerFetch; ++i) {
+    protocol::gen::ItemsRequest request = fetch.NextRequest();
+    request.envelope = m_make_envelope();
+    const auto reply = m_peers->ItemsSince(address, request);
+    if (!reply) return false;
+    {
+      const std::lock_guard lock(m_mutex);
+      NoteHeard(address);
+    }
+    if (fetch.OnReply(*reply)) continue;
+    if (m_hooks.on_read) m_hooks.on_read(began_at);
+    return true;
   }
-  m_config->Apply(items);
-  return true;
+  return false;
+}
+
+bool ConfigFollower::Stopped() const {
+  const std::lock_guard lock(m_mutex);
+  return m_stopped;
+}
+
+void ConfigFollower::NoteHeard(const std::string& address) {
+  const SteadyTime now = std::chrono::steady_clock::now();
+  if (m_heard.size() >= kMaxHeard && m_heard.count(address) == 0) {
+    const auto oldest = std::min_element(
+        m_heard.begin(), m_heard.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; });
+    m_heard.erase(oldest);
+  }
+  m_heard[address] = now;
 }
 
 }  // namespace wasabiwall::transport
--- /dev/null
+++ b/tests/coordination/config_fetch_test.cc
@@ -0,0 +1,112 @@
+#include "wasabiwall/coordination/config_fetch.h"
+
+#include <rapidcheck/catch.h>
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <map>
+#include <optional>
+
+namespace wasabiwall::coordination {
+
+namespace {
+
+constexpr std::size_t kProcesses = 4;
+constexpr std::size_t kTinyReply = 150;
+
+state::ConfigItem Domain(int name, std::int64_t revision) {
+  state::ConfigItem item;
+  item.kind = state::ItemKind::kFailureDomain;
+  item.name = std::to_string(name);
+  item.ticket = revision;
+  item.revision = revision;
+  item.state = nlohmann::json::object();
+  item.deleted = revision % 5 == 0;
+  return item;
+}
+
+/// A process with at most one fetch under way.
+struct Process {
+  state::ConfigStore config;
+  std::optional<ConfigFetch> fetch;
+  std::size_t source = 0;
+  std::optional<protocol::gen::ItemsReply> waiting;
+};
+
+}  // namespace
+
+TEST_CASE("a process holds all items up to its own revision",
+          "[config_fetch][fuzz]") {
+  rc::prop("partial, lost, repeated and late replies leave no gap", [] {
+    using Command = std::tuple<int, int, int>;
+    const auto commands = *rc::gen::container<std::vector<Command>>(
+        300, rc::gen::tuple(rc::gen::inRange(0, 10), rc::gen::inRange(0, 4),
+                            rc::gen::inRange(0, 12)));
+    std::map<std::int64_t, std::vector<state::ConfigItem>> accepted;
+    std::array<Process, kProcesses> processes;
+    std::int64_t revision = 0;
+    for (const auto& [command, who, detail] : commands) {
+      Process& process = processes.at(static_cast<std::size_t>(who));
+      if (command == 0) {
+        // A ticket that touches one item, or many at one revision.
+        ++revision;
+        const int count = detail % 4 == 0 ? 6 : 1;
+        for (int i = 0; i < count; ++i) {
+          accepted[revision].push_back(Domain((detail + i) % 12, revision));
+        }
+      } else if (command == 1 && who == 0) {
+        std::vector<state::ConfigItem> items;
+        const auto from = accepted.upper_bound(process.config.Revision());
+        for (auto ticket = from; ticket != accepted.end(); ++ticket) {
+          items.insert(items.end(), ticket->second.begin(),
+                       ticket->second.end());
+        }
+        process.config.Apply(items, revision);
+      } else if (command == 2 || !process.fetch) {
+        process.fetch.emplace(&process.config);
+        process.source = static_cast<std::size_t>(detail) % kProcesses;
+        process.waiting.reset();
+      } else if (process.waiting && command > 3) {
+        const bool more = process.fetch->OnReply(*process.waiting);
+        process.waiting.reset();
+        if (!more) process.fetch.reset();
+      } else {
+        process.waiting = AnswerItems(processes.at(process.source).config,
+                                      process.fetch->NextRequest(), kTinyReply);
+      }
+      for (const Process& each : processes) {
+        std::map<std::string, std::int64_t> held;
+        for (const auto& item : each.config.ItemsSince(0)) {
+          held[item.name] = item.ticket;
+        }
+        for (const auto& [at, items] : accepted) {
+          if (at > each.config.Revision()) break;
+          for (const auto& item : items) RC_ASSERT(held[item.name] >= at);
+        }
+      }
+    }
+    // When all is quiet, each process asks once and has everything.
+    for (std::size_t i = 1; i < kProcesses; ++i) {
+      ConfigFetch fetch(&processes.at(i).config);
+      while (fetch.OnReply(AnswerItems(processes.at(0).config,
+                                       fetch.NextRequest(), kTinyReply))) {
+      }
+      RC_ASSERT(processes.at(i).config.Revision() >=
+                processes.at(0).config.Revision());
+    }
+  });
+}
+
+TEST_CASE("what the source learns between two replies is asked for again",
+          "[config_fetch]") {
+  state::ConfigStore source;
+  source.Apply({Domain(1, 9), Domain(2, 11)}, 0);
+  state::ConfigStore config;
+  ConfigFetch fetch(&config);
+  REQUIRE(fetch.OnReply(AnswerItems(source, fetch.NextRequest(), 1)));
+  source.Apply({Domain(3, 7)}, 11);
+  REQUIRE_FALSE(fetch.OnReply(AnswerItems(source, fetch.NextRequest(), 1)));
+  CHECK(config.Revision() < 7);
+}
+
+}  // namespace wasabiwall::coordination
