--- a/bench/routing_policies.cc
+++ b/bench/routing_policies.cc
@@ -14,6 +14,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "wasabiwall/coordination/entry_node.h"
@@ -22,11 +23,9 @@
 #include "wasabiwall/protocol/encoded_size.h"
 #include "wasabiwall/state/digest.h"
 
+namespace wasabiwall::coordination {
 namespace {
 
-using namespace wasabiwall;  // NOLINT(google-build-using-namespace)
-using namespace wasabiwall::
-    coordination;  // NOLINT(google-build-using-namespace)
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using Seconds = std::chrono::duration<double>;
@@ -245,7 +244,7 @@
                 const std::shared_ptr<state::Attempt>& answer);
   void EndRun(const std::string& id,
               const std::shared_ptr<state::Attempt>& answer);
-  void Answer(const std::string& id, CallPtr call);
+  void Answer(const std::string& id, const CallPtr& call);
   void PullFailed(const CallPtr& call, Worker* worker);
   void End(const CallPtr& call, const Step& step);
   void Fail(Worker* worker);
@@ -563,10 +562,11 @@
   answer->Finish("", "");
   attempt.worker->side->OnRunEnded(state::AttemptId(id));
   attempt.ended = true;
-  if (attempt.waiting) Answer(id, attempt.waiting);
+  const CallPtr waiting = std::move(attempt.waiting);
+  if (waiting) Answer(id, waiting);
 }
 
-void Fleet::Answer(const std::string& id, CallPtr call) {
+void Fleet::Answer(const std::string& id, const CallPtr& call) {
   const auto found = m_attempts.find(id);
   Worker* worker = found->second.worker;
   call->first_token = found->second.first_token + kHop;
@@ -775,6 +775,7 @@
 }
 
 }  // namespace
+}  // namespace wasabiwall::coordination
 
 int main(int argc, const char** argv) {
   if (argc < 3) {
@@ -784,11 +785,11 @@
     return 2;
   }
   const std::set<std::string> wanted(argv + 3, argv + argc);
-  const Limits limits{std::strtoll(argv[1], nullptr, 10),
-                      std::strtoll(argv[2], nullptr, 10)};
-  for (const Size& size : kSizes) {
+  const wasabiwall::coordination::Limits limits{
+      std::strtoll(argv[1], nullptr, 10), std::strtoll(argv[2], nullptr, 10)};
+  for (const auto& size : wasabiwall::coordination::kSizes) {
     if (!wanted.empty() && !wanted.contains(size.name)) continue;
-    Compare(size, limits);
+    wasabiwall::coordination::Compare(size, limits);
   }
   return 0;
 }
--- a/tests/coordination/control_traffic_test.cc
+++ b/tests/coordination/control_traffic_test.cc
@@ -102,7 +102,7 @@
   TimePoint now{milliseconds(1000)};
   ControlBudget budget(1, [&] { return now; });
   LoadNews news("own", &budget, [&] { return now; });
-  const LoadNews::Reports known = {Report("own", 0), Report("b", 10)};
+  LoadNews::Reports known = {Report("own", 0), Report("b", 10)};
   const auto give = [&] { return known; };
   CHECK(news.For("p", false, give).empty());
   CHECK(Names(news.For("p", true, give)) == Strings{"own"});
