--- a/tests/coordination/leaving_test.cc
+++ b/tests/coordination/leaving_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <map>
+#include <memory>
 #include <optional>
 
 #include "fakes/pool_fixture.h"
@@ -167,4 +168,47 @@
   CHECK(guard.Confirmed(now));
 }
 
+TEST_CASE("a domain that returns ramps", "[leaving][warmup]") {
+  fakes::PoolShape shape;
+  shape.members = 1;
+  shape.warmup_calls = 2;
+  state::ConfigStore store;
+  store.Apply(fakes::PoolItems(shape));
+  TimePoint now{std::chrono::hours(1)};
+  int running = 0;
+  std::shared_ptr<state::Attempt> last;
+  SideNodeHooks hooks;
+  hooks.clock = [&] { return now; };
+  hooks.random = [] { return std::uint64_t{1}; };
+  hooks.run = [&](const auto&, const auto& answer) {
+    ++running;
+    last = answer;
+  };
+  SideNode node(state::BackendServerId("0"), &store, hooks);
+  for (int i = 0; i < 200; ++i) {
+    const std::string id = "w" + std::to_string(i);
+    REQUIRE(node.Submit(fakes::Call(id, 1)).admitted);
+    last->Finish("", "");
+    node.OnRunEnded(state::AttemptId(id));
+  }
+  const auto flood = [&](const std::string& name) {
+    running = 0;
+    for (int i = 0; i < 100; ++i) {
+      node.Submit(fakes::Call(name + std::to_string(i), 1));
+    }
+    return running;
+  };
+  node.Tick();
+  store.Apply({fakes::Domain(0, 2, false)});
+  node.Tick();
+  CHECK(flood("out") == 0);
+  CHECK(node.CheckStart() == protocol::ErrorKind::kDraining);
+  store.Apply({fakes::Domain(0, 3, true)});
+  node.Tick();
+  CHECK_FALSE(node.CheckStart());
+  CHECK(flood("back") == 2);
+  now += std::chrono::seconds(1);
+  CHECK(node.CheckStart() == protocol::ErrorKind::kStaleConfiguration);
+}
+
 }  // namespace wasabiwall::coordination
