Submits of a pool that answers nothing stay within 1.1 a call; spread return times

Cause: only retries after failures were budgeted; a refusal went to up to six candidates for nothing, so a pool that refuses all was sent six submits a call. Every refused caller got the same fixed time to come back.

Each pool now has its own budget: submits beyond the first of a call take from a tenth of the calls, plus two for each whole answer, with a burst of 30; retries after failures take from their own tenth as well. Times to come back follow one another at the rate at which the pool answers, with jitter.

Ruled out: one budget for all pools (one pool that is down would starve the others); free submits after a paid retry (a pool where one server fails and the rest refuse would exceed the share).

Not bounded by this: redirects to the owner of a key (at most 4 a call) and telling candidates of a second crash.

--- a/programs/entry_daemon.cc
+++ b/programs/entry_daemon.cc
@@ -134,7 +134,7 @@
   auto planned = PlanCall(request);
   if (!planned) {
     m_metrics.CountCall("none", protocol::RowOf(planned.error().kind).name);
-    AnswerError(planned.error(), response);
+    AnswerError(m_node.WithReturnTime("", planned.error()), response);
     return;
   }
   const std::string request_id = std::to_string(RandomBits());
--- a/src/wasabiwall/coordination/call_plan.cc
+++ b/src/wasabiwall/coordination/call_plan.cc
@@ -181,6 +181,7 @@
     m_max_attempts += static_cast<int>(m_order.size());
     if (m_order.empty()) return FailWith(error);
   }
+  if (m_attempts > 0 && !m_hooks.take_resubmit()) return FailWith(error);
   return Submit(now, m_order[m_next++]);
 }
 
--- a/src/wasabiwall/coordination/call_plan.h
+++ b/src/wasabiwall/coordination/call_plan.h
@@ -64,6 +64,8 @@
   /// Asks the retry budget for one more attempt after a failure that cost a
   /// backend server work; false ends the call.
   std::function<bool()> take_retry;
+  /// Asks for one more submit after a refusal; false ends the call.
+  std::function<bool()> take_resubmit = [] { return true; };
   /// Number of engine crashes at which the request is known to have been in
   /// flight.
   std::function<int()> known_crashes = [] { return 0; };
--- a/src/wasabiwall/coordination/entry_node.cc
+++ b/src/wasabiwall/coordination/entry_node.cc
@@ -29,8 +29,6 @@
 constexpr milliseconds kPoolInUse{10000};
 /// Above the attempts that a plan makes.
 constexpr std::size_t kCandidatesPerCall = 8;
-constexpr double kRetryShare = 0.1;
-constexpr double kRetryBurst = 10.0;
 constexpr std::size_t kMaxKeyBytes = 255;
 constexpr std::size_t kMaxChatIdBytes = 255;
 constexpr std::int64_t kServiceCostUnits = 1;
@@ -73,7 +71,7 @@
                  return MakeRoutingPolicy(name, m_hooks.random);
                }}),
       m_message_age(m_hooks.clock, m_hooks.random()),
-      m_retries(kRetryShare, kRetryBurst) {}
+      m_retries(m_hooks.random) {}
 
 protocol::Result<PlannedCall> EntryNode::PlanChat(const CallerCall& call) {
   const auto view = m_config->View();
@@ -166,18 +164,33 @@
 }
 
 CallPlan EntryNode::MakePlan(const PlannedCall& call) {
-  m_retries.OnFirstAttempt();
+  PoolRetryBudget& budget = m_retries.Of(call.request.pool).budget;
+  budget.OnFirstAttempt();
   return {call.spec,
           call.order,
           {.new_attempt =
                [this] { return state::AttemptId(RandomHex(m_hooks.random)); },
-           .take_retry = [this] { return m_retries.Take(); },
+           .take_retry = [&budget] { return budget.TakeRetry(); },
+           .take_resubmit = [&budget] { return budget.TakeResubmit(); },
            .known_crashes =
                [this, fingerprint = call.request.fingerprint] {
                  return m_crashes.Count(fingerprint, m_hooks.clock());
                }}};
 }
 
+void EntryNode::OnAnswered(const PlannedCall& call) {
+  PoolRetries& retries = m_retries.Of(call.request.pool);
+  retries.budget.OnAnswered();
+  retries.return_times.OnAnswered(m_hooks.clock());
+}
+
+protocol::Error EntryNode::WithReturnTime(const std::string& pool,
+                                          protocol::Error error) {
+  error.retry_after =
+      m_retries.Of(pool).return_times.Next(error.RetryAfter(), m_hooks.clock());
+  return error;
+}
+
 void EntryNode::ObserveEnvelope(const std::string& address,
                                 const protocol::gen::Envelope& envelope) {
   m_crashes.Observe(envelope.crashes, m_hooks.clock());
--- a/src/wasabiwall/coordination/entry_node.h
+++ b/src/wasabiwall/coordination/entry_node.h
@@ -94,6 +94,14 @@
   /// @return Loads that may be sent along with a message.
   std::vector<protocol::gen::LoadReport> LoadReports() const;
 
+  /// Records that a call was answered whole.
+  void OnAnswered(const PlannedCall& call);
+
+  /// Gives the error to a caller its time to come back.
+  /// @param pool Pool that the call went to; empty when it went to none.
+  protocol::Error WithReturnTime(const std::string& pool,
+                                 protocol::Error error);
+
   /// Crashes known of requests, to be sent along and learnt from replies.
   CrashRecords& Crashes() { return m_crashes; }
 
@@ -114,7 +122,7 @@
   UnreportedLoad m_unreported;
   CandidateCache m_candidates;
   MessageAge m_message_age;
-  RetryBudget m_retries;
+  RetriesByPool m_retries;
   CrashRecords m_crashes;
 };
 
--- a/src/wasabiwall/coordination/retry_budget.cc
+++ b/src/wasabiwall/coordination/retry_budget.cc
@@ -1,8 +1,17 @@
 #include "wasabiwall/coordination/retry_budget.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace wasabiwall::coordination {
+namespace {
+
+constexpr double kRetryShare = 0.1;
+constexpr double kRetryBurst = 10.0;
+constexpr double kSubmitBurst = 30.0;
+constexpr double kSubmitsPerAnswer = 2.0;
+
+}  // namespace
 
 RetryBudget::RetryBudget(double share, double burst)
     : m_share(share), m_burst(burst), m_tokens(burst) {}
@@ -12,6 +21,11 @@
   m_tokens = std::min(m_burst, m_tokens + m_share);
 }
 
+void RetryBudget::OnAnswered(double earned) {
+  const std::lock_guard lock(m_mutex);
+  m_tokens = std::min(m_burst, m_tokens + earned);
+}
+
 bool RetryBudget::Take() {
   const std::lock_guard lock(m_mutex);
   if (m_tokens < 1.0) return false;
@@ -19,4 +33,30 @@
   return true;
 }
 
+PoolRetryBudget::PoolRetryBudget()
+    : m_submits(kRetryShare, kSubmitBurst),
+      m_retries(kRetryShare, kRetryBurst) {}
+
+void PoolRetryBudget::OnFirstAttempt() {
+  m_submits.OnFirstAttempt();
+  m_retries.OnFirstAttempt();
+}
+
+void PoolRetryBudget::OnAnswered() { m_submits.OnAnswered(kSubmitsPerAnswer); }
+
+bool PoolRetryBudget::TakeResubmit() { return m_submits.Take(); }
+
+bool PoolRetryBudget::TakeRetry() { return m_retries.Take(); }
+
+PoolRetries::PoolRetries(const RandomHook& random) : return_times(random) {}
+
+RetriesByPool::RetriesByPool(RandomHook random) : m_random(std::move(random)) {}
+
+PoolRetries& RetriesByPool::Of(const std::string& pool) {
+  const std::lock_guard lock(m_mutex);
+  auto& retries = m_pools[pool];
+  if (!retries) retries = std::make_unique<PoolRetries>(m_random);
+  return *retries;
+}
+
 }  // namespace wasabiwall::coordination
--- a/src/wasabiwall/coordination/retry_budget.h
+++ b/src/wasabiwall/coordination/retry_budget.h
@@ -1,6 +1,12 @@
 #pragma once
 
+#include <memory>
 #include <mutex>
+#include <string>
+#include <unordered_map>
+
+#include "wasabiwall/coordination/clock.h"
+#include "wasabiwall/coordination/return_times.h"
 
 namespace wasabiwall::coordination {
 
@@ -15,6 +21,10 @@
   /// Records a first attempt.
   void OnFirstAttempt();
 
+  /// Records a whole answer.
+  /// @param earned Further submits that it pays for.
+  void OnAnswered(double earned);
+
   /// Takes one retry.
   /// @return False when the budget is used up.
   bool Take();
@@ -26,4 +36,52 @@
   double m_tokens;
 };
 
+/// Budgets of one pool. While nothing is answered, all submits beyond the
+/// first of each call stay within a share of the calls; answers pay for the
+/// search of a free backend server. Safe for concurrent use.
+class PoolRetryBudget {
+ public:
+  PoolRetryBudget();
+
+  /// Records a first attempt.
+  void OnFirstAttempt();
+
+  /// Records a whole answer.
+  void OnAnswered();
+
+  /// Asks for one more submit after a refusal.
+  bool TakeResubmit();
+
+  /// Asks to retry after a failure that cost a backend server work; the submit
+  /// itself is asked for by TakeResubmit.
+  bool TakeRetry();
+
+ private:
+  RetryBudget m_submits;
+  RetryBudget m_retries;
+};
+
+/// What an entry keeps of one pool to bound its repeats.
+struct PoolRetries {
+  explicit PoolRetries(const RandomHook& random);
+
+  PoolRetryBudget budget;
+  ReturnTimes return_times;
+};
+
+/// Retries by pool, so that a pool that is down uses up no other's budget.
+/// Safe for concurrent use.
+class RetriesByPool {
+ public:
+  explicit RetriesByPool(RandomHook random);
+
+  /// @return The pool's own; lives as long as this object.
+  PoolRetries& Of(const std::string& pool);
+
+ private:
+  RandomHook m_random;
+  std::mutex m_mutex;
+  std::unordered_map<std::string, std::unique_ptr<PoolRetries>> m_pools;
+};
+
 }  // namespace wasabiwall::coordination
--- /dev/null
+++ b/src/wasabiwall/coordination/return_times.cc
@@ -0,0 +1,61 @@
+#include "wasabiwall/coordination/return_times.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wasabiwall::coordination {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr std::chrono::seconds kWindow{1};
+constexpr double kNewestShare = 0.3;
+constexpr milliseconds kMaxWait{30000};
+
+}  // namespace
+
+ReturnTimes::ReturnTimes(RandomHook random) : m_random(std::move(random)) {}
+
+void ReturnTimes::OnAnswered(TimePoint now) {
+  const std::lock_guard lock(m_mutex);
+  Roll(now);
+  m_window_answers += 1;
+}
+
+milliseconds ReturnTimes::Next(milliseconds base, TimePoint now) {
+  if (base.count() <= 0) return milliseconds(0);
+  const std::lock_guard lock(m_mutex);
+  Roll(now);
+  const TimePoint earliest = now + base;
+  const TimePoint latest = now + std::max(base, kMaxWait);
+  TimePoint place = std::max(earliest, m_next_place);
+  // Beyond the longest wait places are drawn, as an order is of no use.
+  if (place > latest) {
+    const auto range = static_cast<std::uint64_t>((latest - earliest).count());
+    place = earliest + microseconds(m_random() % (range + 1));
+  } else {
+    m_next_place = place + PlaceInterval();
+  }
+  const milliseconds jitter(m_random() % (base.count() + 1));
+  return std::chrono::duration_cast<milliseconds>(place - now) + jitter;
+}
+
+microseconds ReturnTimes::PlaceInterval() const {
+  if (m_answers_per_second <= 0) return microseconds(0);
+  const std::chrono::duration<double> interval(1.0 / m_answers_per_second);
+  return std::min(std::chrono::duration_cast<microseconds>(interval),
+                  microseconds(kMaxWait));
+}
+
+void ReturnTimes::Roll(TimePoint now) {
+  const auto elapsed = now - m_window_start;
+  if (elapsed < kWindow) return;
+  const double seconds = std::chrono::duration<double>(elapsed).count();
+  const double rate = m_window_answers / seconds;
+  m_answers_per_second += kNewestShare * (rate - m_answers_per_second);
+  m_window_answers = 0;
+  m_window_start = now;
+}
+
+}  // namespace wasabiwall::coordination
--- a/src/wasabiwall/transport/call_driver.cc
+++ b/src/wasabiwall/transport/call_driver.cc
@@ -57,9 +57,11 @@
     }
     m_outcome.attempts = m_plan.Attempts();
     if (step.kind == StepKind::kDone) {
+      m_driver->m_entry->OnAnswered(m_call);
       FinishAnswer();
     } else {
-      AnswerError(step.error);
+      AnswerError(
+          m_driver->m_entry->WithReturnTime(m_call.request.pool, step.error));
     }
     return m_outcome;
   }
--- a/tests/fakes/virtual_fleet.cc
+++ b/tests/fakes/virtual_fleet.cc
@@ -139,6 +139,7 @@
   m_entries[call->entry]->Crashes().Observe(reply.crashes, m_now);
   if (!reply.ended) return;
   call->step = call->plan->OnEnded(m_now, ToError(reply.error_kind, 0));
+  if (call->Answered()) m_entries[call->entry]->OnAnswered(call->planned);
 }
 
 void VirtualFleet::TickEngine(std::size_t engine) {
--- a/tests/fakes/virtual_fleet.h
+++ b/tests/fakes/virtual_fleet.h
@@ -40,6 +40,9 @@
   void Settle();
 
   void Pass(std::chrono::milliseconds time) { m_now += time; }
+  coordination::EntryNode& Entry(std::size_t entry) {
+    return *m_entries[entry];
+  }
   coordination::SideNode& Side(std::size_t engine) { return *m_sides[engine]; }
   std::size_t Engines() const { return m_sides.size(); }
   std::vector<std::unique_ptr<Call>>& Calls() { return m_calls; }
