Own shards by a watch, hold a lease only when needed, hand shards over

Cause: every side process read all owner records, renewed a lease and did so every 500 ms, also beside engines: about four calls a second for each process, far above 2,000 reads a second at 4,200 side processes. A shard never moved back to its preferred owner, and a draining owner kept its shards.

Now only side processes of service pools take part: one watch on the owner records, and, only for a process that owns or wants a shard, a lease renewed at a third of its lifetime with jitter. The preferred owner asks for its shard by a request record bound to its lease, so that the present owner hands over to a live process only: it stops new intents, finishes, and deletes its record by compare-and-swap. A draining owner does the same at once. An owner that has just gone is passed over in the order, so that the next candidate does not wait for it. Ruled out: handing over on the word of the configuration, which lists dead backend servers too.

The decisions stand in coordination; ShardOwnerLoop carries them out.

--- a/programs/side_daemon.cc
+++ b/programs/side_daemon.cc
@@ -19,7 +19,7 @@
 constexpr milliseconds kPlatformInterval{500};
 constexpr milliseconds kTickInterval{100};
 constexpr milliseconds kPlatformTimeout{1000};
-constexpr milliseconds kCommitRetryWait{20};
+constexpr milliseconds kCommitRetryWait{100};
 constexpr milliseconds kIdlePoll{20};
 constexpr milliseconds kPeerReplyTimeout{3000};
 constexpr std::size_t kCrashesPerMessage = 4;
@@ -98,7 +98,7 @@
   m_tick_thread.join();
   m_vm_list_thread.join();
   // Gives the shards free for the next owner at once.
-  if (m_lease != 0) m_store.revoke_lease(m_lease);
+  m_shard_owner.reset();
   m_peer_server.Stop();
   m_http_server.Stop(milliseconds(0));
   m_follower.Stop();
@@ -124,8 +124,7 @@
   std::unique_lock lock(m_mutex);
   while (!m_stopped) {
     lock.unlock();
-    HoldLease();
-    ClaimShards();
+    TendShards();
     WatchEngine();
     m_node.Sweep();
     lock.lock();
@@ -161,70 +160,32 @@
   }
 }
 
-void SideDaemon::HoldLease() {
-  if (m_lease != 0) {
-    const auto left = m_store.renew_lease(m_lease);
-    if (!left || left->count() > 0) return;
-    transport::LogWarn("lease_lapsed", {{"lease", std::to_string(m_lease)}});
-    m_lease = 0;
-  }
-  const auto granted = m_store.grant_lease(
-      std::chrono::ceil<std::chrono::seconds>(m_settings.lease_ttl));
-  if (granted) m_lease = *granted;
-}
-
-void SideDaemon::ClaimShards() {
+void SideDaemon::TendShards() {
   const auto view = m_config.View();
   const auto self = view->backend_servers.find(m_self.value);
-  if (self == view->backend_servers.end() || m_lease == 0) return;
+  if (self == view->backend_servers.end()) return;
   const auto pool = view->pools.find(self->second.pool.value);
   if (pool == view->pools.end() ||
       pool->second.kind != state::PoolKind::kService) {
+    m_shard_owner.reset();
     return;
   }
-  if (!m_ownership) {
-    m_ownership =
-        std::make_unique<coordination::ShardOwnership>(pool->second.id, m_self);
+  if (!m_shard_owner || m_shard_pool != pool->second.id) {
+    m_shard_pool = pool->second.id;
+    m_shard_owner = std::make_unique<transport::ShardOwnerLoop>(
+        coordination::ShardOwnershipOptions{m_shard_pool, m_self,
+                                            m_settings.lease_ttl},
+        m_store, &m_node.Ledger(),
+        [this](auto owners) { m_node.SetOwners(std::move(owners)); });
   }
-  const auto owners =
-      m_store.range({.key = m_ownership->OwnerPrefix(), .prefix = true});
-  if (!owners) return;
-  OnOwnersRead(*m_ownership, owners->entries);
-  if (m_node.Draining() || !view->TakesNewWork(m_self)) return;
   std::vector<state::BackendServerId> candidates;
-  for (const state::BackendServer& member : view->Members(pool->second.id)) {
-    if (view->TakesNewWork(member.id)) candidates.push_back(member.id);
-  }
-  const auto claims = m_ownership->PlanClaims(
-      pool->second.key_shards, candidates, owners->entries, m_lease,
-      coordination::SteadyClock()());
-  for (const coordination::ShardClaim& claim : claims) {
-    const auto result = m_store.txn(claim.txn);
-    if (!result || !result->succeeded) continue;
-    m_node.Ledger().OnShardOwned(claim.shard, claim.owner_key,
-                                 result->revision);
-    transport::LogInfo("shard_claimed",
-                       {{"shard", std::to_string(claim.shard)},
-                        {"revision", std::to_string(result->revision)}});
-  }
-}
-
-void SideDaemon::OnOwnersRead(const coordination::ShardOwnership& ownership,
-                              const std::vector<state::KeyValueEntry>& owners) {
-  std::unordered_map<std::int64_t, state::BackendServerId> by_shard;
-  const std::size_t prefix = ownership.OwnerPrefix().size();
-  for (const state::KeyValueEntry& entry : owners) {
-    const std::int64_t shard =
-        std::strtoll(entry.key.c_str() + prefix, nullptr, 10);
-    by_shard[shard] = state::BackendServerId(entry.value);
-    const bool own = entry.value == m_self.value && entry.lease == m_lease;
-    // A claim whose answer was lost is found here.
-    if (own && !m_node.Ledger().Owns(shard)) {
-      m_node.Ledger().OnShardOwned(shard, entry.key, entry.create_revision);
+  for (const state::BackendServer& member : view->Members(m_shard_pool)) {
+    const bool stopping = member.id == m_self && m_node.Draining();
+    if (!stopping && view->TakesNewWork(member.id)) {
+      candidates.push_back(member.id);
     }
-    if (!own) m_node.Ledger().OnShardLost(shard);
   }
-  m_node.SetOwners(std::move(by_shard));
+  m_shard_owner->Tick(pool->second.key_shards, candidates);
 }
 
 void SideDaemon::WatchEngine() {
--- a/programs/side_daemon.h
+++ b/programs/side_daemon.h
@@ -12,7 +12,6 @@
 
 #include "wasabiwall/coordination/control_budget.h"
 #include "wasabiwall/coordination/load_news.h"
-#include "wasabiwall/coordination/shard_ownership.h"
 #include "wasabiwall/coordination/side_node.h"
 #include "wasabiwall/protocol/settings.h"
 #include "wasabiwall/state/config_store.h"
@@ -23,6 +22,7 @@
 #include "wasabiwall/transport/metrics.h"
 #include "wasabiwall/transport/peer_client.h"
 #include "wasabiwall/transport/peer_server.h"
+#include "wasabiwall/transport/shard_owner_loop.h"
 
 namespace wasabiwall::programs {
 
@@ -44,10 +44,7 @@
   /// Ticks the node.
   void TickLoop();
   void VmListLoop();
-  void HoldLease();
-  void ClaimShards();
-  void OnOwnersRead(const coordination::ShardOwnership& ownership,
-                    const std::vector<state::KeyValueEntry>& owners);
+  void TendShards();
   void WatchEngine();
   /// Refuses a call that an engine which has just turned cold could not bear.
   std::optional<protocol::ErrorKind> CheckBeforeRun(
@@ -75,9 +72,9 @@
   transport::Metrics m_metrics;
   transport::PeerServer m_peer_server;
   transport::HttpServer m_http_server;
-  std::unique_ptr<coordination::ShardOwnership> m_ownership;
-  std::int64_t m_lease = 0;
   std::mutex m_engine_mutex;
+  state::PoolId m_shard_pool;
+  std::unique_ptr<transport::ShardOwnerLoop> m_shard_owner;
   std::string m_engine_incarnation;
   /// Whether the backend server gives load reports.
   std::atomic<bool> m_engine_reports{false};
--- a/src/wasabiwall/coordination/key_ledger.cc
+++ b/src/wasabiwall/coordination/key_ledger.cc
@@ -182,6 +182,18 @@
          !m_abandoned.empty();
 }
 
+std::size_t KeyLedger::Unfinished(std::int64_t shard) const {
+  const std::lock_guard lock(m_mutex);
+  return static_cast<std::size_t>(std::count_if(
+      m_records.begin(), m_records.end(), [shard](const auto& item) {
+        const Record& record = item.second;
+        const bool settled = record.phase == Phase::kDone ||
+                             record.phase == Phase::kAbandoned ||
+                             record.phase == Phase::kWithdrawing;
+        return record.call.shard == shard && !settled;
+      }));
+}
+
 std::size_t KeyLedger::Size() const {
   const std::lock_guard lock(m_mutex);
   return m_records.size();
--- a/src/wasabiwall/coordination/key_ledger.h
+++ b/src/wasabiwall/coordination/key_ledger.h
@@ -123,6 +123,10 @@
   /// @return Whether a transaction is waiting to be taken.
   bool HasWork() const;
 
+  /// @return Number of calls of a shard that wait, run or have an outcome to
+  /// be recorded.
+  std::size_t Unfinished(std::int64_t shard) const;
+
   /// @return Number of keys held in memory.
   std::size_t Size() const;
 
--- a/tests/coordination/key_ledger_test.cc
+++ b/tests/coordination/key_ledger_test.cc
@@ -153,7 +153,7 @@
   /// Only the owner in the store commits intents.
   state::KeyValueTxnResult Commit(int side, const LedgerBatch& batch) {
     const auto owner = m_store.Range({.key = kOwnerKey}).entries.front();
-    const auto result = m_store.Txn(batch.txn);
+    auto result = m_store.Txn(batch.txn);
     RC_ASSERT(!result.succeeded || owner.value == std::to_string(side) ||
               batch.kind != LedgerBatch::Kind::kIntents);
     return result;
--- /dev/null
+++ b/tests/coordination/shard_ownership_test.cc
@@ -0,0 +1,251 @@
+#include "wasabiwall/coordination/shard_ownership.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <random>
+
+#include "standins/support/fake_key_value.h"
+
+namespace wasabiwall::coordination {
+
+using standins::FakeKeyValue;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int kSides = 3;
+constexpr std::int64_t kShards = 4;
+constexpr milliseconds kTick{500};
+constexpr int kSettleTicks = 120;
+
+std::string Name(int side) { return "side-" + std::to_string(side); }
+
+/// Side processes of one pool on virtual time.
+class Fleet {
+ public:
+  Fleet() {
+    for (int side = 0; side < kSides; ++side) Restart(side);
+  }
+
+  /// Replaces the process by a new one at the same address.
+  void Restart(int side) {
+    Side& self = m_sides[side];
+    self.ownership.reset();
+    self.ledger = std::make_unique<KeyLedger>(std::to_string(++m_starts));
+    self.ownership = std::make_unique<ShardOwnership>(
+        ShardOwnershipOptions{state::PoolId("p"),
+                              state::BackendServerId(Name(side))},
+        self.ledger.get(), [this] { return m_random(); });
+    self.next_revision = 0;
+    self.alive = true;
+  }
+
+  void Kill(int side) { m_sides[side].alive = false; }
+  void Resume(int side) { m_sides[side].alive = true; }
+  void SetDraining(int side, bool draining) {
+    m_sides[side].draining = draining;
+  }
+  /// Cuts the watch; changes are seen after the next snapshot.
+  void CutWatch(int side) { m_sides[side].next_revision = 0; }
+  void SetOutage(bool outage) { m_outage = outage; }
+  void LoseAnswers(int count) { m_lose_answers = count; }
+
+  void Tick() {
+    m_now += kTick;
+    m_store.SetNow(m_now);
+    for (int side = 0; side < kSides; ++side) {
+      if (m_sides[side].alive && !m_outage) Step(side);
+    }
+  }
+
+  /// Every shard is owned by one live process that does not drain, by the
+  /// preferred one when that is such a process, and no other live process
+  /// believes that it owns it.
+  void CheckOwned() {
+    for (std::int64_t shard = 0; shard < kShards; ++shard) {
+      int believers = 0;
+      for (const Side& side : m_sides) {
+        believers += side.alive && side.ledger->Owns(shard) ? 1 : 0;
+      }
+      RC_ASSERT(believers == 1);
+      const std::string owner = StoredOwner(shard);
+      RC_ASSERT(Usable(owner));
+      const std::string preferred = Preferred(shard);
+      RC_ASSERT(owner == preferred || !Usable(preferred));
+    }
+  }
+
+  bool Usable(const std::string& owner) const {
+    if (owner.empty()) return false;
+    const Side& side = m_sides[owner.back() - '0'];
+    return side.alive && !side.draining;
+  }
+
+  std::string StoredOwner(std::int64_t shard) {
+    const auto entries =
+        m_store.Range({.key = m_sides[0].ownership->OwnerKey(shard)}).entries;
+    return entries.empty() ? "" : entries.front().value;
+  }
+
+  std::string Preferred(std::int64_t shard) {
+    const std::vector<state::BackendServerId> all = {
+        state::BackendServerId(Name(0)), state::BackendServerId(Name(1)),
+        state::BackendServerId(Name(2))};
+    return OwnerOrder(state::PoolId("p"), shard, all).front().value;
+  }
+
+  /// @return Ticks until the shard has another owner that believes it.
+  int TicksToTakeOver(std::int64_t shard, const std::string& from) {
+    for (int ticks = 1; ticks < kSettleTicks; ++ticks) {
+      Tick();
+      const std::string owner = StoredOwner(shard);
+      if (owner.empty() || owner == from) continue;
+      if (m_sides[owner.back() - '0'].ledger->Owns(shard)) return ticks;
+    }
+    return kSettleTicks;
+  }
+
+  int Calls() const { return m_calls; }
+
+ private:
+  struct Side {
+    std::unique_ptr<KeyLedger> ledger;
+    std::unique_ptr<ShardOwnership> ownership;
+    std::int64_t next_revision = 0;
+    bool alive = true;
+    bool draining = false;
+  };
+
+  TimePoint Now() const { return TimePoint(m_now + std::chrono::hours(1)); }
+
+  void Observe(Side* self) {
+    const std::string prefix = self->ownership->OwnerPrefix();
+    if (self->next_revision == 0) {
+      const auto records = m_store.Range({.key = prefix, .prefix = true});
+      self->next_revision = records.revision + 1;
+      self->ownership->OnSnapshot(records, Now());
+      m_calls += 2;
+      return;
+    }
+    const auto events =
+        m_store.Events(prefix, self->next_revision, milliseconds(0));
+    for (const auto& event : events) {
+      self->next_revision = event.entry.mod_revision + 1;
+    }
+    self->ownership->OnEvents(events, Now());
+  }
+
+  void HoldLease(ShardOwnership* ownership) {
+    const LeaseStep step = ownership->NextLeaseStep(Now());
+    if (step == LeaseStep::kNone) return;
+    ++m_calls;
+    if (step == LeaseStep::kRenew) {
+      ownership->OnLeaseRenewed(m_store.RenewLease(ownership->Lease()), Now());
+      return;
+    }
+    ownership->OnLeaseGranted(m_store.GrantLease(ownership->LeaseTtl()), Now());
+  }
+
+  void Step(int side) {
+    Side& self = m_sides[side];
+    std::vector<state::BackendServerId> candidates;
+    for (int other = 0; other < kSides; ++other) {
+      // Draining is known to the process itself only.
+      if (other == side && self.draining) continue;
+      candidates.emplace_back(Name(other));
+    }
+    self.ownership->Configure(kShards, candidates);
+    Observe(&self);
+    HoldLease(self.ownership.get());
+    for (const ShardStep& step : self.ownership->PlanSteps(Now())) {
+      ++m_calls;
+      const auto result = m_store.Txn(step.txn);
+      const bool lost = m_lose_answers > 0 && m_lose_answers-- > 0;
+      if (!lost) self.ownership->OnStepResult(step, result, Now());
+    }
+  }
+
+  FakeKeyValue m_store;
+  Side m_sides[kSides];
+  std::mt19937_64 m_random{1};
+  milliseconds m_now{0};
+  int m_starts = 0;
+  int m_lose_answers = 0;
+  int m_calls = 0;
+  bool m_outage = false;
+};
+
+void AnyStep(Fleet* fleet) {
+  const int side = *rc::gen::inRange(0, kSides);
+  switch (*rc::gen::weightedElement<int>(
+      {{10, 0}, {1, 1}, {1, 2}, {1, 3}, {1, 4}, {1, 5}, {1, 6}, {1, 7}})) {
+    case 0:
+      fleet->Tick();
+      return;
+    case 1:
+      fleet->Kill(side);
+      return;
+    case 2:
+      fleet->Restart(side);
+      return;
+    case 3:
+      fleet->Resume(side);
+      return;
+    case 4:
+      fleet->SetDraining(side, *rc::gen::arbitrary<bool>());
+      return;
+    case 5:
+      fleet->SetOutage(*rc::gen::arbitrary<bool>());
+      return;
+    case 6:
+      fleet->LoseAnswers(*rc::gen::inRange(0, 4));
+      return;
+    default:
+      fleet->CutWatch(side);
+  }
+}
+
+}  // namespace
+
+TEST_CASE("every shard ends with its preferred live owner",
+          "[shard_ownership][fuzz]") {
+  rc::prop("one owner a shard once the faults are over", [] {
+    Fleet fleet;
+    const int steps = *rc::gen::inRange(0, 150);
+    for (int i = 0; i < steps; ++i) AnyStep(&fleet);
+    // One process lives for certain.
+    fleet.Resume(0);
+    fleet.SetDraining(0, false);
+    fleet.SetOutage(false);
+    for (int i = 0; i < kSettleTicks; ++i) fleet.Tick();
+    fleet.CheckOwned();
+  });
+}
+
+TEST_CASE("shards move when their owner dies, drains and comes back",
+          "[shard_ownership]") {
+  Fleet fleet;
+  for (int i = 0; i < kSettleTicks; ++i) fleet.Tick();
+  const std::string owner = fleet.StoredOwner(0);
+  const int side = owner.back() - '0';
+  // Two keep-alives within each lease and nothing else.
+  const int before = fleet.Calls();
+  for (int i = 0; i < 60; ++i) fleet.Tick();
+  CHECK(fleet.Calls() - before <= kSides * 30 * 3 / 4);
+
+  fleet.SetDraining(side, true);
+  CHECK(fleet.TicksToTakeOver(0, owner) <= 4);
+  fleet.SetDraining(side, false);
+  for (int i = 0; i < kSettleTicks; ++i) fleet.Tick();
+  REQUIRE(fleet.StoredOwner(0) == owner);
+  fleet.Kill(side);
+  // The lease of 5 s and the next observation.
+  CHECK(fleet.TicksToTakeOver(0, owner) <= 14);
+  fleet.Restart(side);
+  for (int i = 0; i < kSettleTicks; ++i) fleet.Tick();
+  CHECK(fleet.StoredOwner(0) == owner);
+}
+
+}  // namespace wasabiwall::coordination
