Key-value client: reads never in doubt, tables of outcomes, limits, retries

Cause: a failed read was reported as unknown, every 4xx as certainly not done (408 and 499 may follow an effect), a transaction above the service's limits was sent and failed there, and no read was tried again.

One table maps call kind and failure or status to done, not done or unknown. Reads are tried up to 3 times with a random wait, within the call's deadline and a budget of a tenth of the calls; writes are sent once, since only their caller can recognise an effect. Transactions above 128 comparisons or operations of a branch (etcd's default) or 1 MiB are refused as not done without a call.

--- a/src/wasabiwall/transport/key_value_client.cc
+++ b/src/wasabiwall/transport/key_value_client.cc
@@ -1,10 +1,15 @@
 #include "wasabiwall/transport/key_value_client.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <random>
+#include <thread>
 #include <utility>
 
+#include "wasabiwall/coordination/retry_budget.h"
 #include "wasabiwall/transport/base64.h"
 #include "wasabiwall/transport/http_client.h"
+#include "wasabiwall/transport/key_value_outcome.h"
 
 namespace wasabiwall::transport {
 namespace {
@@ -14,7 +19,13 @@
 using state::KeyValueFailure;
 using state::KeyValueResult;
 
+using Kind = KeyValueCallKind;
+
 constexpr std::chrono::hours kWatchTimeout{1};
+constexpr int kOk = 200;
+/// Reads tried again for each call, and how many may be saved up.
+constexpr double kRetryShare = 0.1;
+constexpr double kRetryBurst = 10.0;
 constexpr std::int64_t kMaxResponseBytes = 256 << 20;
 
 /// Reads a 64-bit integer, which the interface writes as a string.
@@ -117,11 +128,6 @@
   return events;
 }
 
-/// Whether the service refused before doing anything.
-bool CertainlyNotDone(HttpFailure failure) {
-  return failure == HttpFailure::kNotConnected;
-}
-
 }  // namespace
 
 /// Sends the calls; shared by the hooks.
@@ -130,21 +136,20 @@
   explicit Connection(KeyValueClientOptions options)
       : m_options(std::move(options)) {}
 
-  KeyValueResult<json> Call(const char* path, const json& body) {
-    ++m_calls;
-    const auto response = HttpClient::Send(Request(path, body));
-    if (!response) {
-      return tl::make_unexpected(CertainlyNotDone(response.error())
-                                     ? KeyValueFailure::kNotDone
-                                     : KeyValueFailure::kUnknown);
-    }
-    json parsed = json::parse(response->body, nullptr, false);
-    const bool refused = response->status >= 400 && response->status < 500;
-    if (refused) return tl::make_unexpected(KeyValueFailure::kNotDone);
-    if (response->status != 200 || !parsed.is_object()) {
-      return tl::make_unexpected(KeyValueFailure::kUnknown);
+  KeyValueResult<json> Call(KeyValueCallKind kind, const char* path,
+                            const json& body) {
+    const auto deadline = Clock::now() + m_options.call_timeout;
+    m_retries.OnFirstAttempt();
+    KeyValueResult<json> result = Send(kind, path, body, deadline);
+    const int tries =
+        kind == KeyValueCallKind::kRead ? m_options.max_read_tries : 1;
+    for (int i = 1; i < tries && !result; ++i) {
+      const std::chrono::milliseconds wait = RetryWait();
+      if (Clock::now() + wait >= deadline || !m_retries.Take()) break;
+      std::this_thread::sleep_for(wait);
+      result = Send(kind, path, body, deadline);
     }
-    return parsed;
+    return result;
   }
 
   KeyValueResult<bool> Watch(
@@ -181,6 +186,37 @@
   std::int64_t Calls() const { return m_calls; }
 
  private:
+  using Clock = std::chrono::steady_clock;
+
+  KeyValueResult<json> Send(KeyValueCallKind kind, const char* path,
+                            const json& body, Clock::time_point deadline) {
+    HttpRequest request = Request(path, body);
+    request.total_timeout =
+        std::max(std::chrono::milliseconds(1),
+                 std::chrono::duration_cast<std::chrono::milliseconds>(
+                     deadline - Clock::now()));
+    request.connect_timeout =
+        std::min(request.connect_timeout, request.total_timeout);
+    ++m_calls;
+    const auto response = HttpClient::Send(request);
+    if (!response) {
+      return tl::make_unexpected(OutcomeOfFailure(kind, response.error()));
+    }
+    if (response->status != kOk) {
+      return tl::make_unexpected(OutcomeOfStatus(kind, response->status));
+    }
+    json parsed = json::parse(response->body, nullptr, false);
+    if (parsed.is_object()) return parsed;
+    return tl::make_unexpected(OutcomeOfFailure(kind, HttpFailure::kBroken));
+  }
+
+  std::chrono::milliseconds RetryWait() const {
+    thread_local std::mt19937_64 generator{std::random_device{}()};
+    std::uniform_int_distribution<std::int64_t> wait(
+        0, m_options.retry_wait.count());
+    return std::chrono::milliseconds(wait(generator));
+  }
+
   HttpRequest Request(const char* path, const json& body) const {
     HttpRequest request;
     request.method = "POST";
@@ -195,6 +231,7 @@
 
   KeyValueClientOptions m_options;
   std::atomic<std::int64_t> m_calls{0};
+  coordination::RetryBudget m_retries{kRetryShare, kRetryBurst};
 };
 
 KeyValueClient::KeyValueClient(KeyValueClientOptions options)
@@ -207,14 +244,19 @@
   const std::shared_ptr<Connection> connection = m_connection;
   store.range = [connection](const state::KeyValueRange& range)
       -> KeyValueResult<state::KeyValueRangeResult> {
-    const auto response = connection->Call("/v3/kv/range", RangeBody(range));
+    const auto response =
+        connection->Call(Kind::kRead, "/v3/kv/range", RangeBody(range));
     if (!response) return tl::make_unexpected(response.error());
     return state::KeyValueRangeResult{ReadRevision(*response),
                                       ReadEntries(*response)};
   };
   store.txn = [connection](const state::KeyValueTxn& txn)
       -> KeyValueResult<state::KeyValueTxnResult> {
-    const auto response = connection->Call("/v3/kv/txn", TxnBody(txn));
+    if (!WithinLimits(txn)) {
+      return tl::make_unexpected(KeyValueFailure::kNotDone);
+    }
+    const auto response =
+        connection->Call(Kind::kWrite, "/v3/kv/txn", TxnBody(txn));
     if (!response) return tl::make_unexpected(response.error());
     state::KeyValueTxnResult result;
     result.succeeded = response->value("succeeded", false);
@@ -231,14 +273,15 @@
   };
   store.grant_lease =
       [connection](std::chrono::seconds ttl) -> KeyValueResult<std::int64_t> {
-    const auto response = connection->Call(
-        "/v3/lease/grant", {{"TTL", std::to_string(ttl.count())}});
+    const auto response =
+        connection->Call(Kind::kWrite, "/v3/lease/grant",
+                         {{"TTL", std::to_string(ttl.count())}});
     if (!response) return tl::make_unexpected(response.error());
     return ReadInt(*response, "ID");
   };
   store.renew_lease =
       [connection](std::int64_t lease) -> KeyValueResult<std::chrono::seconds> {
-    const auto response = connection->Call("/v3/lease/keepalive",
+    const auto response = connection->Call(Kind::kWrite, "/v3/lease/keepalive",
                                            {{"ID", std::to_string(lease)}});
     if (!response) return tl::make_unexpected(response.error());
     const json result = response->value("result", json::object());
@@ -246,8 +289,8 @@
   };
   store.revoke_lease =
       [connection](std::int64_t lease) -> KeyValueResult<bool> {
-    const auto response =
-        connection->Call("/v3/lease/revoke", {{"ID", std::to_string(lease)}});
+    const auto response = connection->Call(Kind::kWrite, "/v3/lease/revoke",
+                                           {{"ID", std::to_string(lease)}});
     if (!response) return tl::make_unexpected(response.error());
     return true;
   };
