--- a/tests/transport/key_value_client_test.cc
+++ b/tests/transport/key_value_client_test.cc
@@ -2,8 +2,8 @@
 
 #include <atomic>
 #include <catch2/catch.hpp>
-#include <memory>
 
+#include "fakes/test_port.h"
 #include "standins/support/fake_key_value.h"
 #include "wasabiwall/transport/http_server.h"
 #include "wasabiwall/transport/key_value_outcome.h"
@@ -15,40 +15,36 @@
 
 namespace {
 
-constexpr int kFirstPort = 23900;
-constexpr int kLastPort = 23999;
+/// Offset of the first test port; each server has a port of its own, because
+/// a connection kept to a stopped one in this process is not closed.
+constexpr int kFirstPort = 8;
 
 /// A service that fails a number of times with one answer, then succeeds.
 class Service {
  public:
-  Service(int status, std::string body, int failures)
-      : m_status(status), m_body(std::move(body)), m_failures(failures) {
-    for (int port = kFirstPort; port <= kLastPort && !m_server; ++port) {
-      HttpServerOptions options;
-      options.address = "127.0.0.1:" + std::to_string(port);
-      options.worker_threads = 2;
-      auto server = std::make_unique<HttpServer>(
-          options, [this](const auto&, const auto& response) {
-            const bool failed = m_failures-- > 0;
-            response->Send(failed ? m_status : 200, "application/json",
-                           failed ? m_body : "{}", {});
-          });
-      if (!server->Start()) continue;
-      m_server = std::move(server);
-      m_url = "http://" + options.address;
-    }
-    REQUIRE(m_server);
+  Service(int port, int status, std::string body, int failures)
+      : m_status(status),
+        m_body(std::move(body)),
+        m_failures(failures),
+        m_address(fakes::TestAddress(port)),
+        m_server({.address = m_address, .worker_threads = 2},
+                 [this](const auto&, const auto& response) {
+                   const bool failed = m_failures-- > 0;
+                   response->Send(failed ? m_status : 200, "application/json",
+                                  failed ? m_body : "{}", {});
+                 }) {
+    REQUIRE(m_server.Start());
   }
-  ~Service() { m_server->Stop(std::chrono::milliseconds(0)); }
+  ~Service() { m_server.Stop(std::chrono::milliseconds(0)); }
 
-  const std::string& Url() const { return m_url; }
+  std::string Url() const { return "http://" + m_address; }
 
  private:
   int m_status;
   std::string m_body;
   std::atomic<int> m_failures;
-  std::unique_ptr<HttpServer> m_server;
-  std::string m_url;
+  std::string m_address;
+  HttpServer m_server;
 };
 
 KeyValueClient MakeClient(const std::string& url) {
@@ -103,16 +99,17 @@
     bool read_done;
     std::int64_t read_calls;
   };
+  int port = kFirstPort;
   for (const Row& row : std::vector<Row>{{503, "{}", 2, true, 3},
                                          {200, "not json", 1, true, 2},
                                          {500, "{}", 9, false, 3}}) {
     CAPTURE(row.status);
-    Service for_read(row.status, row.body, row.failures);
+    Service for_read(port++, row.status, row.body, row.failures);
     const KeyValueClient reader = MakeClient(for_read.Url());
     CHECK(reader.Store().range({.key = "a"}).has_value() == row.read_done);
     CHECK(reader.Calls() == row.read_calls);
 
-    Service for_write(row.status, row.body, row.failures);
+    Service for_write(port++, row.status, row.body, row.failures);
     const KeyValueClient writer = MakeClient(for_write.Url());
     const auto written = writer.Store().txn({.writes = {{"a", "1"}}});
     REQUIRE_FALSE(written.has_value());
