Withdraw the intent of a call that the backend server never got

Cause: an error that says "not run" (warming up, no connection) was recorded as the outcome of the key, so that every repeat got it again and the booking could never be made, although the answer said when to come back. The intent is now withdrawn and a repeat runs.

--- a/src/wasabiwall/coordination/key_ledger.cc
+++ b/src/wasabiwall/coordination/key_ledger.cc
@@ -171,6 +171,12 @@
   if (found == m_key_by_attempt.end()) return;
   Record& record = m_records.at(found->second);
   if (record.phase != Phase::kRunning) return;
+  const auto kind = protocol::ParseErrorKind(outcome.end.error_kind);
+  if (kind && protocol::RowOf(*kind).not_run) {
+    // The backend server never got the call; a repeat may run.
+    Abandon(std::string(found->second), *kind);
+    return;
+  }
   record.outcome = BoundOutcome(outcome);
   record.phase = Phase::kOutcomeQueued;
   m_outcome_queue.push_back(found->second);
--- a/src/wasabiwall/coordination/key_ledger.h
+++ b/src/wasabiwall/coordination/key_ledger.h
@@ -116,7 +116,8 @@
       const LedgerBatch& batch,
       const state::KeyValueResult<state::KeyValueTxnResult>& result);
 
-  /// Records the answer of an attempt that has run.
+  /// Records the answer of an attempt that has run. An error that says "not
+  /// run" withdraws the intent instead.
   void OnOutcome(const state::AttemptId& attempt,
                  const RecordedOutcome& outcome);
 
--- a/tests/coordination/key_ledger_test.cc
+++ b/tests/coordination/key_ledger_test.cc
@@ -312,6 +312,30 @@
         protocol::ErrorKind::kOutcomeUnknown);
 }
 
+TEST_CASE("a call that never reached the backend server may run again",
+          "[key_ledger]") {
+  FakeKeyValue store;
+  Owner first(&store, "first", {});
+  first.ledger.Begin(MakeCall(0, 0, 1));
+  REQUIRE(first.Commit().front().action == Action::kRun);
+  RecordedOutcome refused;
+  refused.end.error_kind = "warming_up";
+  first.ledger.OnOutcome(state::AttemptId("1"), refused);
+  const bool withdrawn_before_repeat = GENERATE(false, true);
+  if (withdrawn_before_repeat) first.Commit();
+  Owner second(&store, "second", {});
+  KeyLedger& repeat = withdrawn_before_repeat ? second.ledger : first.ledger;
+  Owner& owner = withdrawn_before_repeat ? second : first;
+  if (!withdrawn_before_repeat) {
+    const auto entry = store.Range({.key = kOwnerKey}).entries.front();
+    repeat.OnShardOwned(0, kOwnerKey, entry.create_revision);
+  }
+  REQUIRE(repeat.Begin(MakeCall(0, 0, 2)).action == Action::kCommit);
+  auto decisions = owner.Commit();
+  if (decisions.empty()) decisions = owner.Commit();
+  CHECK(decisions.front().action == Action::kRun);
+}
+
 TEST_CASE("outcomes whose answer was lost are not written for ever",
           "[key_ledger]") {
   FakeKeyValue store;
