--- a/programs/side_daemon.cc
+++ b/programs/side_daemon.cc
@@ -60,19 +60,16 @@
                        coordination::SteadyClock()),
       m_load_news(m_settings.backend_server, &m_control_budget,
                   coordination::SteadyClock()),
-      m_follower({.backend_server = m_settings.backend_server,
-                  .failure_domain = m_settings.failure_domain,
-                  .address = m_settings.peer_address,
-                  .peers = m_settings.peers,
-                  .may_read_service = m_settings.reads_configuration},
-                 m_store, &m_config, &m_peers,
-                 [this] { return MakeEnvelope(); },
-                 {.on_read =
-                      [this](auto began_at) {
-                        m_node.OnConfigurationRead(began_at);
-                      },
-                  .read_wanted =
-                      [this] { return m_node.ConfigurationWanted(); }}),
+      m_follower(
+          {.backend_server = m_settings.backend_server,
+           .failure_domain = m_settings.failure_domain,
+           .address = m_settings.peer_address,
+           .peers = m_settings.peers,
+           .may_read_service = m_settings.reads_configuration},
+          m_store, &m_config, &m_peers, [this] { return MakeEnvelope(); },
+          {.on_read =
+               [this](auto began_at) { m_node.OnConfigurationRead(began_at); },
+           .read_wanted = [this] { return m_node.ConfigurationWanted(); }}),
       m_peer_server(m_settings.peer_address, m_settings.secret,
                     MakePeerHandlers()),
       m_http_server({.address = m_settings.http_address,
--- a/programs/side_daemon.h
+++ b/programs/side_daemon.h
@@ -72,9 +72,9 @@
   transport::Metrics m_metrics;
   transport::PeerServer m_peer_server;
   transport::HttpServer m_http_server;
+  std::mutex m_engine_mutex;
   state::PoolId m_shard_pool;
   std::unique_ptr<transport::ShardOwnerLoop> m_shard_owner;
-  std::mutex m_engine_mutex;
   std::string m_engine_incarnation;
   /// Whether the backend server gives load reports.
   std::atomic<bool> m_engine_reports{false};
