--- a/programs/entry_daemon.cc
+++ b/programs/entry_daemon.cc
@@ -74,7 +74,11 @@
                     [this](const auto& target) {
                       return MakeEnvelopeFor(target.value, false);
                     },
-                .on_envelope = [this](const auto& e) { OnEnvelope(e); }}),
+                .on_envelope = [this](const auto& e) { OnEnvelope(e); },
+                .on_part_gap =
+                    [this](const auto& workspace, auto gap) {
+                      m_metrics.ObservePartGap(workspace, gap);
+                    }}),
       m_prober(&m_node, &m_config, &m_peers, &m_control_budget,
                {.make_envelope = [this] { return MakeEnvelope(); },
                 .on_envelope = [this](const auto& e) { OnEnvelope(e); }}),
@@ -144,6 +148,7 @@
   const transport::CallOutcome outcome = m_driver.Drive(*planned, response);
   const std::string& workspace = planned->request.workspace;
   m_metrics.CountCall(workspace, outcome.error_kind);
+  m_metrics.CountAttempts(outcome.attempts);
   if (outcome.bytes > 0)
     m_metrics.ObserveFirstByte(workspace, outcome.first_byte);
   transport::LogInfo(
--- a/programs/side_daemon.cc
+++ b/programs/side_daemon.cc
@@ -241,6 +241,10 @@
     const auto& admission = m_node.Admission();
     m_metrics.SetGauge("wasabiwall_load_units",
                        static_cast<double>(admission.LoadUnits()));
+    m_metrics.SetGauge("wasabiwall_prompt_tokens",
+                       static_cast<double>(m_node.PromptTokens()));
+    m_metrics.SetGauge("wasabiwall_cached_tokens",
+                       static_cast<double>(m_node.CachedTokens()));
     m_metrics.SetGauge("wasabiwall_running",
                        static_cast<double>(admission.Running()));
     m_metrics.SetGauge("wasabiwall_warmup_limit_units",
--- a/src/wasabiwall/coordination/side_node.cc
+++ b/src/wasabiwall/coordination/side_node.cc
@@ -495,6 +495,8 @@
   if (usage) {
     evidence.prompt_tokens = usage->prompt_tokens;
     evidence.cached_tokens = usage->cached_tokens;
+    m_prompt_tokens += usage->prompt_tokens;
+    m_cached_tokens += usage->cached_tokens.value_or(0);
   }
   return m_cold_detector.OnAnswer(evidence);
 }
--- a/src/wasabiwall/coordination/side_node.h
+++ b/src/wasabiwall/coordination/side_node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -131,6 +132,11 @@
 
   bool Draining() const;
 
+  /// @return Prompt tokens that answers have reported so far.
+  std::int64_t PromptTokens() const { return m_prompt_tokens; }
+  /// @return Of these, tokens that the engine found in its cache.
+  std::int64_t CachedTokens() const { return m_cached_tokens; }
+
  private:
   using Attempts = state::ShardedMap<state::AttemptId, SideAttempt>;
 
@@ -188,6 +194,8 @@
   std::shared_ptr<const state::ConfigView> m_followed;
   std::int64_t m_others = 0;
   std::unordered_map<std::int64_t, state::BackendServerId> m_owners;
+  std::atomic<std::int64_t> m_prompt_tokens{0};
+  std::atomic<std::int64_t> m_cached_tokens{0};
 };
 
 }  // namespace wasabiwall::coordination
--- a/src/wasabiwall/transport/call_driver.cc
+++ b/src/wasabiwall/transport/call_driver.cc
@@ -189,7 +189,7 @@
     if (!reply.content_type.empty()) m_content_type = reply.content_type;
     if (reply.http_status != 0) m_status = reply.http_status;
     if (reply.data.empty()) return true;
-    if (m_received == 0) m_outcome.first_byte = m_clock() - m_started;
+    NoteTime();
     m_received += static_cast<std::int64_t>(reply.data.size());
     m_outcome.bytes = m_received;
     m_digest.Add(reply.data);
@@ -204,6 +204,17 @@
     return m_response->Write(reply.data);
   }
 
+  void NoteTime() {
+    const TimePoint now = m_clock();
+    if (m_received == 0) {
+      m_outcome.first_byte = now - m_started;
+    } else if (m_call.streaming) {
+      m_driver->m_hooks.on_part_gap(m_call.request.workspace,
+                                    now - m_last_part);
+    }
+    m_last_part = now;
+  }
+
   void FinishAnswer() {
     if (m_begun) {
       m_response->End();
@@ -231,6 +242,7 @@
   CallPlan m_plan;
   coordination::ClockHook m_clock;
   TimePoint m_started;
+  TimePoint m_last_part;
   CallOutcome m_outcome;
   std::int64_t m_received = 0;
   state::RunningDigest m_digest;
--- a/src/wasabiwall/transport/call_driver.h
+++ b/src/wasabiwall/transport/call_driver.h
@@ -29,6 +29,10 @@
   std::function<protocol::gen::Envelope(const state::BackendServerId& target)>
       make_envelope;
   std::function<void(const protocol::gen::Envelope&)> on_envelope;
+  /// Told the time between two parts of a streamed answer.
+  std::function<void(const std::string& workspace,
+                     std::chrono::microseconds gap)>
+      on_part_gap;
 };
 
 /// Carries out the steps of a call's plan against side processes and writes
--- a/src/wasabiwall/transport/metrics.cc
+++ b/src/wasabiwall/transport/metrics.cc
@@ -17,6 +17,12 @@
   return bounds;
 }
 
+const prometheus::Histogram::BucketBoundaries& PartGapSeconds() {
+  static const prometheus::Histogram::BucketBoundaries bounds = {
+      0.001, 0.005, 0.01, 0.02, 0.033, 0.05, 0.1, 0.2, 0.5, 1.0, 5.0};
+  return bounds;
+}
+
 }  // namespace
 
 /// The registry and its families.
@@ -30,11 +36,22 @@
         first_byte(prometheus::BuildHistogram()
                        .Name("wasabiwall_first_byte_seconds")
                        .Help("Time to the first byte of an answer.")
-                       .Register(registry)) {}
+                       .Register(registry)),
+        part_gap(prometheus::BuildHistogram()
+                     .Name("wasabiwall_part_gap_seconds")
+                     .Help("Time between two parts of a streamed answer.")
+                     .Register(registry)),
+        attempts(prometheus::BuildCounter()
+                     .Name("wasabiwall_attempts_total")
+                     .Help("Submits to side processes.")
+                     .Register(registry)
+                     .Add({})) {}
 
   prometheus::Registry registry;
   prometheus::Family<prometheus::Counter>& calls;
   prometheus::Family<prometheus::Histogram>& first_byte;
+  prometheus::Family<prometheus::Histogram>& part_gap;
+  prometheus::Counter& attempts;
 };
 
 Metrics::Metrics() : m_families(std::make_unique<Families>()) {}
@@ -56,6 +73,17 @@
       .Observe(std::chrono::duration<double>(time).count());
 }
 
+void Metrics::ObservePartGap(const std::string& workspace,
+                             std::chrono::microseconds time) {
+  m_families->part_gap
+      .Add({{"workspace", WorkspaceLabel(workspace)}}, PartGapSeconds())
+      .Observe(std::chrono::duration<double>(time).count());
+}
+
+void Metrics::CountAttempts(int attempts) {
+  m_families->attempts.Increment(attempts);
+}
+
 void Metrics::SetGauge(const std::string& name, double value) {
   prometheus::BuildGauge()
       .Name(name)
@@ -73,7 +101,7 @@
   const std::lock_guard lock(m_mutex);
   if (m_named_workspaces.count(workspace) > 0) return workspace;
   if (m_named_workspaces.size() >= kMaxNamedWorkspaces) return "other";
-  m_named_workspaces[workspace] = true;
+  m_named_workspaces.insert(workspace);
   return workspace;
 }
 
--- a/src/wasabiwall/transport/metrics.h
+++ b/src/wasabiwall/transport/metrics.h
@@ -2,9 +2,9 @@
 
 #include <chrono>
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 
 namespace wasabiwall::transport {
@@ -24,6 +24,13 @@
   void ObserveFirstByte(const std::string& workspace,
                         std::chrono::microseconds time);
 
+  /// Records the time between two parts of a streamed answer.
+  void ObservePartGap(const std::string& workspace,
+                      std::chrono::microseconds time);
+
+  /// Counts the submits of one call.
+  void CountAttempts(int attempts);
+
   /// Sets a gauge without labels.
   void SetGauge(const std::string& name, double value);
 
@@ -36,7 +43,7 @@
 
   std::unique_ptr<Families> m_families;
   std::mutex m_mutex;
-  std::map<std::string, bool> m_named_workspaces;
+  std::set<std::string> m_named_workspaces;
 };
 
 }  // namespace wasabiwall::transport
