--- a/src/wasabiwall/state/config_records.h
+++ b/src/wasabiwall/state/config_records.h
@@ -36,7 +36,7 @@
   /// Bound on a backend server's load as a multiple of the pool's mean.
   double max_load_ratio = 1.25;
   /// Load that a backend server may always carry, in load units.
-  std::int64_t load_floor_units = 4000;
+  std::int64_t load_floor_units = 8000;
   /// Load that a backend server may carry at the most, in load units.
   std::int64_t load_ceiling_units = 64000;
   /// Load that a backend server that has just started may carry.
