Revert growing suspicion: a thawed backend server stayed without work

Seen: tests/system/leaving, 'domain back: no work in 8 s' after a side process was frozen for 10 s; before the change work was back. Cause: entries had given it five strikes while it was frozen and tried it last for 16 s, and suspects are not probed. Ruled out: a lower ceiling (8 s would still be seen). Conclusion: growing suspicion needs probes of suspects that clear it, on a thread that a frozen peer cannot hold up. The floor's default stays.

--- a/src/wasabiwall/coordination/membership.h
+++ b/src/wasabiwall/coordination/membership.h
@@ -17,9 +17,7 @@
 /// backend server should be tried. Safe for concurrent use.
 class Membership {
  public:
-  /// @param suspect_time Time for which a backend server is tried last after a
-  /// first failure; it doubles with each further one, and a backend server that
-  /// comes and goes keeps what it has earned until it has been steady.
+  /// @param suspect_time Time for which a failed backend server is tried last.
   explicit Membership(std::chrono::milliseconds suspect_time);
 
   /// Replaces the VM list; a missing VM is suspect, not dead.
@@ -38,18 +36,11 @@
   bool Suspect(const state::BackendServerId& server, TimePoint now) const;
 
  private:
-  /// Failures of one backend server.
-  struct Failures {
-    int strikes = 0;
-    TimePoint last_at;
-    TimePoint suspect_until;
-  };
-
   std::chrono::milliseconds m_suspect_time;
   mutable std::mutex m_mutex;
   bool m_have_list = false;
   std::unordered_map<state::BackendServerId, VmState> m_vms;
-  std::unordered_map<state::BackendServerId, Failures> m_failures;
+  std::unordered_map<state::BackendServerId, TimePoint> m_failed_at;
 };
 
 }  // namespace wasabiwall::coordination
