Thread sanitizer clean: connection records are released in our own code

Cause: the library's thread dropped the last reference to a connection record in code that the sanitizer does not see, and 14 reports came of it. The library now keeps a handle that only its thread uses. Ruled out: a suppression.

--- a/src/wasabiwall/transport/http_server.cc
+++ b/src/wasabiwall/transport/http_server.cc
@@ -131,6 +131,13 @@
                  protocol::ErrorBody(error), error.RetryAfter());
 }
 
+/// What the library keeps for a connection. It is used by the connection's own
+/// thread only, so that the count of the shared record is changed in code that
+/// the thread sanitizer sees.
+struct ConnectionHandle {
+  std::shared_ptr<ServerConnection> connection;
+};
+
 /// Passes requests to the workers.
 class Handler : public http::Handler {
  public:
@@ -147,8 +154,10 @@
                  http::ResponseWriter writer) override {
     const auto peer = writer.getPeer();
     if (!peer) return;
-    const auto connection = std::static_pointer_cast<ServerConnection>(
-        peer->getData(kConnectionData));
+    const std::shared_ptr<ServerConnection> connection =
+        std::static_pointer_cast<ConnectionHandle>(
+            peer->getData(kConnectionData))
+            ->connection;
     if (!connection->StartRequest()) {
       // A request sent before the answer to the one before it; answers written
       // at the same time could cross.
@@ -185,7 +194,8 @@
     peer->putData(ParserData,
                   std::make_shared<http::RequestParser>(getMaxRequestSize()));
     const auto connection = std::make_shared<ServerConnection>(peer->fd());
-    peer->putData(kConnectionData, connection);
+    peer->putData(kConnectionData,
+                  std::make_shared<ConnectionHandle>(connection));
     m_watch->Add(connection);
   }
 
