--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -94,6 +94,7 @@
                              {{"kind", "model"},
                               {"load_ceiling_units", 1000000000},
                               {"warmup_units", 1000000000},
+                              {"warmup_calls", 1000000000},
                               {"load_floor_units", 1000000000},
                               {"models", {"model-" + std::to_string(i)}}}));
   }
--- a/src/wasabiwall/transport/http_server.cc
+++ b/src/wasabiwall/transport/http_server.cc
@@ -135,6 +135,9 @@
 /// thread only, so that the count of the shared record is changed in code that
 /// the thread sanitizer sees.
 struct ConnectionHandle {
+  explicit ConnectionHandle(std::shared_ptr<ServerConnection> held)
+      : connection(std::move(held)) {}
+
   std::shared_ptr<ServerConnection> connection;
 };
 
