--- a/src/wasabiwall/coordination/cold_detector.cc
+++ b/src/wasabiwall/coordination/cold_detector.cc
@@ -39,13 +39,14 @@
   if (!evidence.whole || !evidence.first_token) return Warmth::kWarm;
   const double computed = static_cast<double>(
       evidence.prompt_tokens.value_or(0) - evidence.cached_tokens.value_or(0));
-  const double sample = static_cast<double>(evidence.first_token->count()) /
-                        (kFixedTokens + computed);
+  const std::chrono::duration<double, std::micro> first_token =
+      *evidence.first_token;
+  const auto sample = first_token / (kFixedTokens + computed);
   const bool known = m_samples >= kMinSamples;
-  const double ratio = known ? sample / m_usual_us : 1.0;
+  const double ratio = known ? sample / m_usual : 1.0;
   ++m_samples;
   const double weight = known ? kSampleWeight : 1.0 / m_samples;
-  m_usual_us += (sample - m_usual_us) * weight;
+  m_usual += (sample - m_usual) * weight;
   if (ratio > kColdFactor) return Warmth::kCold;
   return ratio > kSlowFactor ? Warmth::kSlow : Warmth::kWarm;
 }
@@ -70,7 +71,7 @@
 void ColdDetector::Forget() {
   m_chats.clear();
   m_chat_order.clear();
-  m_usual_us = 0;
+  m_usual = {};
   m_samples = m_failures = m_misses = m_slow = 0;
 }
 
--- a/src/wasabiwall/coordination/cold_detector.h
+++ b/src/wasabiwall/coordination/cold_detector.h
@@ -50,7 +50,7 @@
   std::unordered_set<std::uint64_t> m_chats;
   std::deque<std::uint64_t> m_chat_order;
   /// Moving average of first-token time for each prompt token to be computed.
-  double m_usual_us = 0;
+  std::chrono::duration<double, std::micro> m_usual{0};
   int m_samples = 0;
   int m_failures = 0;
   int m_misses = 0;
--- a/src/wasabiwall/coordination/message_age.cc
+++ b/src/wasabiwall/coordination/message_age.cc
@@ -17,18 +17,18 @@
 
 MessageAge::MessageAge(ClockHook clock, std::uint64_t origin)
     : m_clock(std::move(clock)),
-      m_origin_us(static_cast<std::int64_t>(origin % kOriginRange) + 1) {}
+      m_origin(static_cast<std::int64_t>(origin % kOriginRange) + 1) {}
 
 void MessageAge::Stamp(const std::string& receiver,
                        protocol::gen::Envelope* envelope) const {
   const TimePoint now = m_clock();
-  envelope->clock_us = ToReading(now);
+  envelope->clock_us = ToReading(now).count();
   envelope->echo_clock_us = 0;
   envelope->echo_age_us = 0;
   const std::lock_guard lock(m_mutex);
   const auto found = m_readings.find(receiver);
   if (found == m_readings.end()) return;
-  envelope->echo_clock_us = found->second.clock_us;
+  envelope->echo_clock_us = found->second.clock.count();
   envelope->echo_age_us = (now - found->second.heard_at).count();
 }
 
@@ -38,18 +38,19 @@
   if (envelope.clock_us != 0 && !sender.empty()) {
     const std::lock_guard lock(m_mutex);
     if (m_readings.size() >= kMaxSenders) m_readings.clear();
-    m_readings[sender] = {envelope.clock_us, now};
+    m_readings[sender] = {microseconds(envelope.clock_us), now};
   }
   if (envelope.echo_clock_us <= 0 || envelope.echo_age_us < 0) return {};
   // The message was sent after the echoed reading, by at least the echo's age.
-  const microseconds transit(ToReading(now) - envelope.echo_clock_us -
-                             envelope.echo_age_us);
+  const microseconds transit = ToReading(now) -
+                               microseconds(envelope.echo_clock_us) -
+                               microseconds(envelope.echo_age_us);
   if (transit < microseconds(0) || transit > kMaxTransit) return {};
   return transit;
 }
 
-std::int64_t MessageAge::ToReading(TimePoint time) const {
-  return m_origin_us + time.time_since_epoch().count();
+microseconds MessageAge::ToReading(TimePoint time) const {
+  return m_origin + time.time_since_epoch();
 }
 
 }  // namespace wasabiwall::coordination
--- a/src/wasabiwall/coordination/message_age.h
+++ b/src/wasabiwall/coordination/message_age.h
@@ -36,14 +36,14 @@
 
  private:
   struct Reading {
-    std::int64_t clock_us = 0;
+    std::chrono::microseconds clock{0};
     TimePoint heard_at;
   };
 
-  std::int64_t ToReading(TimePoint time) const;
+  std::chrono::microseconds ToReading(TimePoint time) const;
 
   ClockHook m_clock;
-  std::int64_t m_origin_us;
+  std::chrono::microseconds m_origin;
   mutable std::mutex m_mutex;
   std::unordered_map<std::string, Reading> m_readings;
 };
--- a/tests/transport/key_value_client_test.cc
+++ b/tests/transport/key_value_client_test.cc
@@ -15,8 +15,7 @@
 
 namespace {
 
-/// Offset of the first test port; each server has a port of its own, because
-/// a connection kept to a stopped one in this process is not closed.
+/// Offset of the first test port; each server has a port of its own.
 constexpr int kFirstPort = 8;
 
 /// A service that fails a number of times with one answer, then succeeds.
