--- a/programs/daemon_main.h
+++ b/programs/daemon_main.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <thrift/TOutput.h>
+
 #include <iostream>
 #include <string>
 
@@ -32,6 +34,9 @@
   if (options.check_only) return kExitOk;
   BlockStopSignals();
   transport::StartLogging(settings->log_level, settings->name);
+  apache::thrift::GlobalOutput.setOutputFunction([](const char* message) {
+    transport::LogDebug("thrift", {{"message", message}});
+  });
   Daemon daemon(*settings);
   if (!daemon.Start()) {
     transport::LogError("listen_failed", {{"http", settings->http_address},
--- /dev/null
+++ b/src/wasabiwall/coordination/backend_health.cc
@@ -0,0 +1,62 @@
+#include "wasabiwall/coordination/backend_health.h"
+
+#include <algorithm>
+
+namespace wasabiwall::coordination {
+namespace {
+
+/// Weight of the newest outcome in the failure share: about ten calls count.
+constexpr double kOutcomeWeight = 0.1;
+/// Failure share from which a backend server is spared; a few lost answers in
+/// a hundred are usual on a sound one.
+constexpr double kSparedFailureShare = 0.25;
+/// Consecutive failures after which a backend server is spared.
+constexpr int kSparedConsecutiveFailures = 3;
+/// First time for which a backend server is spared; doubles up to the longest.
+constexpr std::chrono::milliseconds kShortestSparing{500};
+/// A restarted backend server is back within seconds.
+constexpr std::chrono::milliseconds kLongestSparing{4000};
+constexpr int kMostDoublings = 3;
+
+}  // namespace
+
+bool BackendHealth::OnSignal(const state::BackendServerId& id,
+                             HealthSignal signal, TimePoint now) {
+  if (signal == HealthSignal::kRefused) return false;
+  Entry& entry = m_entries[id];
+  if (signal == HealthSignal::kAnswered) {
+    entry.failure_share *= 1.0 - kOutcomeWeight;
+    entry.consecutive_failures = 0;
+    if (entry.failure_share < kSparedFailureShare / 2) entry.times_spared = 0;
+    return false;
+  }
+  entry.failure_share += kOutcomeWeight * (1.0 - entry.failure_share);
+  ++entry.consecutive_failures;
+  const bool failing =
+      signal == HealthSignal::kUnreachable ||
+      entry.consecutive_failures >= kSparedConsecutiveFailures ||
+      entry.failure_share >= kSparedFailureShare;
+  return failing && Spare(&entry, now);
+}
+
+bool BackendHealth::Spare(Entry* entry, TimePoint now) {
+  if (now < entry->spared_until) return false;
+  const int doublings = std::min(entry->times_spared, kMostDoublings);
+  entry->spared_until =
+      now + std::min(kShortestSparing * (1 << doublings), kLongestSparing);
+  ++entry->times_spared;
+  return true;
+}
+
+bool BackendHealth::IsSpared(const state::BackendServerId& id,
+                             TimePoint now) const {
+  const auto found = m_entries.find(id);
+  return found != m_entries.end() && now < found->second.spared_until;
+}
+
+double BackendHealth::FailureShare(const state::BackendServerId& id) const {
+  const auto found = m_entries.find(id);
+  return found == m_entries.end() ? 0 : found->second.failure_share;
+}
+
+}  // namespace wasabiwall::coordination
--- /dev/null
+++ b/src/wasabiwall/coordination/backend_placement.cc
@@ -0,0 +1,181 @@
+#include "wasabiwall/coordination/backend_placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "wasabiwall/state/digest.h"
+
+namespace wasabiwall::coordination {
+namespace {
+
+/// Part of the load bound that is used, as the estimate lags behind.
+constexpr double kLoadFactorMargin = 0.75;
+/// Calls above the multiple of the mean that are always allowed; the bound
+/// itself allows 3 and the estimate may be off by one.
+constexpr double kLoadSlack = 2.0;
+/// Shared tokens from which a copy between engines costs less than its set-up.
+constexpr std::int64_t kFetchTokens = 256;
+/// Age up to which a backend server may lack prompts that others hold.
+constexpr std::chrono::seconds kNewcomerAge{20};
+/// Lead in age that makes another backend server the likely earlier holder.
+constexpr std::chrono::seconds kEarlierBy{2};
+/// Cost of leaving the own failure domain, in calls: it only breaks ties.
+constexpr double kOtherDomainCost = 0.5;
+/// Cost of a backend server that fails all calls, in calls.
+constexpr double kFailingCost = 20.0;
+/// Share of the cold limit that is used, for calls of processes not yet known.
+constexpr double kColdMargin = 0.8;
+
+double UniformOf(std::uint64_t hash) {
+  return (static_cast<double>(hash >> 11U) + 0.5) * 0x1p-53;
+}
+
+}  // namespace
+
+BackendPlacement::BackendPlacement(Inputs inputs,
+                                   state::FailureDomainId failure_domain,
+                                   double load_factor)
+    : m_inputs(std::move(inputs)),
+      m_failure_domain(std::move(failure_domain)),
+      m_load_factor(load_factor) {}
+
+tl::expected<Placement, PlacementRefusal> BackendPlacement::Choose(
+    const PlacementQuery& query, TimePoint now) const {
+  PlacementRefusal refusal = PlacementRefusal::kNone;
+  std::vector<Candidate> candidates = Candidates(query, now, &refusal);
+  if (candidates.empty()) return tl::make_unexpected(refusal);
+  // A service whose backend servers all fail is used all the same.
+  const bool choice = std::any_of(candidates.begin(), candidates.end(),
+                                  [](const auto& c) { return !c.spared; });
+  if (choice) {
+    std::erase_if(candidates, [](const Candidate& c) { return c.spared; });
+  }
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return std::tie(a.cost, a.known->server.id) <
+                     std::tie(b.cost, b.known->server.id);
+            });
+  const double mean = MeanLoad(*query.service, now);
+  const double bound =
+      std::max(1.0, m_load_factor * kLoadFactorMargin) * mean + kLoadSlack;
+  auto chosen = std::find_if(
+      candidates.begin(), candidates.end(),
+      [bound](const Candidate& c) { return c.load + 1.0 <= bound; });
+  if (chosen == candidates.end()) {
+    chosen = std::min_element(
+        candidates.begin(), candidates.end(),
+        [](const auto& a, const auto& b) { return a.load < b.load; });
+  }
+  return Placement{chosen->known->server,
+                   FetchSource(query, *chosen->known, now), chosen->load, mean,
+                   static_cast<int>(chosen - candidates.begin())};
+}
+
+std::vector<BackendPlacement::Candidate> BackendPlacement::Candidates(
+    const PlacementQuery& query, TimePoint now,
+    PlacementRefusal* refusal) const {
+  std::vector<Candidate> candidates;
+  for (const auto* known : m_inputs.registry->Of(query.service->id)) {
+    const state::BackendServer& server = known->server;
+    if (!m_inputs.registry->IsEligible(*known)) continue;
+    if (std::find(query.tried.begin(), query.tried.end(), server.id) !=
+        query.tried.end()) {
+      continue;
+    }
+    const double load = m_inputs.loads->Estimate(server.id, now);
+    const bool full = query.service->engine && load >= server.capacity;
+    if (full || !m_inputs.has_connection(server, *query.service)) {
+      *refusal = PlacementRefusal::kFull;
+      continue;
+    }
+    if (!HasColdRoom(*known, *query.service, now)) {
+      if (*refusal == PlacementRefusal::kNone) {
+        *refusal = PlacementRefusal::kCold;
+      }
+      continue;
+    }
+    Candidate candidate{known, load, 0,
+                        m_inputs.health->IsSpared(server.id, now)};
+    candidate.cost = query.shared_part != 0
+                         ? AffinityCost(*known, query.shared_part)
+                         : LoadCost(candidate);
+    candidates.push_back(candidate);
+  }
+  return candidates;
+}
+
+bool BackendPlacement::HasColdRoom(const state::KnownBackendServer& known,
+                                   const state::Service& service,
+                                   TimePoint now) const {
+  if (service.cold_calls_per_second <= 0 || now >= known.cold_until) {
+    return true;
+  }
+  const int share = ColdStartLimiter::ShareOf(
+      service.cold_calls_per_second * kColdMargin, m_inputs.processes());
+  return m_inputs.cold_starts->HasRoom(known.server.id, share, now);
+}
+
+double BackendPlacement::AffinityCost(const state::KnownBackendServer& known,
+                                      std::uint64_t shared_part) const {
+  return UniformOf(state::FastHash(known.server.id.value, shared_part));
+}
+
+double BackendPlacement::LoadCost(const Candidate& candidate) const {
+  const state::BackendServer& server = candidate.known->server;
+  const double distance =
+      server.failure_domain == m_failure_domain ? 0 : kOtherDomainCost;
+  const double failing =
+      kFailingCost * m_inputs.health->FailureShare(server.id);
+  return candidate.load + distance + failing +
+         kOtherDomainCost * UniformOf(m_inputs.random());
+}
+
+double BackendPlacement::MeanLoad(const state::Service& service,
+                                  TimePoint now) const {
+  double sum = 0;
+  int count = 0;
+  for (const auto* known : m_inputs.registry->Of(service.id)) {
+    if (!m_inputs.registry->IsEligible(*known)) continue;
+    if (m_inputs.health->IsSpared(known->server.id, now)) continue;
+    sum += m_inputs.loads->Estimate(known->server.id, now);
+    ++count;
+  }
+  return count == 0 ? 0 : sum / count;
+}
+
+std::optional<state::BackendServer> BackendPlacement::FetchSource(
+    const PlacementQuery& query, const state::KnownBackendServer& target,
+    TimePoint now) const {
+  if (query.shared_part == 0 || query.shared_tokens < kFetchTokens) return {};
+  const state::BackendServerId& target_id = target.server.id;
+  const auto holders = m_inputs.prompt_cache->Holders(query.shared_part, now);
+  if (std::find(holders.begin(), holders.end(), target_id) != holders.end()) {
+    return {};
+  }
+  for (const state::BackendServerId& holder : holders) {
+    const auto* known = m_inputs.registry->Find(holder);
+    if (known == nullptr || m_inputs.health->IsSpared(holder, now)) continue;
+    return known->server;
+  }
+  // Other processes may have sent the prompt to whoever was preferred before
+  // the target appeared.
+  const state::KnownBackendServer* earlier = nullptr;
+  for (const auto* known : m_inputs.registry->Of(query.service->id)) {
+    if (known->server.id == target_id) continue;
+    if (m_inputs.health->IsSpared(known->server.id, now)) continue;
+    if (earlier == nullptr || AffinityCost(*known, query.shared_part) <
+                                  AffinityCost(*earlier, query.shared_part)) {
+      earlier = known;
+    }
+  }
+  if (earlier == nullptr) return {};
+  const bool newcomer = now - target.first_seen < kNewcomerAge &&
+                        target.first_seen - earlier->first_seen > kEarlierBy;
+  const bool preferred = AffinityCost(*earlier, query.shared_part) <
+                         AffinityCost(target, query.shared_part);
+  if (!newcomer && !preferred) return {};
+  return earlier->server;
+}
+
+}  // namespace wasabiwall::coordination
--- a/src/wasabiwall/coordination/retry_budget.cc
+++ b/src/wasabiwall/coordination/retry_budget.cc
@@ -26,6 +26,12 @@
   m_tokens = std::min(m_burst, m_tokens + earned);
 }
 
+void RetryBudget::SetBurst(double burst) {
+  const std::lock_guard lock(m_mutex);
+  m_burst = burst;
+  m_tokens = std::min(m_tokens, burst);
+}
+
 bool RetryBudget::Take() {
   const std::lock_guard lock(m_mutex);
   if (m_tokens < 1.0) return false;
--- a/src/wasabiwall/coordination/retry_budget.h
+++ b/src/wasabiwall/coordination/retry_budget.h
@@ -25,6 +25,9 @@
   /// @param earned Further submits that it pays for.
   void OnAnswered(double earned);
 
+  /// Changes how many retries may be saved up; those beyond it are dropped.
+  void SetBurst(double burst);
+
   /// Takes one retry.
   /// @return False when the budget is used up.
   bool Take();
--- a/src/wasabiwall/protocol/error_kind.cc
+++ b/src/wasabiwall/protocol/error_kind.cc
@@ -30,6 +30,8 @@
      "The path does not take this method.", true, kNever},
     {ErrorKind::kBodyTooLarge, "body_too_large", 413,
      "The request is larger than the limit.", true, kNever},
+    {ErrorKind::kHeadTooLarge, "head_too_large", 431,
+     "The headers are larger than the limit.", true, kNever},
     {ErrorKind::kSlowRequest, "slow_request", 408,
      "The request did not arrive in time.", true, kSoon},
     {ErrorKind::kOverloaded, "overloaded", 503,
--- a/src/wasabiwall/protocol/error_kind.h
+++ b/src/wasabiwall/protocol/error_kind.h
@@ -20,6 +20,7 @@
   kNotFound,
   kMethodNotAllowed,
   kBodyTooLarge,
+  kHeadTooLarge,
   kSlowRequest,
   kOverloaded,
   kWarmingUp,
--- /dev/null
+++ b/src/wasabiwall/protocol/event_stream.cc
@@ -0,0 +1,61 @@
+#include "wasabiwall/protocol/event_stream.h"
+
+#include <charconv>
+
+namespace wasabiwall::protocol {
+namespace {
+
+/// @return End of the first event, past its empty line, or npos.
+std::size_t EndOfEvent(std::string_view data) {
+  for (std::size_t i = 0; i + 1 < data.size(); ++i) {
+    if (data[i] != '\n') continue;
+    if (data[i + 1] == '\n') return i + 2;
+    if (data[i + 1] == '\r' && i + 2 < data.size() && data[i + 2] == '\n') {
+      return i + 3;
+    }
+  }
+  return std::string_view::npos;
+}
+
+std::optional<std::int64_t> IdOf(std::string_view event) {
+  constexpr std::string_view kField = "id:";
+  std::size_t line = 0;
+  while (line < event.size()) {
+    std::string_view rest = event.substr(line);
+    if (rest.starts_with(kField)) {
+      rest.remove_prefix(kField.size());
+      while (rest.starts_with(' ')) rest.remove_prefix(1);
+      std::int64_t id = 0;
+      const auto result =
+          std::from_chars(rest.data(), rest.data() + rest.size(), id);
+      if (result.ec != std::errc()) return std::nullopt;
+      return id;
+    }
+    const auto end = event.find('\n', line);
+    if (end == std::string_view::npos) break;
+    line = end + 1;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string EventStreamCutter::Feed(std::string_view data) {
+  m_partial.append(data);
+  std::string whole;
+  std::string_view rest = m_partial;
+  while (true) {
+    const std::size_t end = EndOfEvent(rest);
+    if (end == std::string_view::npos) break;
+    const std::string_view event = rest.substr(0, end);
+    rest.remove_prefix(end);
+    const auto id = IdOf(event);
+    if (id && m_last_id && *id <= *m_last_id) continue;
+    if (id) m_last_id = id;
+    whole.append(event);
+  }
+  m_partial.erase(0, m_partial.size() - rest.size());
+  return whole;
+}
+
+}  // namespace wasabiwall::protocol
--- /dev/null
+++ b/src/wasabiwall/protocol/gateway_settings.cc
@@ -0,0 +1,73 @@
+#include "wasabiwall/protocol/gateway_settings.h"
+
+namespace wasabiwall::protocol {
+namespace {
+
+FieldSpec Number(const std::string& name, FieldType type, double min,
+                 double max) {
+  return {.name = name, .type = type, .min = min, .max = max};
+}
+
+FieldSpec Table(const std::string& name, bool required,
+                std::vector<FieldSpec> fields) {
+  return {.name = name,
+          .type = FieldType::kTable,
+          .required = required,
+          .fields = std::move(fields)};
+}
+
+std::vector<FieldSpec> Schema() {
+  return {
+      Table("process", true,
+            {{.name = "name", .required = true},
+             {.name = "failure_domain", .required = true},
+             {.name = "log_level",
+              .choices = {"trace", "debug", "info", "warn", "error"}}}),
+      Table("listen", true,
+            {{.name = "callers", .required = true},
+             {.name = "readiness", .required = true},
+             {.name = "metrics"}}),
+      Table("store", true, {{.name = "address", .required = true}}),
+      Table("limits", false,
+            {Number("stop_timeout_s", FieldType::kNumber, 0.1, 3600),
+             Number("load_factor", FieldType::kNumber, 1, 100),
+             Number("retry_share", FieldType::kNumber, 0, 1),
+             Number("retry_burst", FieldType::kNumber, 0, 100000),
+             Number("lapse_grace_ms", FieldType::kInteger, 0, 60000)}),
+  };
+}
+
+}  // namespace
+
+tl::expected<GatewaySettings, std::vector<TomlProblem>> ParseGatewaySettings(
+    std::string_view text, const std::string& file) {
+  const auto root = ParseToml(text, file, Schema());
+  if (!root) return tl::make_unexpected(root.error());
+  GatewaySettings settings;
+  const nlohmann::json& process = root->at("process");
+  settings.name = process.at("name");
+  settings.failure_domain = process.at("failure_domain");
+  settings.log_level = process.value("log_level", settings.log_level);
+  const nlohmann::json& listen = root->at("listen");
+  settings.callers_address = listen.at("callers");
+  settings.readiness_address = listen.at("readiness");
+  settings.metrics_address = listen.value("metrics", "");
+  settings.store_address = root->at("store").at("address");
+  const nlohmann::json limits = root->value("limits", nlohmann::json::object());
+  const auto duration = [&limits](const char* key,
+                                  std::chrono::milliseconds* value) {
+    *value = std::chrono::milliseconds(limits.value(key, value->count()));
+  };
+  if (limits.contains("stop_timeout_s")) {
+    const std::chrono::duration<double> seconds(limits.at("stop_timeout_s"));
+    settings.stop_timeout =
+        std::chrono::duration_cast<std::chrono::milliseconds>(seconds);
+  }
+  duration("lapse_grace_ms", &settings.lapse_grace);
+  settings.load_factor = limits.value("load_factor", settings.load_factor);
+  settings.retry_share = limits.value("retry_share", settings.retry_share);
+  settings.retry_burst = limits.value("retry_burst", settings.retry_burst);
+  return settings;
+}
+
+}  // namespace wasabiwall::protocol
--- /dev/null
+++ b/src/wasabiwall/state/backend_registry.cc
@@ -0,0 +1,107 @@
+#include "wasabiwall/state/backend_registry.h"
+
+#include <algorithm>
+
+namespace wasabiwall::state {
+
+bool BackendRegistry::Put(const BackendServer& server, MonotonicTime now,
+                          std::chrono::milliseconds cold_time, bool appeared) {
+  ++m_revision;
+  m_lapsing.erase(server.id);
+  const auto found = m_servers.find(server.id);
+  const bool same_life = found != m_servers.end() &&
+                         found->second.server.born == server.born &&
+                         found->second.server.address == server.address;
+  if (same_life) {
+    found->second.server = server;
+    found->second.cold_until =
+        std::max(found->second.cold_until, now + server.cold_left);
+    return false;
+  }
+  const auto cold_left =
+      appeared ? std::max(server.cold_left, cold_time) : server.cold_left;
+  m_servers[server.id] = {server, now, now + cold_left, cold_time};
+  return true;
+}
+
+void BackendRegistry::Remove(const BackendServerId& id, MonotonicTime now) {
+  const auto found = m_servers.find(id);
+  if (found == m_servers.end()) return;
+  ++m_revision;
+  if (InLapseGrace(now) && !found->second.server.draining) {
+    m_lapsing.try_emplace(id, m_last_outage + m_lapse_grace);
+    return;
+  }
+  m_lapsing.erase(id);
+  m_servers.erase(found);
+}
+
+void BackendRegistry::RetainOnly(const std::set<BackendServerId>& present,
+                                 MonotonicTime now) {
+  std::vector<BackendServerId> missing;
+  for (const auto& [id, known] : m_servers) {
+    if (!present.contains(id)) missing.push_back(id);
+  }
+  for (const BackendServerId& id : missing) Remove(id, now);
+}
+
+void BackendRegistry::SetEvacuated(const FailureDomainId& domain,
+                                   bool evacuated, MonotonicTime now) {
+  ++m_revision;
+  if (evacuated) {
+    m_evacuated.insert(domain);
+    return;
+  }
+  if (m_evacuated.erase(domain) == 0) return;
+  for (auto& [id, known] : m_servers) {
+    if (known.server.failure_domain != domain) continue;
+    known.cold_until = std::max(known.cold_until, now + known.cold_time);
+  }
+}
+
+void BackendRegistry::Expire(MonotonicTime now) {
+  for (auto entry = m_lapsing.begin(); entry != m_lapsing.end();) {
+    if (now < entry->second) {
+      ++entry;
+      continue;
+    }
+    ++m_revision;
+    m_servers.erase(entry->first);
+    entry = m_lapsing.erase(entry);
+  }
+}
+
+void BackendRegistry::ExtendCold(const BackendServerId& id,
+                                 MonotonicTime until) {
+  const auto found = m_servers.find(id);
+  if (found == m_servers.end()) return;
+  found->second.cold_until = std::max(found->second.cold_until, until);
+}
+
+bool BackendRegistry::IsEligible(const KnownBackendServer& known) const {
+  return !known.server.draining && !IsEvacuated(known.server.failure_domain);
+}
+
+const KnownBackendServer* BackendRegistry::Find(
+    const BackendServerId& id) const {
+  const auto found = m_servers.find(id);
+  return found == m_servers.end() ? nullptr : &found->second;
+}
+
+std::vector<const KnownBackendServer*> BackendRegistry::Of(
+    const ServiceId& service) const {
+  std::vector<const KnownBackendServer*> found;
+  for (const auto& [id, known] : m_servers) {
+    if (known.server.service == service) found.push_back(&known);
+  }
+  std::sort(found.begin(), found.end(), [](const auto* a, const auto* b) {
+    return a->server.id < b->server.id;
+  });
+  return found;
+}
+
+bool BackendRegistry::InLapseGrace(MonotonicTime now) const {
+  return m_had_outage && now < m_last_outage + m_lapse_grace;
+}
+
+}  // namespace wasabiwall::state
--- /dev/null
+++ b/src/wasabiwall/transport/backend_connection.cc
@@ -0,0 +1,154 @@
+#include "wasabiwall/transport/backend_connection.h"
+
+#include <charconv>
+#include <utility>
+
+namespace wasabiwall::transport {
+namespace {
+
+constexpr int kFirstFinalStatus = 200;
+
+/// @return Seconds of `timeout=N` in a Keep-Alive field.
+std::optional<std::chrono::seconds> TimeoutOf(const std::string* keep_alive) {
+  constexpr std::string_view kName = "timeout=";
+  if (keep_alive == nullptr) return std::nullopt;
+  const auto at = keep_alive->find(kName);
+  if (at == std::string::npos) return std::nullopt;
+  int seconds = 0;
+  const char* begin = keep_alive->data() + at + kName.size();
+  const auto result =
+      std::from_chars(begin, keep_alive->data() + keep_alive->size(), seconds);
+  if (result.ec != std::errc()) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+BackendConnection::BackendConnection(EventLoop* loop,
+                                     state::BackendServer server)
+    : m_loop(loop),
+      m_server(std::move(server)),
+      m_parser(
+          Http1Parser::Kind::kResponses,
+          {.on_head =
+               [this](MessageHead head) { return OnHead(std::move(head)); },
+           .on_body = [this](std::string_view data) { OnBody(data); },
+           .on_complete = [this] { OnMessageComplete(); }}) {}
+
+void BackendConnection::Open(const TcpOptions& options,
+                             std::function<void()> on_ended) {
+  m_on_ended = std::move(on_ended);
+  const auto address = ParseAddress(m_server.address);
+  m_tcp = std::make_unique<TcpConnection>(
+      m_loop, address.value_or(Address{}), options,
+      TcpConnection::Handlers{
+          .on_connected = [this] { SendNow(); },
+          .on_data = [this](std::string_view data) { OnData(data); },
+          .on_end = [this](ConnectionEnd) { OnEnd(); },
+          .on_drained = nullptr});
+}
+
+void BackendConnection::Send(std::function<std::string()> request,
+                             bool answer_has_body, CallHandlers handlers) {
+  m_request = std::move(request);
+  m_call = std::make_shared<CallHandlers>(std::move(handlers));
+  m_answer_has_body = answer_has_body;
+  m_sent = m_head_seen = m_dropping = m_complete = false;
+  if (m_tcp->IsConnected()) SendNow();
+}
+
+void BackendConnection::SendNow() {
+  if (!m_request) return;
+  const auto request = std::exchange(m_request, nullptr);
+  m_sent = true;
+  m_tcp->Write(request());
+}
+
+void BackendConnection::Close() {
+  const auto self = shared_from_this();
+  m_call.reset();
+  m_request = nullptr;
+  m_spoiled = true;
+  if (m_tcp) m_tcp->Close();
+  if (std::exchange(m_ended, true)) return;
+  const auto on_ended = std::exchange(m_on_ended, nullptr);
+  if (on_ended) on_ended();
+}
+
+bool BackendConnection::IsReusable() const {
+  return !m_spoiled && m_keep_alive && !m_parser.InMessage() && IsConnected() &&
+         m_tcp->QueuedBytes() == 0;
+}
+
+void BackendConnection::OnData(std::string_view data) {
+  const auto self = shared_from_this();
+  std::size_t taken = 0;
+  const auto status = m_parser.Feed(data, &taken);
+  if (status != Http1Parser::Status::kOk) m_spoiled = true;
+  if (m_complete) {
+    Complete();
+    return;
+  }
+  if (m_spoiled) Fail();
+}
+
+void BackendConnection::OnEnd() {
+  const auto self = shared_from_this();
+  // A body without a length ends with its connection.
+  const bool whole = m_parser.InBody() && m_parser.FeedEnd();
+  m_spoiled = true;
+  if (whole && m_complete) {
+    Complete();
+    return;
+  }
+  Fail();
+}
+
+bool BackendConnection::OnHead(MessageHead head) {
+  if (head.status < kFirstFinalStatus) {
+    m_dropping = true;
+    return true;
+  }
+  if (!m_call || m_head_seen || m_spoiled) {
+    // Bytes after a complete answer belong to no call.
+    m_spoiled = true;
+    m_dropping = true;
+    return true;
+  }
+  m_dropping = !m_call->is_own(head);
+  m_keep_alive = m_keep_alive && head.keep_alive;
+  if (m_dropping) return true;
+  m_head_seen = true;
+  if (const auto kept = TimeoutOf(head.headers.Find("Keep-Alive"))) {
+    m_kept_for = kept;
+  }
+  const auto call = m_call;
+  call->on_head(std::move(head));
+  return m_answer_has_body;
+}
+
+void BackendConnection::OnBody(std::string_view data) {
+  if (m_dropping || !m_call) return;
+  const auto call = m_call;
+  call->on_body(data);
+}
+
+void BackendConnection::OnMessageComplete() {
+  if (!m_dropping && m_head_seen) m_complete = true;
+}
+
+void BackendConnection::Complete() {
+  ++m_answers;
+  m_complete = false;
+  const auto call = std::exchange(m_call, nullptr);
+  if (call) call->on_complete();
+  if (m_spoiled) Close();
+}
+
+void BackendConnection::Fail() {
+  const auto call = std::exchange(m_call, nullptr);
+  Close();
+  if (call) call->on_failed();
+}
+
+}  // namespace wasabiwall::transport
--- /dev/null
+++ b/src/wasabiwall/transport/backend_pool.cc
@@ -0,0 +1,101 @@
+#include "wasabiwall/transport/backend_pool.h"
+
+#include <algorithm>
+
+namespace wasabiwall::transport {
+namespace {
+
+/// Longest time that sent data may stay without acknowledgement. Round trips
+/// take a few milliseconds; a lost packet is sent again within 0.3 s.
+constexpr std::chrono::milliseconds kUnacknowledgedTimeout{700};
+/// Longest idle time when the backend server states none.
+constexpr std::chrono::milliseconds kDefaultKeptFor{4000};
+/// Time before the stated end at which a connection is not used any more.
+constexpr std::chrono::milliseconds kKeptMargin{500};
+
+}  // namespace
+
+std::string BackendPool::KeyOf(const state::BackendServer& server) {
+  return server.id.value + "@" + server.address + "#" +
+         std::to_string(server.born);
+}
+
+bool BackendPool::IsFresh(const BackendConnection& connection,
+                          std::chrono::milliseconds max_idle) const {
+  const std::chrono::milliseconds kept =
+      connection.KeptFor() ? *connection.KeptFor() - kKeptMargin
+                           : kDefaultKeptFor;
+  return m_loop->Now() - connection.IdleSince() < std::min(kept, max_idle);
+}
+
+std::shared_ptr<BackendConnection> BackendPool::Acquire(
+    const state::BackendServer& server, std::chrono::milliseconds max_idle) {
+  const std::string key = KeyOf(server);
+  Connections& connections = m_connections[key];
+  while (!connections.idle.empty()) {
+    const auto connection = connections.idle.back();
+    if (connection->IsReusable() && IsFresh(*connection, max_idle)) {
+      connections.idle.pop_back();
+      return connection;
+    }
+    if (connection->IsReusable() && IsFresh(*connection, kDefaultKeptFor)) {
+      break;
+    }
+    connections.idle.pop_back();
+    connection->Close();
+  }
+  ++m_opened;
+  auto connection = std::make_shared<BackendConnection>(m_loop, server);
+  connections.open.insert(connection);
+  const TcpOptions options{.unacknowledged_timeout = kUnacknowledgedTimeout,
+                           .keep_alive = true};
+  connection->Open(options,
+                   [this, key, raw = connection.get()] { Forget(key, raw); });
+  return connection;
+}
+
+void BackendPool::Release(
+    const std::shared_ptr<BackendConnection>& connection) {
+  if (!connection->IsReusable()) {
+    connection->Close();
+    return;
+  }
+  connection->SetIdleSince(m_loop->Now());
+  m_connections[KeyOf(connection->Server())].idle.push_back(connection);
+}
+
+bool BackendPool::HasRoom(const state::BackendServer& server, int limit) const {
+  const auto found = m_connections.find(KeyOf(server));
+  if (found == m_connections.end()) return true;
+  return !found->second.idle.empty() ||
+         static_cast<int>(found->second.open.size()) < limit;
+}
+
+void BackendPool::Prune(
+    const std::function<bool(const state::BackendServerId&)>& is_known) {
+  std::vector<std::shared_ptr<BackendConnection>> stale;
+  for (const auto& [key, connections] : m_connections) {
+    for (const auto& connection : connections.idle) {
+      if (!IsFresh(*connection, kDefaultKeptFor) ||
+          !is_known(connection->Server().id)) {
+        stale.push_back(connection);
+      }
+    }
+  }
+  for (const auto& connection : stale) connection->Close();
+  std::erase_if(m_connections,
+                [](const auto& entry) { return entry.second.open.empty(); });
+}
+
+void BackendPool::Forget(const std::string& key,
+                         BackendConnection* connection) {
+  const auto found = m_connections.find(key);
+  if (found == m_connections.end()) return;
+  const auto is_this = [connection](const auto& c) {
+    return c.get() == connection;
+  };
+  std::erase_if(found->second.idle, is_this);
+  std::erase_if(found->second.open, is_this);
+}
+
+}  // namespace wasabiwall::transport
--- /dev/null
+++ b/src/wasabiwall/transport/client_connection.cc
@@ -0,0 +1,231 @@
+#include "wasabiwall/transport/client_connection.h"
+
+#include <charconv>
+#include <utility>
+
+#include "wasabiwall/transport/logging.h"
+
+namespace wasabiwall::transport {
+namespace {
+
+/// Bytes held while a request is being answered; more are left in the system.
+constexpr std::size_t kMostPendingBytes = 64U << 10U;
+/// How long unread input is taken after a rejection, so that the answer is not
+/// lost with a reset.
+constexpr std::chrono::milliseconds kLinger{500};
+/// Longest time that a caller may leave answers without acknowledgement.
+constexpr std::chrono::milliseconds kUnacknowledgedTimeout{10000};
+constexpr std::size_t kHeadAllowance = 1024;
+
+std::optional<std::size_t> DeclaredLength(const MessageHead& head) {
+  const std::string* text = head.headers.Find("Content-Length");
+  if (text == nullptr) return std::nullopt;
+  std::size_t length = 0;
+  std::from_chars(text->data(), text->data() + text->size(), length);
+  return length;
+}
+
+}  // namespace
+
+ClientConnection::ClientConnection(GatewayContext* context,
+                                   ClosedHandler on_closed)
+    : m_context(context),
+      m_on_closed(std::move(on_closed)),
+      m_parser(
+          Http1Parser::Kind::kRequests,
+          {.on_head =
+               [this](MessageHead head) { return OnHead(std::move(head)); },
+           .on_body = [this](std::string_view data) { OnBody(data); },
+           .on_complete = [this] { OnRequestComplete(); }}),
+      m_timer(context->loop) {}
+
+void ClientConnection::Accept(uv_stream_t* listener) {
+  const TcpOptions options{.unacknowledged_timeout = kUnacknowledgedTimeout,
+                           .keep_alive = true};
+  m_tcp = std::make_unique<TcpConnection>(
+      m_context->loop, listener, options,
+      TcpConnection::Handlers{
+          .on_connected = nullptr,
+          .on_data = [this](std::string_view data) { OnData(data); },
+          .on_end = [this](ConnectionEnd) { OnEnd(); },
+          .on_drained =
+              [this] {
+                if (m_exchange) m_exchange->OnOutputDrained();
+              }});
+  StartReadTimer();
+}
+
+bool ClientConnection::IsBusy() const {
+  return m_exchange || m_parser.InMessage() || !m_pending.empty();
+}
+
+void ClientConnection::CloseIfIdle() {
+  if (!IsBusy()) Close();
+}
+
+void ClientConnection::OnData(std::string_view data) {
+  const auto self = shared_from_this();
+  if (m_rejected) return;
+  if (!m_exchange) {
+    Parse(data);
+    return;
+  }
+  m_pending.append(data);
+  if (m_pending.size() > kMostPendingBytes) m_tcp->PauseReading();
+}
+
+void ClientConnection::Parse(std::string_view data) {
+  const state::IngressLimits limits = m_context->Config()
+                                          ? m_context->Config()->limits
+                                          : state::IngressLimits{};
+  m_parser.SetMaxHeadBytes(limits.max_header_bytes + kHeadAllowance);
+  const bool idle = !m_parser.InMessage();
+  std::size_t taken = 0;
+  const auto status = m_parser.Feed(data, &taken);
+  if (m_closed || m_rejected) return;
+  switch (status) {
+    case Http1Parser::Status::kPaused:
+      m_pending.assign(data.substr(taken));
+      return;
+    case Http1Parser::Status::kMalformed:
+      Reject(protocol::ErrorKind::kBadRequest);
+      return;
+    case Http1Parser::Status::kHeadTooLarge:
+      Reject(protocol::ErrorKind::kHeadTooLarge);
+      return;
+    case Http1Parser::Status::kOk:
+      break;
+  }
+  if (idle && m_parser.InMessage()) StartReadTimer();
+}
+
+bool ClientConnection::OnHead(MessageHead head) {
+  m_request = {};
+  m_client_keeps = head.keep_alive;
+  const std::string* expect = head.headers.Find("Expect");
+  const bool waits =
+      expect != nullptr && EqualsIgnoringCase(*expect, "100-continue");
+  const auto length = DeclaredLength(head);
+  m_request.head = std::move(head);
+  const std::size_t limit = m_context->Config()
+                                ? m_context->Config()->limits.max_body_bytes
+                                : state::IngressLimits{}.max_body_bytes;
+  if (length && *length > limit) {
+    Reject(protocol::ErrorKind::kBodyTooLarge);
+    return true;
+  }
+  if (waits) m_tcp->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  return true;
+}
+
+void ClientConnection::OnBody(std::string_view data) {
+  if (m_rejected) return;
+  const std::size_t limit = m_context->Config()
+                                ? m_context->Config()->limits.max_body_bytes
+                                : state::IngressLimits{}.max_body_bytes;
+  if (m_request.body.size() + data.size() > limit) {
+    Reject(protocol::ErrorKind::kBodyTooLarge);
+    return;
+  }
+  m_request.body.append(data);
+}
+
+void ClientConnection::OnRequestComplete() {
+  if (m_rejected) return;
+  m_parser.Pause();
+  m_timer.Stop();
+  m_request.received = m_context->loop->Now();
+  m_exchange = std::make_shared<Exchange>(
+      m_context, std::move(m_request),
+      Exchange::Output{
+          .write =
+              [this](std::string bytes) { m_tcp->Write(std::move(bytes)); },
+          .on_end = [this](Exchange::End end) { OnExchangeEnd(end); },
+          .queued_bytes = [this] { return m_tcp->QueuedBytes(); },
+          .closes = [this] { return !m_client_keeps || m_context->stopping; }});
+  // The parser is still running.
+  m_context->loop->Post([self = shared_from_this()] {
+    if (self->m_exchange) self->m_exchange->Start();
+  });
+}
+
+void ClientConnection::OnExchangeEnd(Exchange::End end) {
+  if (m_closed) return;
+  if (end == Exchange::End::kCut) {
+    m_tcp->Reset();
+    Close();
+    return;
+  }
+  m_context->loop->Post([self = shared_from_this()] { self->NextRequest(); });
+}
+
+void ClientConnection::NextRequest() {
+  m_exchange.reset();
+  if (m_closed) return;
+  if (!m_client_keeps || m_context->stopping) {
+    m_tcp->CloseAfterWrites();
+    NotifyClosed();
+    return;
+  }
+  StartReadTimer();
+  m_parser.Resume();
+  const std::string pending = std::exchange(m_pending, {});
+  m_tcp->ResumeReading();
+  if (!pending.empty()) Parse(pending);
+}
+
+void ClientConnection::OnEnd() {
+  const auto self = shared_from_this();
+  if (m_exchange) m_exchange->Cancel();
+  Close();
+}
+
+void ClientConnection::StartReadTimer() {
+  const state::IngressLimits limits = m_context->Config()
+                                          ? m_context->Config()->limits
+                                          : state::IngressLimits{};
+  const auto timeout =
+      m_parser.InMessage() ? limits.header_timeout : limits.idle_timeout;
+  m_timer.Start(timeout, [this] { OnTimeout(); });
+}
+
+void ClientConnection::OnTimeout() {
+  const auto self = shared_from_this();
+  if (m_parser.InMessage() && !m_rejected) {
+    Reject(protocol::ErrorKind::kSlowRequest);
+    return;
+  }
+  Close();
+}
+
+void ClientConnection::Reject(protocol::ErrorKind kind) {
+  m_rejected = true;
+  const protocol::ErrorRow& row = protocol::RowOf(kind);
+  const std::string body = protocol::ErrorBody({kind, "", {}});
+  std::string bytes = "HTTP/1.1 " + std::to_string(row.http_status) + " " +
+                      std::string(ReasonOf(row.http_status)) + "\r\n";
+  AppendHeader("Content-Type", "application/json", &bytes);
+  AppendHeader("Content-Length", std::to_string(body.size()), &bytes);
+  AppendHeader("Connection", "close", &bytes);
+  m_tcp->Write(bytes + "\r\n" + body);
+  LogInfo("request_rejected", {{"reason", row.name}});
+  m_context->metrics.CountCall("", row.name);
+  m_timer.Start(kLinger, [this] {
+    const auto self = shared_from_this();
+    Close();
+  });
+}
+
+void ClientConnection::Close() {
+  if (!m_closed) m_tcp->Close();
+  NotifyClosed();
+}
+
+void ClientConnection::NotifyClosed() {
+  if (std::exchange(m_closed, true)) return;
+  m_timer.Stop();
+  const auto on_closed = std::exchange(m_on_closed, nullptr);
+  if (on_closed) on_closed(shared_from_this());
+}
+
+}  // namespace wasabiwall::transport
--- /dev/null
+++ b/src/wasabiwall/transport/client_connection.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "wasabiwall/transport/exchange.h"
+#include "wasabiwall/transport/gateway_context.h"
+#include "wasabiwall/transport/http1_parser.h"
+#include "wasabiwall/transport/tcp_connection.h"
+
+namespace wasabiwall::transport {
+
+/// A caller's connection: reads its requests one after another and hands each
+/// to an exchange.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  using ClosedHandler =
+      std::function<void(const std::shared_ptr<ClientConnection>&)>;
+
+  /// @param on_closed Called once when the connection has ended.
+  ClientConnection(GatewayContext* context, ClosedHandler on_closed);
+
+  /// Takes over an accepted stream.
+  void Accept(uv_stream_t* listener);
+
+  /// The process stops: closes the connection if no request is in progress.
+  void CloseIfIdle();
+
+  /// @return Whether a request is being read or answered.
+  bool IsBusy() const;
+
+ private:
+  void OnData(std::string_view data);
+  void Parse(std::string_view data);
+  bool OnHead(MessageHead head);
+  void OnBody(std::string_view data);
+  void OnRequestComplete();
+  void OnExchangeEnd(Exchange::End end);
+  void NextRequest();
+  void OnEnd();
+  void OnTimeout();
+  /// Answers a request that cannot be read, and closes.
+  void Reject(protocol::ErrorKind kind);
+  void StartReadTimer();
+  void Close();
+  void NotifyClosed();
+
+  GatewayContext* m_context;
+  ClosedHandler m_on_closed;
+  std::unique_ptr<TcpConnection> m_tcp;
+  Http1Parser m_parser;
+  GatewayRequest m_request;
+  std::shared_ptr<Exchange> m_exchange;
+  /// Bytes received while a request is being answered.
+  std::string m_pending;
+  Timer m_timer;
+  bool m_client_keeps = true;
+  bool m_rejected = false;
+  bool m_closed = false;
+};
+
+}  // namespace wasabiwall::transport
--- /dev/null
+++ b/src/wasabiwall/transport/event_loop.cc
@@ -0,0 +1,122 @@
+#include "wasabiwall/transport/event_loop.h"
+
+#include <cstdlib>
+#include <utility>
+
+namespace wasabiwall::transport {
+namespace {
+
+/// libuv rejects no handle of these kinds; a failure means a broken process.
+void Check(int status) {
+  if (status != 0) std::abort();
+}
+
+}  // namespace
+
+EventLoop::EventLoop() {
+  Check(uv_loop_init(&m_loop));
+  Check(uv_idle_init(&m_loop, &m_idle));
+  m_idle.data = this;
+}
+
+EventLoop::~EventLoop() {
+  uv_close(reinterpret_cast<uv_handle_t*>(&m_idle), nullptr);
+  // Lets handles that were closed before run their last callbacks.
+  uv_run(&m_loop, UV_RUN_NOWAIT);
+  uv_loop_close(&m_loop);
+}
+
+void EventLoop::Run() { uv_run(&m_loop, UV_RUN_DEFAULT); }
+
+void EventLoop::Stop() { uv_stop(&m_loop); }
+
+void EventLoop::Post(std::function<void()> task) {
+  if (m_posted.empty()) {
+    uv_idle_start(&m_idle, [](uv_idle_t* idle) {
+      static_cast<EventLoop*>(idle->data)->RunPosted();
+    });
+  }
+  m_posted.push_back(std::move(task));
+}
+
+void EventLoop::RunPosted() {
+  const auto tasks = std::exchange(m_posted, {});
+  uv_idle_stop(&m_idle);
+  for (const auto& task : tasks) task();
+}
+
+coordination::TimePoint EventLoop::Now() const {
+  return std::chrono::time_point_cast<std::chrono::microseconds>(
+      std::chrono::steady_clock::now());
+}
+
+struct Timer::State {
+  uv_timer_t handle;
+  std::function<void()> callback;
+};
+
+Timer::Timer(EventLoop* loop) : m_state(new State) {
+  Check(uv_timer_init(loop->Handle(), &m_state->handle));
+  m_state->handle.data = m_state;
+}
+
+Timer::~Timer() {
+  uv_close(
+      reinterpret_cast<uv_handle_t*>(&m_state->handle),
+      [](uv_handle_t* handle) { delete static_cast<State*>(handle->data); });
+}
+
+void Timer::Start(std::chrono::milliseconds delay,
+                  std::function<void()> callback) {
+  StartTimer(delay, std::chrono::milliseconds{0}, std::move(callback));
+}
+
+void Timer::StartRepeating(std::chrono::milliseconds period,
+                           std::function<void()> callback) {
+  StartTimer(period, period, std::move(callback));
+}
+
+void Timer::StartTimer(std::chrono::milliseconds delay,
+                       std::chrono::milliseconds period,
+                       std::function<void()> callback) {
+  m_state->callback = std::move(callback);
+  uv_update_time(m_state->handle.loop);
+  uv_timer_start(
+      &m_state->handle,
+      [](uv_timer_t* handle) {
+        // The callback may destroy the timer or start it anew.
+        const auto call = static_cast<State*>(handle->data)->callback;
+        call();
+      },
+      static_cast<std::uint64_t>(std::max<std::int64_t>(0, delay.count())),
+      static_cast<std::uint64_t>(period.count()));
+}
+
+void Timer::Stop() { uv_timer_stop(&m_state->handle); }
+
+struct SignalWatcher::State {
+  uv_signal_t handle;
+  std::function<void()> callback;
+};
+
+SignalWatcher::SignalWatcher(EventLoop* loop, int signal,
+                             std::function<void()> callback)
+    : m_state(new State) {
+  Check(uv_signal_init(loop->Handle(), &m_state->handle));
+  m_state->handle.data = m_state;
+  m_state->callback = std::move(callback);
+  Check(uv_signal_start(
+      &m_state->handle,
+      [](uv_signal_t* handle, int) {
+        static_cast<State*>(handle->data)->callback();
+      },
+      signal));
+}
+
+SignalWatcher::~SignalWatcher() {
+  uv_close(
+      reinterpret_cast<uv_handle_t*>(&m_state->handle),
+      [](uv_handle_t* handle) { delete static_cast<State*>(handle->data); });
+}
+
+}  // namespace wasabiwall::transport
--- /dev/null
+++ b/src/wasabiwall/transport/event_loop.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <uv.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "wasabiwall/coordination/clock.h"
+
+namespace wasabiwall::transport {
+
+/// Single-threaded loop that runs timers, sockets and signals.
+class EventLoop {
+ public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  /// Runs until Stop is called.
+  void Run();
+
+  /// Makes Run return after the callback that is running.
+  void Stop();
+
+  /// Runs `task` after the callback that is running.
+  void Post(std::function<void()> task);
+
+  /// @return Time on the monotonic clock.
+  coordination::TimePoint Now() const;
+
+  uv_loop_t* Handle() { return &m_loop; }
+
+ private:
+  void RunPosted();
+
+  uv_loop_t m_loop;
+  uv_idle_t m_idle;
+  std::vector<std::function<void()>> m_posted;
+};
+
+/// Calls back once or repeatedly. Must be destroyed on the loop's thread.
+class Timer {
+ public:
+  explicit Timer(EventLoop* loop);
+  ~Timer();
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+
+  /// Calls back once after `delay`; replaces an earlier start.
+  void Start(std::chrono::milliseconds delay, std::function<void()> callback);
+
+  /// Calls back every `period`; replaces an earlier start.
+  void StartRepeating(std::chrono::milliseconds period,
+                      std::function<void()> callback);
+
+  void Stop();
+
+ private:
+  struct State;
+
+  void StartTimer(std::chrono::milliseconds delay,
+                  std::chrono::milliseconds period,
+                  std::function<void()> callback);
+
+  State* m_state;
+};
+
+/// Calls back when the process receives a signal.
+class SignalWatcher {
+ public:
+  SignalWatcher(EventLoop* loop, int signal, std::function<void()> callback);
+  ~SignalWatcher();
+  SignalWatcher(const SignalWatcher&) = delete;
+  SignalWatcher& operator=(const SignalWatcher&) = delete;
+
+ private:
+  struct State;
+
+  State* m_state;
+};
+
+}  // namespace wasabiwall::transport
--- /dev/null
+++ b/src/wasabiwall/transport/exchange.cc
@@ -0,0 +1,621 @@
+#include "wasabiwall/transport/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "wasabiwall/state/digest.h"
+#include "wasabiwall/transport/logging.h"
+
+namespace wasabiwall::transport {
+namespace {
+
+using coordination::HealthSignal;
+using coordination::PlacementRefusal;
+using protocol::ErrorKind;
+using std::chrono::milliseconds;
+
+/// Longest time to connect. A connection takes a few milliseconds; one whose
+/// first packet is lost takes over a second.
+constexpr milliseconds kConnectTimeout{100};
+/// Shortest time to connect, for calls with a short objective.
+constexpr milliseconds kShortestConnectTimeout{30};
+/// Part of the objective that a connection may take.
+constexpr int kConnectObjectiveDivisor = 4;
+/// Time left below which no further attempt is begun: a round trip and the
+/// shortest answer.
+constexpr milliseconds kShortestAttempt{20};
+/// Attempts to reach a backend server for one call.
+constexpr int kMostUnreachable = 4;
+/// Sends of one call, those included that were refused without running it.
+constexpr int kMostSends = 4;
+/// Longest idle time of a connection for a call that may run only once, since
+/// a backend server may drop idle connections without notice.
+constexpr milliseconds kUnsafeIdle{500};
+/// Longest idle time of a connection for other calls.
+constexpr milliseconds kIdle{4000};
+/// Part of the objective after which a plain call is tried elsewhere.
+constexpr double kPlainSilenceShare = 0.6;
+constexpr milliseconds kShortestPlainSilence{80};
+/// Multiple of the objective after which a stream without a first event is
+/// tried elsewhere.
+constexpr int kFirstEventObjectives = 3;
+/// Multiple of the permitted pause after which a stream is resumed elsewhere.
+constexpr int kEventGaps = 4;
+/// Part of the objective for which a call may wait for a backend server.
+constexpr double kWaitObjectiveShare = 0.75;
+/// Part of the time left after which refused callers may come back; they wait
+/// no longer than a third.
+constexpr int kReturnDivisor = 4;
+constexpr milliseconds kLongestReturn{2000};
+constexpr milliseconds kBusyReturn{200};
+/// Answers that are held in memory before they are passed on.
+constexpr std::size_t kMostReplyBytes = 16U << 20U;
+/// Unsent bytes of a stream at which the backend server is read no further.
+constexpr std::size_t kMostQueuedBytes = 256U << 10U;
+
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+constexpr int kFirstServerError = 500;
+
+bool IsSuccess(int status) {
+  return status >= kFirstSuccess && status < kFirstRedirect;
+}
+
+milliseconds Scale(milliseconds time, double factor) {
+  return milliseconds(static_cast<std::int64_t>(time.count() * factor));
+}
+
+milliseconds ToMilliseconds(std::chrono::microseconds time) {
+  return std::chrono::duration_cast<milliseconds>(time);
+}
+
+const char* NameOf(PlacementRefusal refusal) {
+  switch (refusal) {
+    case PlacementRefusal::kNone:
+      return "no_backend_server";
+    case PlacementRefusal::kCold:
+      return "all_cold";
+    case PlacementRefusal::kFull:
+      return "all_full";
+  }
+  return "unknown";
+}
+
+std::string RetryAfterSeconds(milliseconds time) {
+  const std::string thousandths = std::to_string(time.count() % 1000);
+  return std::to_string(time.count() / 1000) + "." +
+         std::string(3 - thousandths.size(), '0') + thousandths;
+}
+
+}  // namespace
+
+Exchange::Exchange(GatewayContext* context, GatewayRequest request,
+                   Output output)
+    : m_context(context),
+      m_request(std::move(request)),
+      m_output(std::move(output)),
+      m_deadline_timer(context->loop),
+      m_attempt_timer(context->loop) {}
+
+void Exchange::Start() {
+  if (m_ended) return;
+  const auto self = shared_from_this();
+  m_deadline = m_request.received;
+  if (const auto error = Resolve()) {
+    Fail(*error);
+    return;
+  }
+  m_deadline_timer.Start(TimeLeft(), [this] { OnDeadline(); });
+  m_context->RetriesOf(m_service->id).OnFirstAttempt();
+  Place();
+}
+
+std::optional<protocol::Error> Exchange::Resolve() {
+  const HeaderList& headers = m_request.head.headers;
+  m_call = m_context->codec.decode_call(headers);
+  if (m_call.attempt_id.empty()) {
+    return protocol::Error{ErrorKind::kBadRequest, "no attempt identifier", {}};
+  }
+  m_config = m_context->Config();
+  if (!m_config) {
+    return protocol::Error{ErrorKind::kStaleConfiguration, "none yet", {}};
+  }
+  const std::string* host = headers.Find("Host");
+  m_route =
+      m_config->FindRoute(host == nullptr ? "" : *host, m_request.head.target);
+  if (m_route == nullptr) return protocol::Error{ErrorKind::kNotFound, "", {}};
+  if (m_config->requires_key && !m_route->is_public) {
+    if (m_call.key) m_workspace = m_config->FindWorkspace(*m_call.key);
+    if (m_workspace == nullptr) {
+      return protocol::Error{ErrorKind::kUnauthorized, "", {}};
+    }
+  }
+  m_deadline =
+      m_request.received +
+      std::min(m_call.deadline.value_or(m_route->timeout), m_route->timeout);
+  if (TimeLeft() <= milliseconds{0}) {
+    return protocol::Error{ErrorKind::kDeadlineTooShort, "", {}};
+  }
+  m_service = ChooseService();
+  if (m_service == nullptr) {
+    return protocol::Error{ErrorKind::kNoBackendServer, "no such service", {}};
+  }
+  return std::nullopt;
+}
+
+const state::Service* Exchange::ChooseService() const {
+  double total = 0;
+  for (const auto& share : m_route->services) total += share.weight;
+  // Calls with the same prompt stay with one service.
+  const std::uint64_t hash =
+      m_route->prefers_cached_prompt && m_call.shared_part != 0
+          ? m_call.shared_part
+          : state::FastHash(m_call.attempt_id);
+  constexpr std::uint64_t kSteps = 1U << 20U;
+  double place = total * static_cast<double>(hash % kSteps) / kSteps;
+  const state::Service* first = nullptr;
+  for (const auto& share : m_route->services) {
+    const state::Service* service = m_config->FindService(share.service);
+    if (service == nullptr || share.weight <= 0) continue;
+    if (first == nullptr) first = service;
+    place -= share.weight;
+    if (place < 0) return service;
+  }
+  return first;
+}
+
+milliseconds Exchange::TimeLeft() const {
+  return ToMilliseconds(m_deadline - m_context->loop->Now());
+}
+
+int Exchange::Priority() const {
+  if (m_workspace != nullptr && m_workspace->priority) {
+    return *m_workspace->priority;
+  }
+  return m_route->priority;
+}
+
+bool Exchange::Place() {
+  const coordination::PlacementQuery query{
+      .service = m_service,
+      .shared_part = m_route->prefers_cached_prompt ? m_call.shared_part : 0,
+      .shared_tokens = m_call.shared_tokens,
+      .tried = m_tried};
+  const auto placement =
+      m_context->placement.Choose(query, m_context->loop->Now());
+  if (!placement) {
+    if (m_ticket == 0) WaitForPlace(placement.error());
+    return false;
+  }
+  Begin(*placement);
+  return true;
+}
+
+void Exchange::WaitForPlace(PlacementRefusal refusal) {
+  const bool hopeless = refusal == PlacementRefusal::kNone && m_tried.empty();
+  const auto wait = std::min(Scale(m_route->objective, kWaitObjectiveShare),
+                             TimeLeft() - kShortestAttempt);
+  m_tried.clear();
+  const bool waits =
+      !hopeless && wait > milliseconds{0} &&
+      m_context->queue.Add({.service = m_service->id,
+                            .priority = Priority(),
+                            .expires = m_context->loop->Now() + wait,
+                            .try_place =
+                                [this] {
+                                  const auto self = shared_from_this();
+                                  return Place();
+                                },
+                            .on_expired =
+                                [this, refusal] {
+                                  const auto self = shared_from_this();
+                                  RefuseUnplaced(refusal);
+                                }},
+                           &m_ticket);
+  LogInfo("no_place", {{"id", m_call.attempt_id},
+                       {"reason", NameOf(refusal)},
+                       {"service", m_service->id.value},
+                       {"waits_ms", std::to_string(waits ? wait.count() : 0)}});
+  if (!waits) RefuseUnplaced(refusal);
+}
+
+void Exchange::RefuseUnplaced(PlacementRefusal refusal) {
+  m_ticket = 0;
+  const ErrorKind kind =
+      refusal == PlacementRefusal::kNone   ? ErrorKind::kNoBackendServer
+      : refusal == PlacementRefusal::kCold ? ErrorKind::kWarmingUp
+                                           : ErrorKind::kOverloaded;
+  const milliseconds base =
+      refusal == PlacementRefusal::kNone ? kLongestReturn : kBusyReturn;
+  const auto bound = std::max(milliseconds{1}, TimeLeft() / kReturnDivisor);
+  const auto after = m_context->return_times.Next(std::min(base, bound),
+                                                  m_context->loop->Now());
+  Fail({kind, NameOf(refusal), std::min(after, bound)});
+}
+
+void Exchange::Begin(coordination::Placement placement) {
+  m_ticket = 0;
+  const state::BackendServer& server = placement.server;
+  m_tried.push_back(server.id);
+  m_reply = {};
+  m_reply_begun = false;
+  m_events.Restart();
+  LogInfo("placed",
+          {{"id", m_call.attempt_id},
+           {"backend", server.id.value},
+           {"address", server.address},
+           {"load", std::to_string(placement.load)},
+           {"mean_load", std::to_string(placement.mean_load)},
+           {"rank", std::to_string(placement.rank)},
+           {"fetch_from",
+            placement.fetch_from ? placement.fetch_from->id.value : "-"},
+           {"registry", std::to_string(m_context->registry.Revision())}});
+  m_context->loads.OnSent(server.id);
+  m_context->cold_starts.OnSent(server.id, m_context->loop->Now());
+  m_connection = m_context->connections.Acquire(
+      server, m_route->IsIdempotent() ? kIdle : kUnsafeIdle);
+  m_placement = std::move(placement);
+  if (!m_connection->IsConnected()) {
+    const auto timeout =
+        std::clamp(m_route->objective / kConnectObjectiveDivisor,
+                   kShortestConnectTimeout, kConnectTimeout);
+    m_attempt_timer.Start(timeout, [this] { OnConnectTimeout(); });
+  }
+  const auto guarded = [this](auto method) {
+    return [this, method] {
+      const auto self = shared_from_this();
+      (this->*method)();
+    };
+  };
+  m_connection->Send(
+      [this] { return RequestBytes(); }, m_request.head.method != "HEAD",
+      {.is_own =
+           [this](const MessageHead& head) {
+             const auto reply = m_context->codec.decode_reply(head);
+             return reply.attempt_id == m_call.attempt_id ||
+                    (reply.attempt_id.empty() && !IsSuccess(head.status));
+           },
+       .on_head =
+           [this](MessageHead head) {
+             const auto self = shared_from_this();
+             OnReplyHead(std::move(head));
+           },
+       .on_body =
+           [this](std::string_view data) {
+             const auto self = shared_from_this();
+             OnReplyBody(data);
+           },
+       .on_complete = guarded(&Exchange::OnReplyComplete),
+       .on_failed = guarded(&Exchange::OnAttemptFailed)});
+}
+
+std::string Exchange::RequestBytes() {
+  ++m_sends;
+  ++m_runs;
+  StartSilenceTimer();
+  HeaderList headers = m_request.head.headers;
+  headers.RemoveHopByHop();
+  ForwardedCall call{.time_left = std::max(milliseconds{1}, TimeLeft()),
+                     .backend_server = m_placement->server.id,
+                     .priority = Priority()};
+  if (m_workspace != nullptr) call.workspace = m_workspace->id;
+  call.last_event_id = m_events.LastId();
+  if (m_placement->fetch_from) {
+    call.fetch_from = m_placement->fetch_from->address;
+  }
+  m_context->codec.encode_call(call, &headers);
+  std::string bytes =
+      m_request.head.method + " " + m_request.head.target + " HTTP/1.1\r\n";
+  for (const Header& field : headers.Fields()) {
+    AppendHeader(field.name, field.value, &bytes);
+  }
+  const bool has_body =
+      !m_request.body.empty() ||
+      (m_request.head.method != "GET" && m_request.head.method != "HEAD");
+  if (has_body) {
+    AppendHeader("Content-Length", std::to_string(m_request.body.size()),
+                 &bytes);
+  }
+  return bytes.append("\r\n").append(m_request.body);
+}
+
+void Exchange::StartSilenceTimer() {
+  m_attempt_timer.Stop();
+  if (!MayRepeat()) return;
+  milliseconds patience;
+  if (m_route->kind != state::CallKind::kStream) {
+    patience = std::max(Scale(m_route->objective, kPlainSilenceShare),
+                        kShortestPlainSilence);
+  } else if (m_reply_begun) {
+    patience = std::max(m_route->event_gap * kEventGaps, m_route->objective);
+  } else {
+    patience = m_route->objective * kFirstEventObjectives;
+  }
+  m_attempt_timer.Start(patience, [this] {
+    const auto self = shared_from_this();
+    OnSilence();
+  });
+}
+
+void Exchange::OnReplyHead(MessageHead head) {
+  const auto now = m_context->loop->Now();
+  const auto reply = m_context->codec.decode_reply(head);
+  const state::BackendServerId& id = m_placement->server.id;
+  if (reply.load) m_context->loads.OnReport(id, *reply.load, now);
+  if (reply.cold_left) {
+    m_context->registry.ExtendCold(id, now + *reply.cold_left);
+  }
+  m_reply_begun = true;
+  m_reply.head = std::move(head);
+  if (IsEventStream()) {
+    m_context->prompt_cache.OnRead(m_call.shared_part, id, now);
+    StartSilenceTimer();
+  }
+}
+
+bool Exchange::IsEventStream() const {
+  return m_route->kind == state::CallKind::kStream &&
+         IsSuccess(m_reply.head.status);
+}
+
+void Exchange::OnReplyBody(std::string_view data) {
+  if (IsEventStream()) {
+    ForwardStream(data);
+    return;
+  }
+  if (m_reply.body.size() + data.size() > kMostReplyBytes) {
+    AbandonAttempt(HealthSignal::kFailed);
+    Fail({ErrorKind::kAnswerCut, "answer too large", {}});
+    return;
+  }
+  m_reply.body.append(data);
+}
+
+void Exchange::ForwardStream(std::string_view data) {
+  const std::string events = m_events.Feed(data);
+  if (events.empty()) return;
+  const auto now = m_context->loop->Now();
+  if (m_first_byte) {
+    m_context->metrics.ObservePartGap(
+        m_workspace != nullptr ? m_workspace->id.value : "",
+        now - m_last_event);
+  }
+  m_last_event = now;
+  StartSilenceTimer();
+  if (!m_head_written) WriteHead(m_reply.head, std::nullopt);
+  m_output.write(EncodeChunk(events));
+  if (m_ended || m_output.queued_bytes() < kMostQueuedBytes) return;
+  m_reading_paused = true;
+  m_connection->PauseReading();
+}
+
+void Exchange::OnOutputDrained() {
+  if (!std::exchange(m_reading_paused, false)) return;
+  if (m_connection) m_connection->ResumeReading();
+}
+
+void Exchange::OnReplyComplete() {
+  const int status = m_reply.head.status;
+  const auto reply = m_context->codec.decode_reply(m_reply.head);
+  if (reply.not_run) {
+    EndAttempt(HealthSignal::kRefused);
+    --m_runs;
+    RepeatOrFail(true, ErrorKind::kOverloaded, "refused_by_backend");
+    return;
+  }
+  const bool failed = status >= kFirstServerError;
+  EndAttempt(failed ? HealthSignal::kFailed : HealthSignal::kAnswered);
+  if (IsEventStream()) {
+    FinishStream();
+    return;
+  }
+  if (m_head_written || (failed && MayRepeat())) {
+    RepeatOrFail(false, ErrorKind::kBackendServerFailed, "error_answer");
+    return;
+  }
+  WritePlainReply();
+}
+
+void Exchange::OnAttemptFailed() {
+  if (!m_connection->HasSent()) {
+    EndAttempt(HealthSignal::kUnreachable);
+    ++m_unreachable;
+    RepeatOrFail(true, ErrorKind::kNoBackendServer, "unreachable");
+    return;
+  }
+  // A connection that was idle may have been dropped without notice.
+  const bool stale = m_connection->WasUsedBefore() && !m_reply_begun;
+  const bool begun = m_reply_begun;
+  EndAttempt(stale ? HealthSignal::kRefused : HealthSignal::kFailed);
+  m_reply = {};
+  RepeatOrFail(false,
+               begun ? ErrorKind::kAnswerCut : ErrorKind::kBackendServerCrashed,
+               stale ? "idle_connection_dropped" : "connection_broken");
+}
+
+void Exchange::OnConnectTimeout() {
+  const auto self = shared_from_this();
+  AbandonAttempt(HealthSignal::kUnreachable);
+  ++m_unreachable;
+  RepeatOrFail(true, ErrorKind::kNoBackendServer, "connect_timeout");
+}
+
+void Exchange::OnSilence() {
+  if (!MayRepeat() || TimeLeft() < kShortestAttempt || !TakeRepeat()) return;
+  LogInfo("attempt_silent", {{"id", m_call.attempt_id},
+                             {"backend", m_placement->server.id.value}});
+  AbandonAttempt(HealthSignal::kFailed);
+  Place();
+}
+
+void Exchange::EndAttempt(HealthSignal signal) {
+  m_attempt_timer.Stop();
+  const auto connection = std::exchange(m_connection, nullptr);
+  if (!connection) return;
+  const state::BackendServerId& id = connection->Server().id;
+  m_context->loads.OnFinished(id);
+  if (m_context->health.OnSignal(id, signal, m_context->loop->Now())) {
+    LogWarn("backend_spared",
+            {{"backend", id.value},
+             {"id", m_call.attempt_id},
+             {"failure_share",
+              std::to_string(m_context->health.FailureShare(id))}});
+  }
+  m_context->connections.Release(connection);
+}
+
+void Exchange::AbandonAttempt(HealthSignal signal) {
+  if (!m_connection) return;
+  m_connection->Close();
+  EndAttempt(signal);
+}
+
+bool Exchange::MayRepeat() const {
+  return m_route->IsIdempotent() && m_runs < m_route->max_attempts;
+}
+
+bool Exchange::TakeRepeat() {
+  return m_sends == 0 ||
+         (m_sends < kMostSends && m_context->RetriesOf(m_service->id).Take());
+}
+
+void Exchange::RepeatOrFail(bool not_run, ErrorKind kind, const char* reason) {
+  const bool allowed = (not_run && m_runs == 0) || MayRepeat();
+  const bool repeats = allowed && TimeLeft() >= kShortestAttempt &&
+                       m_unreachable < kMostUnreachable && TakeRepeat();
+  LogInfo("attempt_failed", {{"id", m_call.attempt_id},
+                             {"backend", m_placement->server.id.value},
+                             {"reason", reason},
+                             {"not_run", not_run ? "true" : "false"},
+                             {"repeats", repeats ? "true" : "false"},
+                             {"left_ms", std::to_string(TimeLeft().count())}});
+  if (repeats) {
+    Place();
+    return;
+  }
+  if (m_reply_begun && !not_run && !m_head_written &&
+      m_reply.head.status >= kFirstServerError) {
+    WritePlainReply();
+    return;
+  }
+  const auto bound = std::max(milliseconds{1}, TimeLeft() / kReturnDivisor);
+  const auto after =
+      m_context->return_times.Next(kBusyReturn, m_context->loop->Now());
+  Fail({kind, reason, std::min(after, bound)});
+}
+
+void Exchange::WriteHead(const MessageHead& head,
+                         std::optional<std::size_t> length) {
+  m_head_written = true;
+  m_first_byte = m_context->loop->Now();
+  m_context->metrics.ObserveFirstByte(
+      m_workspace != nullptr ? m_workspace->id.value : "",
+      *m_first_byte - m_request.received);
+  HeaderList headers = head.headers;
+  headers.RemoveHopByHop();
+  std::string bytes =
+      "HTTP/1.1 " + std::to_string(head.status) + " " +
+      (head.reason.empty() ? std::string(ReasonOf(head.status)) : head.reason) +
+      "\r\n";
+  for (const Header& field : headers.Fields()) {
+    AppendHeader(field.name, field.value, &bytes);
+  }
+  if (length) {
+    AppendHeader("Content-Length", std::to_string(*length), &bytes);
+  } else {
+    AppendHeader("Transfer-Encoding", "chunked", &bytes);
+  }
+  if (m_output.closes()) AppendHeader("Connection", "close", &bytes);
+  m_output.write(bytes + "\r\n");
+}
+
+void Exchange::WritePlainReply() {
+  const std::string outcome = "answered_" + std::to_string(m_reply.head.status);
+  WriteHead(m_reply.head, m_reply.body.size());
+  if (m_ended) return;
+  m_output.write(std::move(m_reply.body));
+  Finish(End::kWhole, outcome);
+}
+
+void Exchange::FinishStream() {
+  const std::string rest = m_events.Partial();
+  if (!m_head_written) WriteHead(m_reply.head, std::nullopt);
+  if (m_ended) return;
+  std::string bytes = rest.empty() ? "" : EncodeChunk(rest);
+  m_output.write(bytes.append(kLastChunk));
+  Finish(End::kWhole, "answered_" + std::to_string(m_reply.head.status));
+}
+
+void Exchange::Fail(protocol::Error error) {
+  if (m_ended) return;
+  if (m_head_written) {
+    Finish(End::kCut, protocol::RowOf(error.kind).name);
+    return;
+  }
+  // A call that may have run is never answered as not run.
+  if (m_runs > 0 && protocol::RowOf(error.kind).not_run) {
+    error.kind = ErrorKind::kBackendServerFailed;
+  }
+  const protocol::ErrorRow& row = protocol::RowOf(error.kind);
+  MessageHead head;
+  head.status = row.http_status;
+  head.headers.Add("Content-Type", "application/json");
+  if (row.not_run && error.RetryAfter().count() > 0) {
+    head.headers.Add("Retry-After", RetryAfterSeconds(error.RetryAfter()));
+  }
+  const std::string body = protocol::ErrorBody(error);
+  WriteHead(head, body.size());
+  if (m_ended) return;
+  if (m_request.head.method != "HEAD") m_output.write(body);
+  Finish(End::kWhole, row.name);
+}
+
+void Exchange::OnDeadline() {
+  const auto self = shared_from_this();
+  if (m_ticket != 0) {
+    m_context->queue.Remove(std::exchange(m_ticket, 0));
+  }
+  AbandonAttempt(m_reply_begun ? HealthSignal::kRefused
+                               : HealthSignal::kFailed);
+  Fail(
+      {m_runs > 0 ? ErrorKind::kDeadlineExceeded : ErrorKind::kDeadlineTooShort,
+       "",
+       {}});
+}
+
+void Exchange::Cancel() {
+  if (m_ended) return;
+  const auto self = shared_from_this();
+  AbandonAttempt(HealthSignal::kRefused);
+  m_output.write = [](const std::string&) {};
+  Finish(End::kCut, "cancelled");
+}
+
+void Exchange::Finish(End end, const std::string& outcome) {
+  if (std::exchange(m_ended, true)) return;
+  m_deadline_timer.Stop();
+  m_attempt_timer.Stop();
+  if (m_ticket != 0) m_context->queue.Remove(std::exchange(m_ticket, 0));
+  const auto now = m_context->loop->Now();
+  const std::string workspace =
+      m_workspace != nullptr ? m_workspace->id.value : "";
+  const bool answered = outcome.starts_with("answered");
+  if (answered) m_context->return_times.OnAnswered(now);
+  m_context->metrics.CountCall(workspace, answered ? "" : outcome);
+  m_context->metrics.CountAttempts(m_sends);
+  const auto ms = [&](coordination::TimePoint time) {
+    return std::to_string(ToMilliseconds(time - m_request.received).count());
+  };
+  LogInfo("call", {{"id", m_call.attempt_id},
+                   {"outcome", outcome},
+                   {"route", m_route != nullptr ? m_route->name : "-"},
+                   {"workspace", workspace.empty() ? "-" : workspace},
+                   {"config", std::to_string(m_config ? m_config->version : 0)},
+                   {"sends", std::to_string(m_sends)},
+                   {"may_have_run", std::to_string(m_runs)},
+                   {"first_byte_ms", m_first_byte ? ms(*m_first_byte) : "-"},
+                   {"total_ms", ms(now)}});
+  m_output.on_end(end);
+}
+
+}  // namespace wasabiwall::transport
--- /dev/null
+++ b/src/wasabiwall/transport/gateway.cc
@@ -0,0 +1,130 @@
+#include "wasabiwall/transport/gateway.h"
+
+#include <utility>
+#include <vector>
+
+#include "wasabiwall/transport/logging.h"
+
+namespace wasabiwall::transport {
+namespace {
+
+/// How often waiting calls are looked at.
+constexpr std::chrono::milliseconds kTickPeriod{20};
+constexpr std::chrono::milliseconds kHousekeepingPeriod{250};
+/// Time after the signal to stop in which a balancer that checks readiness
+/// each second takes the process out of rotation.
+constexpr std::chrono::milliseconds kRotationTime{2500};
+/// Time kept free at the end of the stop timeout.
+constexpr std::chrono::milliseconds kStopMargin{100};
+
+}  // namespace
+
+Gateway::Gateway(GatewayContext* context, std::function<void()> on_stopped)
+    : m_context(context),
+      m_on_stopped(std::move(on_stopped)),
+      m_readiness(context->loop,
+                  [this](const std::string&) { return ReadinessPage(); }),
+      m_metrics(context->loop,
+                [this](const std::string&) { return MetricsPage(); }),
+      m_tick(context->loop),
+      m_housekeeping(context->loop),
+      m_stop_listening(context->loop),
+      m_stop_timeout(context->loop) {}
+
+bool Gateway::Start() {
+  m_listener = std::make_unique<TcpListener>(
+      m_context->loop, [this](uv_stream_t* stream) { OnAccept(stream); });
+  const GatewayOptions& options = m_context->options;
+  if (!m_listener->Listen(options.listen_address)) return false;
+  if (!m_readiness.Listen(options.readiness_address)) return false;
+  if (options.metrics_address.port != 0 &&
+      !m_metrics.Listen(options.metrics_address)) {
+    return false;
+  }
+  m_tick.StartRepeating(kTickPeriod, [this] { OnTick(); });
+  m_housekeeping.StartRepeating(kHousekeepingPeriod,
+                                [this] { OnHousekeeping(); });
+  return true;
+}
+
+bool Gateway::IsReady() const {
+  return m_loaded && m_context->Config() && !m_context->stopping;
+}
+
+void Gateway::OnAccept(uv_stream_t* stream) {
+  auto connection = std::make_shared<ClientConnection>(
+      m_context, [this](const std::shared_ptr<ClientConnection>& closed) {
+        m_connections.erase(closed);
+        if (m_context->stopping) EndIfDone();
+      });
+  m_connections.insert(connection);
+  connection->Accept(stream);
+}
+
+void Gateway::OnTick() {
+  if (m_context->queue.Size() > 0) {
+    m_context->queue.Run(m_context->loop->Now());
+  }
+}
+
+void Gateway::OnHousekeeping() {
+  m_context->registry.Expire(m_context->loop->Now());
+  m_context->connections.Prune([this](const state::BackendServerId& id) {
+    return m_context->registry.Find(id) != nullptr;
+  });
+}
+
+void Gateway::Stop() {
+  if (std::exchange(m_context->stopping, true)) return;
+  LogInfo("stopping", {{"connections", std::to_string(m_connections.size())}});
+  m_stop_listening.Start(kRotationTime, [this] {
+    m_listener.reset();
+    CloseIdle();
+    EndIfDone();
+  });
+  m_stop_timeout.Start(m_context->options.stop_timeout - kStopMargin, [this] {
+    if (std::exchange(m_stopped, true)) return;
+    LogWarn("stop_timeout",
+            {{"connections", std::to_string(m_connections.size())}});
+    m_on_stopped();
+  });
+}
+
+void Gateway::CloseIdle() {
+  const std::vector<std::shared_ptr<ClientConnection>> connections(
+      m_connections.begin(), m_connections.end());
+  for (const auto& connection : connections) connection->CloseIfIdle();
+}
+
+void Gateway::EndIfDone() {
+  if (m_listener || !m_connections.empty()) return;
+  if (std::exchange(m_stopped, true)) return;
+  m_on_stopped();
+}
+
+StatusPage Gateway::ReadinessPage() const {
+  if (IsReady()) return {.status = 200, .body = "ready\n"};
+  return {.status = 503,
+          .body = m_context->stopping ? "stopping\n" : "starting\n"};
+}
+
+StatusPage Gateway::MetricsPage() {
+  m_context->metrics.SetGauge("wasabiwall_connections",
+                              static_cast<double>(m_connections.size()));
+  m_context->metrics.SetGauge("wasabiwall_waiting_calls",
+                              static_cast<double>(m_context->queue.Size()));
+  m_context->metrics.SetGauge("wasabiwall_backend_servers",
+                              static_cast<double>(m_context->registry.Size()));
+  m_context->metrics.SetGauge(
+      "wasabiwall_config_version",
+      static_cast<double>(m_context->Config() ? m_context->Config()->version
+                                              : 0));
+  m_context->metrics.SetGauge(
+      "wasabiwall_backend_connections_opened",
+      static_cast<double>(m_context->connections.Opened()));
+  m_context->metrics.SetGauge("wasabiwall_log_lines_dropped",
+                              static_cast<double>(DroppedLogLines()));
+  return {.body = m_context->metrics.Text()};
+}
+
+}  // namespace wasabiwall::transport
--- /dev/null
+++ b/src/wasabiwall/transport/http1_message.cc
@@ -0,0 +1,100 @@
+#include "wasabiwall/transport/http1_message.h"
+
+#include <http_parser.h>
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+
+namespace wasabiwall::transport {
+namespace {
+
+constexpr std::array<std::string_view, 10> kHopByHop = {
+    "Connection", "Keep-Alive",        "Proxy-Connection",    "TE",
+    "Trailer",    "Transfer-Encoding", "Proxy-Authorization", "Upgrade",
+    "Expect",     "Content-Length"};
+
+std::string_view Trim(std::string_view text) {
+  const auto first = text.find_first_not_of(" \t");
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+}  // namespace
+
+bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+const std::string* HeaderList::Find(std::string_view name) const {
+  for (const Header& field : m_fields) {
+    if (EqualsIgnoringCase(field.name, name)) return &field.value;
+  }
+  return nullptr;
+}
+
+void HeaderList::Remove(std::string_view name) {
+  std::erase_if(m_fields, [name](const Header& field) {
+    return EqualsIgnoringCase(field.name, name);
+  });
+}
+
+void HeaderList::RemoveHopByHop() {
+  std::vector<std::string> named;
+  for (const Header& field : m_fields) {
+    if (!EqualsIgnoringCase(field.name, "Connection")) continue;
+    std::string_view rest = field.value;
+    while (!rest.empty()) {
+      const auto comma = rest.find(',');
+      named.emplace_back(Trim(rest.substr(0, comma)));
+      if (comma == std::string_view::npos) break;
+      rest.remove_prefix(comma + 1);
+    }
+  }
+  std::erase_if(m_fields, [&](const Header& field) {
+    const auto matches = [&](std::string_view name) {
+      return EqualsIgnoringCase(field.name, name);
+    };
+    return std::any_of(kHopByHop.begin(), kHopByHop.end(), matches) ||
+           std::any_of(named.begin(), named.end(), matches);
+  });
+}
+
+void AppendHeader(std::string_view name, std::string_view value,
+                  std::string* out) {
+  out->append(name).append(": ").append(value).append("\r\n");
+}
+
+std::string_view ReasonOf(int status) {
+  return http_status_str(static_cast<http_status>(status));
+}
+
+std::string PercentEncode(std::string_view text) {
+  constexpr std::string_view kPlain = "-._~/";
+  constexpr std::string_view kDigits = "0123456789ABCDEF";
+  std::string encoded;
+  for (const unsigned char c : text) {
+    if (std::isalnum(c) != 0 || kPlain.find(c) != kPlain.npos) {
+      encoded += static_cast<char>(c);
+      continue;
+    }
+    encoded += '%';
+    encoded += kDigits[c >> 4U];
+    encoded += kDigits[c & 15U];
+  }
+  return encoded;
+}
+
+std::string EncodeChunk(std::string_view data) {
+  std::array<char, 16> size{};
+  const auto [end, error] =
+      std::to_chars(size.data(), size.data() + size.size(), data.size(), 16);
+  std::string chunk(size.data(), end);
+  chunk.reserve(chunk.size() + data.size() + 4);
+  chunk.append("\r\n").append(data).append("\r\n");
+  return chunk;
+}
+
+}  // namespace wasabiwall::transport
--- /dev/null
+++ b/src/wasabiwall/transport/http1_message.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wasabiwall::transport {
+
+/// Compares header names, which ignore letter case.
+bool EqualsIgnoringCase(std::string_view a, std::string_view b);
+
+/// A header field.
+struct Header {
+  std::string name;
+  std::string value;
+};
+
+/// Header fields in the order received.
+class HeaderList {
+ public:
+  void Add(std::string name, std::string value) {
+    m_fields.push_back({std::move(name), std::move(value)});
+  }
+
+  /// @return Value of the first field with this name, or null.
+  const std::string* Find(std::string_view name) const;
+
+  /// Removes all fields with this name.
+  void Remove(std::string_view name);
+
+  /// Removes the fields that concern one connection only: those of the
+  /// protocol and those that the Connection field names.
+  void RemoveHopByHop();
+
+  const std::vector<Header>& Fields() const { return m_fields; }
+
+ private:
+  std::vector<Header> m_fields;
+};
+
+/// Head of a request or response.
+struct MessageHead {
+  /// Set in requests.
+  std::string method;
+  std::string target;
+  /// Set in responses.
+  int status = 0;
+  std::string reason;
+
+  HeaderList headers;
+  /// Whether another message may follow on the connection.
+  bool keep_alive = false;
+};
+
+/// Appends `name: value`.
+void AppendHeader(std::string_view name, std::string_view value,
+                  std::string* out);
+
+/// @return The usual reason phrase of a status.
+std::string_view ReasonOf(int status);
+
+/// @return `data` as one chunk of a chunked body.
+std::string EncodeChunk(std::string_view data);
+
+/// @return `text` for use in a query.
+std::string PercentEncode(std::string_view text);
+
+/// End of a chunked body.
+inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+}  // namespace wasabiwall::transport
--- /dev/null
+++ b/src/wasabiwall/transport/http1_parser.cc
@@ -0,0 +1,161 @@
+#include "wasabiwall/transport/http1_parser.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace wasabiwall::transport {
+namespace {
+
+/// Values that tell http_parser how to go on after a head.
+constexpr int kGoOn = 0;
+constexpr int kSkipBody = 1;
+constexpr int kFail = -1;
+
+bool IsToken(std::string_view name) {
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return !name.empty() &&
+         std::all_of(name.begin(), name.end(), [&](unsigned char c) {
+           return std::isalnum(c) != 0 || kMarks.find(c) != kMarks.npos;
+         });
+}
+
+bool IsFieldValue(std::string_view value) {
+  return std::all_of(value.begin(), value.end(), [](unsigned char c) {
+    return c == '\t' || (c >= ' ' && c != 0x7f);
+  });
+}
+
+}  // namespace
+
+Http1Parser::Http1Parser(Kind kind, Handlers handlers)
+    : m_kind(kind), m_handlers(std::move(handlers)) {
+  http_parser_init(&m_parser,
+                   kind == Kind::kRequests ? HTTP_REQUEST : HTTP_RESPONSE);
+  m_parser.data = this;
+}
+
+Http1Parser::Status Http1Parser::Feed(std::string_view data,
+                                      std::size_t* taken) {
+  *taken = 0;
+  if (m_paused) return Status::kPaused;
+  *taken =
+      http_parser_execute(&m_parser, &Callbacks(), data.data(), data.size());
+  const auto error = HTTP_PARSER_ERRNO(&m_parser);
+  if (error == HPE_PAUSED) return Status::kPaused;
+  if (error == HPE_OK) return Status::kOk;
+  const bool large = m_head_too_large || error == HPE_HEADER_OVERFLOW;
+  return large ? Status::kHeadTooLarge : Status::kMalformed;
+}
+
+bool Http1Parser::FeedEnd() {
+  if (m_paused || !m_in_message) return !m_in_message;
+  http_parser_execute(&m_parser, &Callbacks(), nullptr, 0);
+  return HTTP_PARSER_ERRNO(&m_parser) == HPE_OK && !m_in_message;
+}
+
+void Http1Parser::Pause() {
+  m_paused = true;
+  http_parser_pause(&m_parser, 1);
+}
+
+void Http1Parser::Resume() {
+  if (!m_paused) return;
+  m_paused = false;
+  http_parser_pause(&m_parser, 0);
+}
+
+bool Http1Parser::CountHeadBytes(std::size_t bytes) {
+  m_head_bytes += bytes;
+  m_head_too_large = m_head_bytes > m_max_head_bytes;
+  return !m_head_too_large;
+}
+
+void Http1Parser::FinishField() {
+  if (m_field_name.empty() && !m_value_begun) return;
+  m_head.headers.Add(std::exchange(m_field_name, {}),
+                     std::exchange(m_field_value, {}));
+  m_value_begun = false;
+}
+
+bool Http1Parser::TakeHead() {
+  FinishField();
+  m_head_complete = true;
+  for (const Header& field : m_head.headers.Fields()) {
+    if (!IsToken(field.name) || !IsFieldValue(field.value)) return false;
+  }
+  m_head.keep_alive = http_should_keep_alive(&m_parser) != 0;
+  if (m_kind == Kind::kResponses) {
+    m_head.status = m_parser.status_code;
+    return true;
+  }
+  const bool version_1_1 = m_parser.http_major == 1 && m_parser.http_minor == 1;
+  if (m_parser.method == HTTP_CONNECT || !version_1_1) return false;
+  m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
+  return true;
+}
+
+int Http1Parser::OnHeadersComplete(http_parser* parser) {
+  Http1Parser* self = Of(parser);
+  if (!self->TakeHead()) return kFail;
+  // Upgrades are not offered, so the connection goes on as HTTP/1.1.
+  parser->upgrade = 0;
+  return self->m_handlers.on_head(std::move(self->m_head)) ? kGoOn : kSkipBody;
+}
+
+const http_parser_settings& Http1Parser::Callbacks() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings s;
+    http_parser_settings_init(&s);
+    s.on_message_begin = [](http_parser* parser) {
+      Http1Parser* self = Of(parser);
+      self->m_head = {};
+      self->m_field_name.clear();
+      self->m_field_value.clear();
+      self->m_value_begun = false;
+      self->m_in_message = true;
+      self->m_head_complete = false;
+      self->m_head_bytes = 0;
+      return 0;
+    };
+    s.on_url = [](http_parser* parser, const char* data, std::size_t size) {
+      Of(parser)->m_head.target.append(data, size);
+      return Of(parser)->CountHeadBytes(size) ? 0 : kFail;
+    };
+    s.on_status = [](http_parser* parser, const char* data, std::size_t size) {
+      Of(parser)->m_head.reason.append(data, size);
+      return 0;
+    };
+    s.on_header_field = [](http_parser* parser, const char* data,
+                           std::size_t size) {
+      Http1Parser* self = Of(parser);
+      if (self->m_value_begun) self->FinishField();
+      // Trailers are not passed on.
+      if (self->m_head_complete) return 0;
+      self->m_field_name.append(data, size);
+      return self->CountHeadBytes(size) ? 0 : kFail;
+    };
+    s.on_header_value = [](http_parser* parser, const char* data,
+                           std::size_t size) {
+      Http1Parser* self = Of(parser);
+      if (self->m_head_complete) return 0;
+      self->m_value_begun = true;
+      self->m_field_value.append(data, size);
+      return self->CountHeadBytes(size) ? 0 : kFail;
+    };
+    s.on_headers_complete = &Http1Parser::OnHeadersComplete;
+    s.on_body = [](http_parser* parser, const char* data, std::size_t size) {
+      Of(parser)->m_handlers.on_body({data, size});
+      return 0;
+    };
+    s.on_message_complete = [](http_parser* parser) {
+      Of(parser)->m_in_message = false;
+      Of(parser)->m_handlers.on_complete();
+      return 0;
+    };
+    return s;
+  }();
+  return settings;
+}
+
+}  // namespace wasabiwall::transport
--- /dev/null
+++ b/src/wasabiwall/transport/http_requester.cc
@@ -0,0 +1,69 @@
+#include "wasabiwall/transport/http_requester.h"
+
+#include <utility>
+
+namespace wasabiwall::transport {
+namespace {
+
+/// Longest idle time of a connection: longer than the pauses between calls.
+constexpr std::chrono::milliseconds kIdle{3000};
+
+}  // namespace
+
+struct HttpRequester::PendingCall {
+  explicit PendingCall(EventLoop* loop) : timer(loop) {}
+
+  void Finish(std::optional<HttpReply> result) {
+    timer.Stop();
+    const auto handler = std::exchange(on_reply, nullptr);
+    if (handler) handler(std::move(result));
+  }
+
+  Timer timer;
+  HttpReply reply;
+  std::shared_ptr<BackendConnection> connection;
+  ReplyHandler on_reply;
+};
+
+HttpRequester::HttpRequester(EventLoop* loop, const std::string& address)
+    : m_loop(loop), m_pool(loop) {
+  m_server.id = state::BackendServerId(address);
+  m_server.address = address;
+}
+
+void HttpRequester::Call(const std::string& method, const std::string& target,
+                         const std::string& body,
+                         std::chrono::milliseconds timeout,
+                         ReplyHandler on_reply) {
+  const auto call = std::make_shared<PendingCall>(m_loop);
+  call->on_reply = std::move(on_reply);
+  call->connection = m_pool.Acquire(m_server, kIdle);
+  std::string bytes = method + " " + target + " HTTP/1.1\r\n";
+  AppendHeader("Host", m_server.address, &bytes);
+  if (!body.empty()) AppendHeader("Content-Type", "application/json", &bytes);
+  if (!body.empty() || method != "GET") {
+    AppendHeader("Content-Length", std::to_string(body.size()), &bytes);
+  }
+  bytes.append("\r\n").append(body);
+  call->timer.Start(timeout, [call] {
+    call->connection->Close();
+    call->Finish(std::nullopt);
+  });
+  call->connection->Send(
+      [bytes = std::move(bytes)] { return bytes; }, true,
+      {.is_own = [](const MessageHead&) { return true; },
+       .on_head =
+           [call](const MessageHead& head) {
+             call->reply.status = head.status;
+           },
+       .on_body =
+           [call](std::string_view data) { call->reply.body.append(data); },
+       .on_complete =
+           [this, call] {
+             m_pool.Release(call->connection);
+             call->Finish(std::move(call->reply));
+           },
+       .on_failed = [call] { call->Finish(std::nullopt); }});
+}
+
+}  // namespace wasabiwall::transport
--- /dev/null
+++ b/src/wasabiwall/transport/http_requester.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "wasabiwall/transport/backend_pool.h"
+
+namespace wasabiwall::transport {
+
+/// Answer to a call of HttpRequester.
+struct HttpReply {
+  int status = 0;
+  std::string body;
+};
+
+/// Calls one HTTP service on an event loop, over kept connections.
+class HttpRequester {
+ public:
+  /// Receives the answer, or nothing when none came in time.
+  using ReplyHandler = std::function<void(std::optional<HttpReply>)>;
+
+  HttpRequester(EventLoop* loop, const std::string& address);
+
+  /// Sends a request.
+  /// @param body Sent as JSON when not empty.
+  /// @param timeout Time after which the answer is given up.
+  void Call(const std::string& method, const std::string& target,
+            const std::string& body, std::chrono::milliseconds timeout,
+            ReplyHandler on_reply);
+
+ private:
+  struct PendingCall;
+
+  EventLoop* m_loop;
+  state::BackendServer m_server;
+  BackendPool m_pool;
+};
+
+}  // namespace wasabiwall::transport
--- a/src/wasabiwall/transport/logging.cc
+++ b/src/wasabiwall/transport/logging.cc
@@ -1,14 +1,17 @@
 #include "wasabiwall/transport/logging.h"
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
-#include <thrift/TOutput.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cctype>
 #include <memory>
+#include <sstream>
+
+#include "wasabiwall/transport/log_output.h"
 
 namespace wasabiwall::transport {
 namespace {
@@ -40,14 +43,32 @@
   return line;
 }
 
+LogOutput& Output() {
+  static LogOutput output(STDOUT_FILENO, coordination::SteadyClock());
+  return output;
+}
+
+/// Hands formatted lines to the log output.
+class OutputAppender : public log4cplus::Appender {
+ public:
+  ~OutputAppender() override { destructorImpl(); }
+  void close() override { closed = true; }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    std::ostringstream line;
+    layout->formatAndAppend(line, event);
+    Output().Write(line.str());
+  }
+};
+
 log4cplus::Logger RootLogger() { return log4cplus::Logger::getRoot(); }
 
 }  // namespace
 
 void StartLogging(const std::string& level, const std::string& process) {
   log4cplus::initialize();
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(true, true));
+  log4cplus::SharedAppenderPtr appender(new OutputAppender);
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
       "%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p process=" + process + " %m%n"));
   std::string upper = level;
@@ -55,11 +76,14 @@
                  [](unsigned char c) { return std::toupper(c); });
   RootLogger().setLogLevel(log4cplus::getLogLevelManager().fromString(upper));
   RootLogger().addAppender(appender);
-  apache::thrift::GlobalOutput.setOutputFunction([](const char* message) {
-    LogDebug("thrift", {{"message", message}});
-  });
 }
 
+void BufferLogs() { Output().SetBuffered(true); }
+
+void FlushLogs() { Output().Flush(); }
+
+std::int64_t DroppedLogLines() { return Output().Dropped(); }
+
 void LogDebug(const std::string& event, const std::vector<LogField>& fields) {
   LOG4CPLUS_DEBUG(RootLogger(), Line(event, fields));
 }
--- a/src/wasabiwall/transport/logging.h
+++ b/src/wasabiwall/transport/logging.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -11,11 +12,22 @@
   std::string value;
 };
 
-/// Sets up logging to standard error.
+/// Sets up logging to standard output. Lines beyond a bounded rate, and lines
+/// that the reader does not take, are dropped and counted.
 /// @param level `trace`, `debug`, `info`, `warn` or `error`.
 /// @param process Name of the process, on every line.
 void StartLogging(const std::string& level, const std::string& process);
 
+/// Holds lines back until FlushLogs is called or enough have gathered, so that
+/// a busy loop writes many at once.
+void BufferLogs();
+
+/// Writes the lines held back.
+void FlushLogs();
+
+/// @return Lines dropped since the start.
+std::int64_t DroppedLogLines();
+
 /// Logs an event with its fields as `event=… name=value …`; values with other
 /// than plain characters are quoted.
 void LogDebug(const std::string& event, const std::vector<LogField>& fields);
