--- a/src/wasabiwall/transport/backend_connection.cc
+++ b/src/wasabiwall/transport/backend_connection.cc
@@ -44,7 +44,7 @@
       TcpConnection::Handlers{
           .on_connected = [this] { SendNow(); },
           .on_data = [this](std::string_view data) { OnData(data); },
-          .on_end = [this](ConnectionEnd) { OnEnd(); },
+          .on_end = [this](ConnectionEnd end) { OnEnd(end); },
           .on_drained = nullptr});
 }
 
@@ -92,10 +92,11 @@
   if (m_spoiled) Fail();
 }
 
-void BackendConnection::OnEnd() {
+void BackendConnection::OnEnd(ConnectionEnd end) {
   const auto self = shared_from_this();
-  // A body without a length ends with its connection.
-  const bool whole = m_parser.InBody() && m_parser.FeedEnd();
+  // A body without a length ends with its connection, if that ends in order.
+  const bool whole =
+      end == ConnectionEnd::kClosed && m_parser.InBody() && m_parser.FeedEnd();
   m_spoiled = true;
   if (whole && m_complete) {
     Complete();
--- a/src/wasabiwall/transport/backend_connection.h
+++ b/src/wasabiwall/transport/backend_connection.h
@@ -66,7 +66,7 @@
 
  private:
   void OnData(std::string_view data);
-  void OnEnd();
+  void OnEnd(ConnectionEnd end);
   bool OnHead(MessageHead head);
   void OnBody(std::string_view data);
   void OnMessageComplete();
--- a/src/wasabiwall/transport/gateway.h
+++ b/src/wasabiwall/transport/gateway.h
@@ -27,6 +27,9 @@
   /// The configuration and the registry have been read for the first time.
   void SetLoaded() { m_loaded = true; }
 
+  /// @return Port that callers connect to.
+  int CallersPort() const { return m_listener->Port(); }
+
   /// @return Whether new connections are welcome.
   bool IsReady() const;
 
--- a/src/wasabiwall/transport/tcp_connection.cc
+++ b/src/wasabiwall/transport/tcp_connection.cc
@@ -122,7 +122,8 @@
   void OnRead(ssize_t size, const char* data) {
     if (size == 0 || closing) return;
     if (size < 0) {
-      End(size == UV_EOF ? ConnectionEnd::kClosed : ConnectionEnd::kBroken);
+      const bool in_order = size == UV_EOF && !HasSocketError();
+      End(in_order ? ConnectionEnd::kClosed : ConnectionEnd::kBroken);
       return;
     }
     const auto keep = shared_from_this();
@@ -130,6 +131,20 @@
     if (callback) callback({data, static_cast<std::size_t>(size)});
   }
 
+  /// libuv reports a reset that arrives together with data as the end of the
+  /// data; only the socket tells them apart.
+  bool HasSocketError() const {
+    uv_os_fd_t socket = -1;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle), &socket) !=
+        0) {
+      return true;
+    }
+    int error = 0;
+    socklen_t length = sizeof(error);
+    return getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &length) != 0 ||
+           error != 0;
+  }
+
   void Write(std::string data) {
     if (closing || data.empty()) return;
     auto* stream = reinterpret_cast<uv_stream_t*>(&handle);
--- /dev/null
+++ b/tests/fakes/gateway_fixture.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fakes/loop_backend.h"
+#include "wasabiwall/transport/gateway.h"
+
+namespace wasabiwall::fakes {
+
+/// Codec with short header names: Attempt, Deadline, Key, Part in calls;
+/// Attempt, Not-Run, Load in answers.
+transport::CallCodec ShortCodec();
+
+/// A caller's connection whose bytes a test writes and reads.
+class LoopClient {
+ public:
+  LoopClient(transport::EventLoop* loop, int port);
+
+  void Send(const std::string& bytes) { m_tcp->Write(bytes); }
+  void Leave() { m_tcp->Reset(); }
+
+  const std::string& Received() const { return m_received; }
+  bool Ended() const { return m_ended; }
+
+  /// @return Whether the connection broke rather than closed in order.
+  bool Broken() const { return m_broken; }
+
+  /// @return Status of the first answer; 0 when there is none yet.
+  int Status() const;
+
+  /// @return Whether `text` was received.
+  bool Has(const std::string& text) const {
+    return m_received.find(text) != std::string::npos;
+  }
+
+ private:
+  std::unique_ptr<transport::TcpConnection> m_tcp;
+  std::string m_received;
+  bool m_ended = false;
+  bool m_broken = false;
+};
+
+/// A gateway on loopback with routes /safe/, /once/, /chat/ (resumable stream)
+/// and /talk/ (stream that runs once), all to service "s".
+class GatewayFixture {
+ public:
+  explicit GatewayFixture(transport::GatewayOptions options = DefaultOptions());
+  ~GatewayFixture();
+
+  static transport::GatewayOptions DefaultOptions();
+
+  /// Starts a scripted backend server and registers it.
+  LoopBackend& AddBackend(const std::string& id, LoopBackend::Script script);
+
+  /// Registers an address under an identifier.
+  void Register(const std::string& id, const std::string& address);
+
+  /// Opens a caller's connection.
+  LoopClient& Connect();
+
+  /// Opens a caller's connection and sends a request on it.
+  LoopClient& Call(const std::string& path, const std::string& attempt_id,
+                   const std::string& extra_headers = "");
+
+  /// Runs the loop until `done` or for five seconds.
+  /// @return Whether it was done.
+  bool RunUntil(const std::function<bool()>& done);
+
+  /// Runs the loop for a time.
+  void RunFor(std::chrono::milliseconds time);
+
+  /// @return The configuration of the fixture, to change and apply anew.
+  static std::shared_ptr<state::ServiceConfig> MakeConfig(std::int64_t version);
+
+  transport::EventLoop loop;
+  transport::GatewayContext context;
+  transport::Gateway gateway;
+  bool stopped = false;
+
+ private:
+  std::vector<std::unique_ptr<LoopBackend>> m_backends;
+  std::vector<std::unique_ptr<LoopClient>> m_clients;
+};
+
+/// @return Bytes of a request.
+std::string RequestText(const std::string& path, const std::string& attempt_id,
+                        const std::string& extra_headers = "");
+
+}  // namespace wasabiwall::fakes
--- /dev/null
+++ b/tests/fakes/loop_backend.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "wasabiwall/transport/http1_parser.h"
+#include "wasabiwall/transport/tcp_connection.h"
+
+namespace wasabiwall::fakes {
+
+/// A backend server on an event loop whose answers a test scripts byte by byte.
+class LoopBackend {
+ public:
+  /// A connection to the backend server.
+  class Session {
+   public:
+    /// Writes raw bytes of an answer.
+    void Write(const std::string& bytes) { m_tcp->Write(bytes); }
+
+    /// Closes in order.
+    void Close();
+
+    /// Breaks the connection.
+    void Reset();
+
+    /// @return Whether the other side has ended the connection.
+    bool Ended() const { return m_ended; }
+
+   private:
+    friend class LoopBackend;
+
+    std::unique_ptr<transport::TcpConnection> m_tcp;
+    std::unique_ptr<transport::Http1Parser> m_parser;
+    transport::MessageHead m_head;
+    std::string m_body;
+    bool m_ended = false;
+  };
+
+  /// A request that arrived.
+  struct Received {
+    transport::MessageHead head;
+    std::string body;
+    std::shared_ptr<Session> session;
+  };
+
+  using Script = std::function<void(const Received&)>;
+
+  /// Starts to listen on a free loopback port.
+  LoopBackend(transport::EventLoop* loop, Script script);
+
+  /// @return `ip:port`.
+  std::string Address() const;
+
+  /// @return Requests that arrived so far.
+  const std::vector<Received>& Requests() const { return m_requests; }
+
+  /// @return Connections accepted so far.
+  int Accepted() const { return static_cast<int>(m_sessions.size()); }
+
+  /// Stops to listen and breaks all connections.
+  void Crash();
+
+ private:
+  void OnAccept(uv_stream_t* stream);
+
+  transport::EventLoop* m_loop;
+  Script m_script;
+  std::unique_ptr<transport::TcpListener> m_listener;
+  std::vector<std::shared_ptr<Session>> m_sessions;
+  std::vector<Received> m_requests;
+};
+
+/// @return A whole answer with a length.
+std::string PlainAnswer(const std::string& attempt_id, int status,
+                        const std::string& body,
+                        const std::string& extra_headers = "");
+
+/// @return Head of an event stream in chunks.
+std::string StreamHead(const std::string& attempt_id);
+
+/// @return One event in a chunk.
+std::string EventChunk(int id, const std::string& data);
+
+}  // namespace wasabiwall::fakes
