--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -48,6 +48,9 @@
 constexpr int kReturnDivisor = 4;
 constexpr milliseconds kLongestReturn{2000};
 constexpr milliseconds kBusyReturn{200};
+/// When callers may come back to a process that stops: a restart takes about a
+/// second.
+constexpr milliseconds kRestartReturn{1000};
 /// Answers that are held in memory before they are passed on.
 constexpr std::size_t kMostReplyBytes = 16U << 20U;
 /// Unsent bytes of a stream at which the backend server is read no further.
@@ -133,6 +136,9 @@
   m_deadline =
       m_request.received +
       std::min(m_call.deadline.value_or(m_route->timeout), m_route->timeout);
+  if (m_context->ends_by && m_deadline > *m_context->ends_by) {
+    return protocol::Error{ErrorKind::kDraining, "stopping", kRestartReturn};
+  }
   if (TimeLeft() <= milliseconds{0}) {
     return protocol::Error{ErrorKind::kDeadlineTooShort, "", {}};
   }
--- a/src/wasabiwall/transport/gateway.cc
+++ b/src/wasabiwall/transport/gateway.cc
@@ -1,5 +1,6 @@
 #include "wasabiwall/transport/gateway.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -28,7 +29,7 @@
                 [this](const std::string&) { return MetricsPage(); }),
       m_tick(context->loop),
       m_housekeeping(context->loop),
-      m_stop_listening(context->loop),
+      m_out_of_rotation(context->loop),
       m_stop_timeout(context->loop) {}
 
 bool Gateway::Start() {
@@ -69,6 +70,7 @@
 
 void Gateway::OnHousekeeping() {
   m_context->registry.Expire(m_context->loop->Now());
+  EndIfDone();
   m_context->connections.Prune([this](const state::BackendServerId& id) {
     return m_context->registry.Find(id) != nullptr;
   });
@@ -77,12 +79,16 @@
 void Gateway::Stop() {
   if (std::exchange(m_context->stopping, true)) return;
   LogInfo("stopping", {{"connections", std::to_string(m_connections.size())}});
-  m_stop_listening.Start(kRotationTime, [this] {
-    m_listener.reset();
-    CloseIdle();
-    EndIfDone();
-  });
-  m_stop_timeout.Start(m_context->options.stop_timeout - kStopMargin, [this] {
+  const auto time = m_context->options.stop_timeout - kStopMargin;
+  // The listener stays open: a balancer that has nothing else in rotation may
+  // still send callers here.
+  m_out_of_rotation.Start(std::min(kRotationTime, time),
+                          [this, end = m_context->loop->Now() + time] {
+                            m_context->ends_by = end;
+                            CloseIdle();
+                            EndIfDone();
+                          });
+  m_stop_timeout.Start(time, [this] {
     if (std::exchange(m_stopped, true)) return;
     LogWarn("stop_timeout",
             {{"connections", std::to_string(m_connections.size())}});
@@ -97,8 +103,13 @@
 }
 
 void Gateway::EndIfDone() {
-  if (m_listener || !m_connections.empty()) return;
-  if (std::exchange(m_stopped, true)) return;
+  if (!m_context->ends_by) return;
+  const bool busy =
+      std::any_of(m_connections.begin(), m_connections.end(),
+                  [](const auto& connection) { return connection->IsBusy(); });
+  if (busy || std::exchange(m_stopped, true)) return;
+  m_listener.reset();
+  CloseIdle();
   m_on_stopped();
 }
 
--- a/src/wasabiwall/transport/gateway.h
+++ b/src/wasabiwall/transport/gateway.h
@@ -20,8 +20,9 @@
   /// @return False when an address cannot be listened on.
   bool Start();
 
-  /// Takes no new connections after a while, finishes the requests in progress
-  /// and then calls back.
+  /// Stops in order: reports itself as not ready, goes on while a balancer
+  /// takes it out of rotation, then begins only calls that end before the stop
+  /// timeout, and calls back once none is in progress.
   void Stop();
 
   /// The configuration and the registry have been read for the first time.
@@ -49,7 +50,7 @@
   StatusServer m_metrics;
   Timer m_tick;
   Timer m_housekeeping;
-  Timer m_stop_listening;
+  Timer m_out_of_rotation;
   Timer m_stop_timeout;
   std::unordered_set<std::shared_ptr<ClientConnection>> m_connections;
   bool m_loaded = false;
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 #include "wasabiwall/coordination/admission_queue.h"
@@ -91,6 +92,9 @@
   Metrics metrics;
   /// Whether the process has been told to stop.
   bool stopping = false;
+  /// While stopping and out of rotation: when the process ends at the latest.
+  /// Calls that may take longer are not begun any more.
+  std::optional<coordination::TimePoint> ends_by;
 
  private:
   void ShareRetryBurst();
