--- a/src/wasabiwall/coordination/backend_health.cc
+++ b/src/wasabiwall/coordination/backend_health.cc
@@ -17,6 +17,9 @@
 /// A restarted backend server is back within seconds.
 constexpr std::chrono::milliseconds kLongestSparing{4000};
 constexpr int kMostDoublings = 3;
+/// Failures to connect in a row after which a backend server is not tried at
+/// all while it is spared; a single one may be a lost packet.
+constexpr int kUnreachableFailures = 2;
 
 }  // namespace
 
@@ -24,6 +27,11 @@
                              HealthSignal signal, TimePoint now) {
   if (signal == HealthSignal::kRefused) return false;
   Entry& entry = m_entries[id];
+  if (signal == HealthSignal::kUnreachable) {
+    ++entry.consecutive_unreachable;
+  } else {
+    entry.consecutive_unreachable = 0;
+  }
   if (signal == HealthSignal::kAnswered) {
     entry.failure_share *= 1.0 - kOutcomeWeight;
     entry.consecutive_failures = 0;
@@ -54,6 +62,13 @@
   return found != m_entries.end() && now < found->second.spared_until;
 }
 
+bool BackendHealth::IsUnreachable(const state::BackendServerId& id,
+                                  TimePoint now) const {
+  const auto found = m_entries.find(id);
+  return found != m_entries.end() && now < found->second.spared_until &&
+         found->second.consecutive_unreachable >= kUnreachableFailures;
+}
+
 double BackendHealth::FailureShare(const state::BackendServerId& id) const {
   const auto found = m_entries.find(id);
   return found == m_entries.end() ? 0 : found->second.failure_share;
--- a/src/wasabiwall/coordination/backend_health.h
+++ b/src/wasabiwall/coordination/backend_health.h
@@ -34,6 +34,10 @@
   /// @return Whether new work should go elsewhere when there is a choice.
   bool IsSpared(const state::BackendServerId& id, TimePoint now) const;
 
+  /// @return Whether repeated attempts to connect failed lately, so that a call
+  /// sent to it would only lose time.
+  bool IsUnreachable(const state::BackendServerId& id, TimePoint now) const;
+
   /// @return Share of recent calls that failed, 0 to 1.
   double FailureShare(const state::BackendServerId& id) const;
 
@@ -42,6 +46,7 @@
     double failure_share = 0;
     int consecutive_failures = 0;
     int times_spared = 0;
+    int consecutive_unreachable = 0;
     TimePoint spared_until;
   };
 
--- a/src/wasabiwall/coordination/backend_placement.cc
+++ b/src/wasabiwall/coordination/backend_placement.cc
@@ -45,10 +45,12 @@
   PlacementRefusal refusal = PlacementRefusal::kNone;
   std::vector<Candidate> candidates = Candidates(query, now, &refusal);
   if (candidates.empty()) return tl::make_unexpected(refusal);
-  // A service whose backend servers all fail is used all the same.
-  const bool choice = std::any_of(candidates.begin(), candidates.end(),
-                                  [](const auto& c) { return !c.spared; });
-  if (choice) {
+  const auto spared = static_cast<std::size_t>(
+      std::count_if(candidates.begin(), candidates.end(),
+                    [](const auto& c) { return c.spared; }));
+  // When most fail, the cause is hardly theirs, and to leave them would only
+  // crowd the others.
+  if (spared * 2 <= candidates.size()) {
     std::erase_if(candidates, [](const Candidate& c) { return c.spared; });
   }
   std::sort(candidates.begin(), candidates.end(),
@@ -83,6 +85,12 @@
         query.tried.end()) {
       continue;
     }
+    if (m_inputs.health->IsUnreachable(server.id, now)) {
+      if (*refusal == PlacementRefusal::kNone) {
+        *refusal = PlacementRefusal::kUnreachable;
+      }
+      continue;
+    }
     const double load = m_inputs.loads->Estimate(server.id, now);
     const bool full = query.service->engine && load >= server.capacity;
     if (full || !m_inputs.has_connection(server, *query.service)) {
@@ -90,7 +98,7 @@
       continue;
     }
     if (!HasColdRoom(*known, *query.service, now)) {
-      if (*refusal == PlacementRefusal::kNone) {
+      if (*refusal != PlacementRefusal::kFull) {
         *refusal = PlacementRefusal::kCold;
       }
       continue;
@@ -155,7 +163,9 @@
   }
   for (const state::BackendServerId& holder : holders) {
     const auto* known = m_inputs.registry->Find(holder);
-    if (known == nullptr || m_inputs.health->IsSpared(holder, now)) continue;
+    if (known == nullptr || m_inputs.health->IsUnreachable(holder, now)) {
+      continue;
+    }
     return known->server;
   }
   // Other processes may have sent the prompt to whoever was preferred before
@@ -163,7 +173,7 @@
   const state::KnownBackendServer* earlier = nullptr;
   for (const auto* known : m_inputs.registry->Of(query.service->id)) {
     if (known->server.id == target_id) continue;
-    if (m_inputs.health->IsSpared(known->server.id, now)) continue;
+    if (m_inputs.health->IsUnreachable(known->server.id, now)) continue;
     if (earlier == nullptr || AffinityCost(*known, query.shared_part) <
                                   AffinityCost(*earlier, query.shared_part)) {
       earlier = known;
--- a/src/wasabiwall/coordination/backend_placement.h
+++ b/src/wasabiwall/coordination/backend_placement.h
@@ -31,6 +31,8 @@
 enum class PlacementRefusal {
   /// The service has no backend server that takes new work.
   kNone,
+  /// Those that would take new work cannot be reached.
+  kUnreachable,
   /// All are cold and have got what they bear.
   kCold,
   /// All are at their capacity or out of connections.
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -76,6 +76,8 @@
   switch (refusal) {
     case PlacementRefusal::kNone:
       return "no_backend_server";
+    case PlacementRefusal::kUnreachable:
+      return "all_unreachable";
     case PlacementRefusal::kCold:
       return "all_cold";
     case PlacementRefusal::kFull:
@@ -84,6 +86,19 @@
   return "unknown";
 }
 
+ErrorKind KindOf(PlacementRefusal refusal) {
+  switch (refusal) {
+    case PlacementRefusal::kNone:
+    case PlacementRefusal::kUnreachable:
+      return ErrorKind::kNoBackendServer;
+    case PlacementRefusal::kCold:
+      return ErrorKind::kWarmingUp;
+    case PlacementRefusal::kFull:
+      return ErrorKind::kOverloaded;
+  }
+  return ErrorKind::kInternal;
+}
+
 std::string RetryAfterSeconds(milliseconds time) {
   const std::string thousandths = std::to_string(time.count() % 1000);
   return std::to_string(time.count() / 1000) + "." +
@@ -198,7 +213,8 @@
 }
 
 void Exchange::WaitForPlace(PlacementRefusal refusal) {
-  const bool hopeless = refusal == PlacementRefusal::kNone && m_tried.empty();
+  const bool hopeless = refusal == PlacementRefusal::kUnreachable ||
+                        (refusal == PlacementRefusal::kNone && m_tried.empty());
   const auto wait = std::min(Scale(m_route->objective, kWaitObjectiveShare),
                              TimeLeft() - kShortestAttempt);
   m_tried.clear();
@@ -227,12 +243,9 @@
 
 void Exchange::RefuseUnplaced(PlacementRefusal refusal) {
   m_ticket = 0;
-  const ErrorKind kind =
-      refusal == PlacementRefusal::kNone   ? ErrorKind::kNoBackendServer
-      : refusal == PlacementRefusal::kCold ? ErrorKind::kWarmingUp
-                                           : ErrorKind::kOverloaded;
+  const ErrorKind kind = KindOf(refusal);
   const milliseconds base =
-      refusal == PlacementRefusal::kNone ? kLongestReturn : kBusyReturn;
+      kind == ErrorKind::kNoBackendServer ? kLongestReturn : kBusyReturn;
   const auto bound = std::max(milliseconds{1}, TimeLeft() / kReturnDivisor);
   const auto after = m_context->return_times.Next(std::min(base, bound),
                                                   m_context->loop->Now());
@@ -253,6 +266,8 @@
            {"load", std::to_string(placement.load)},
            {"mean_load", std::to_string(placement.mean_load)},
            {"rank", std::to_string(placement.rank)},
+           {"part", std::to_string(m_call.shared_part)},
+           {"shared_tokens", std::to_string(m_call.shared_tokens)},
            {"fetch_from",
             placement.fetch_from ? placement.fetch_from->id.value : "-"},
            {"registry", std::to_string(m_context->registry.Revision())}});
--- a/tests/fakes/gateway_fixture.cc
+++ b/tests/fakes/gateway_fixture.cc
@@ -23,8 +23,8 @@
   route.host = "host";
   route.path_prefix = prefix;
   route.kind = kind;
-  route.timeout = kind == state::CallKind::kStream ? kStreamTimeout
-                                                   : kPlainTimeout;
+  route.timeout =
+      kind == state::CallKind::kStream ? kStreamTimeout : kPlainTimeout;
   route.objective = milliseconds(400);
   route.event_gap = milliseconds(200);
   route.services = {{state::ServiceId("s"), 1}};
--- /dev/null
+++ b/tests/gateway/refusal_test.cc
@@ -0,0 +1,102 @@
+// When calls are refused, how soon, and whether "not run" is true.
+#include <catch2/catch.hpp>
+
+#include "fakes/gateway_fixture.h"
+
+namespace wasabiwall::fakes {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST_CASE("calls to a service that cannot be reached are refused at once") {
+  GatewayFixture fleet;
+  LoopBackend& backend =
+      fleet.AddBackend("b", [](const LoopBackend::Received&) {});
+  backend.Crash();
+  LoopClient& first = fleet.Call("/safe/x", "a1");
+  REQUIRE(fleet.RunUntil([&] { return first.Status() != 0; }));
+  const auto begun = fleet.loop.Now();
+  LoopClient& second = fleet.Call("/safe/x", "a2");
+  REQUIRE(fleet.RunUntil([&] { return second.Status() != 0; }));
+  CHECK(second.Status() == 503);
+  CHECK(second.Has("\"not_run\":true"));
+  CHECK(second.Has("Retry-After: "));
+  // An eighth of the objective of 400 ms.
+  CHECK(fleet.loop.Now() - begun < milliseconds(50));
+}
+
+TEST_CASE("a call without any backend server is refused at once") {
+  GatewayFixture fleet;
+  const auto begun = fleet.loop.Now();
+  LoopClient& client = fleet.Call("/once/x", "a1");
+  REQUIRE(fleet.RunUntil([&] { return client.Status() != 0; }));
+  CHECK(client.Status() == 503);
+  CHECK(fleet.loop.Now() - begun < milliseconds(50));
+}
+
+TEST_CASE("a call that may have run is never answered as not run") {
+  GatewayFixture fleet;
+  LoopBackend& backend = fleet.AddBackend(
+      "b", [](const LoopBackend::Received& call) { call.session->Reset(); });
+  LoopClient& client = fleet.Call("/once/x", "a1");
+  REQUIRE(fleet.RunUntil([&] { return client.Status() != 0; }));
+  CHECK(client.Status() == 502);
+  CHECK(client.Has("\"not_run\":false"));
+  CHECK(backend.Requests().size() == 1);
+}
+
+TEST_CASE("a call that runs once goes elsewhere only when it has not run") {
+  GatewayFixture fleet;
+  int refused = 0;
+  const auto refuse = [&refused](const LoopBackend::Received& call) {
+    ++refused;
+    call.session->Write(PlainAnswer("", 503, "", "Not-Run: 1\r\n"));
+  };
+  fleet.AddBackend("b1", refuse);
+  LoopBackend& other =
+      fleet.AddBackend("b2", [](const LoopBackend::Received& call) {
+        call.session->Write(
+            PlainAnswer(*call.head.headers.Find("Attempt"), 200, "booked"));
+      });
+  for (int i = 0; i < 10; ++i) {
+    LoopClient& client = fleet.Call("/once/x", "a" + std::to_string(i));
+    REQUIRE(fleet.RunUntil([&] { return client.Status() != 0; }));
+    CHECK(client.Status() == 200);
+  }
+  CHECK(refused > 0);
+  CHECK(other.Requests().size() == 10);
+}
+
+TEST_CASE("unknown routes and malformed requests get their own answers") {
+  GatewayFixture fleet;
+  LoopClient& unknown = fleet.Call("/none/x", "a1");
+  LoopClient& nameless = fleet.Connect();
+  nameless.Send("GET /safe/x HTTP/1.1\r\nHost: host\r\n\r\n");
+  LoopClient& smuggled = fleet.Connect();
+  smuggled.Send(
+      "POST /safe/x HTTP/1.1\r\nHost: host\r\nAttempt: a2\r\n"
+      "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  LoopClient& spaced = fleet.Connect();
+  spaced.Send("GET /safe/x HTTP/1.1\r\nHost : host\r\nAttempt: a3\r\n\r\n");
+  REQUIRE(fleet.RunUntil([&] {
+    return unknown.Status() != 0 && nameless.Status() != 0 &&
+           smuggled.Status() != 0 && spaced.Status() != 0;
+  }));
+  CHECK(unknown.Status() == 404);
+  CHECK(nameless.Status() == 400);
+  CHECK(smuggled.Status() == 400);
+  CHECK(spaced.Status() == 400);
+}
+
+TEST_CASE("a body over the limit is refused before it is read") {
+  GatewayFixture fleet;
+  LoopClient& client = fleet.Connect();
+  client.Send(
+      "POST /safe/x HTTP/1.1\r\nHost: host\r\nAttempt: a1\r\n"
+      "Content-Length: 99999999\r\n\r\n");
+  REQUIRE(fleet.RunUntil([&] { return client.Status() != 0; }));
+  CHECK(client.Status() == 413);
+}
+
+}  // namespace
+}  // namespace wasabiwall::fakes
