--- /dev/null
+++ b/tests/gateway/placement_test.cc
@@ -0,0 +1,242 @@
+// Placement decisions on virtual time, without a network.
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+
+#include "wasabiwall/coordination/backend_placement.h"
+
+namespace wasabiwall::coordination {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A service with an engine and everything that placement looks at.
+class World {
+ public:
+  World()
+      : registry(milliseconds(2500)),
+        prompt_cache(1000),
+        placement(
+            {.registry = &registry,
+             .loads = &loads,
+             .health = &health,
+             .cold_starts = &cold_starts,
+             .prompt_cache = &prompt_cache,
+             .has_connection = [](const auto&, const auto&) { return true; },
+             .processes = [this] { return processes; },
+             .random = [this] { return m_engine(); }},
+            state::FailureDomainId("z0"), 2.0) {
+    service.id = state::ServiceId("s");
+    service.engine = state::EngineConfig{64, 100000};
+    service.cold_time = seconds(3);
+    service.cold_calls_per_second = 20;
+  }
+
+  void Add(const std::string& id, bool appeared = false) {
+    state::BackendServer server;
+    server.id = state::BackendServerId(id);
+    server.service = service.id;
+    server.address = "10.0.0.1:" + std::to_string(++m_port);
+    server.failure_domain =
+        state::FailureDomainId("z" + std::to_string(m_port % 3));
+    server.capacity = 64;
+    registry.Put(server, now, service.cold_time, appeared);
+  }
+
+  tl::expected<Placement, PlacementRefusal> Choose(std::uint64_t part) {
+    return placement.Choose(
+        {.service = &service, .shared_part = part, .shared_tokens = 10000},
+        now);
+  }
+
+  /// Places a call and starts it.
+  std::string Start(std::uint64_t part) {
+    const auto chosen = Choose(part);
+    if (!chosen) return "";
+    loads.OnSent(chosen->server.id);
+    cold_starts.OnSent(chosen->server.id, now);
+    prompt_cache.OnRead(part, chosen->server.id, now);
+    return chosen->server.id.value;
+  }
+
+  TimePoint now{seconds(100)};
+  int processes = 4;
+  state::Service service;
+  state::BackendRegistry registry;
+  BackendLoadTable loads;
+  BackendHealth health;
+  ColdStartLimiter cold_starts;
+  PromptCacheIndex prompt_cache;
+  BackendPlacement placement;
+
+ private:
+  std::mt19937_64 m_engine{7};
+  int m_port = 0;
+};
+
+state::BackendServerId Id(const std::string& id) {
+  return state::BackendServerId(id);
+}
+
+TEST_CASE("calls with the same prompt return to the same backend server") {
+  World world;
+  for (int i = 0; i < 10; ++i) world.Add("b" + std::to_string(i));
+  const auto first = world.Choose(42);
+  REQUIRE(first);
+  for (int i = 0; i < 5; ++i) {
+    CHECK(world.Choose(42)->server.id == first->server.id);
+  }
+  CHECK_FALSE(world.Choose(42)->fetch_from);
+}
+
+TEST_CASE("a hot prompt spills before its backend server exceeds the bound") {
+  World world;
+  for (int i = 0; i < 10; ++i) world.Add("b" + std::to_string(i));
+  std::map<std::string, int> counts;
+  // Ordinary load: two calls on each backend server.
+  for (int i = 0; i < 10; ++i) {
+    world.loads.OnSent(Id("b" + std::to_string(i)));
+    world.loads.OnSent(Id("b" + std::to_string(i)));
+    counts["b" + std::to_string(i)] = 2;
+  }
+  for (int i = 0; i < 40; ++i) ++counts[world.Start(42)];
+  int total = 0;
+  int most = 0;
+  for (const auto& [id, count] : counts) {
+    total += count;
+    most = std::max(most, count);
+  }
+  CHECK(total == 60);
+  // The stated bound: twice the mean and three.
+  CHECK(most <= 2.0 * total / 10 + 3);
+}
+
+TEST_CASE("a spilled call copies the prompt from where it is kept") {
+  World world;
+  for (int i = 0; i < 5; ++i) world.Add("b" + std::to_string(i));
+  const std::string home = world.Start(42);
+  for (int i = 0; i < 20; ++i) world.loads.OnSent(Id(home));
+  const auto spilled = world.Choose(42);
+  REQUIRE(spilled);
+  CHECK(spilled->server.id.value != home);
+  REQUIRE(spilled->fetch_from);
+  CHECK(spilled->fetch_from->id.value == home);
+}
+
+TEST_CASE("a newcomer copies the prompt from the one preferred before it") {
+  World world;
+  for (int i = 0; i < 4; ++i) world.Add("b" + std::to_string(i));
+  world.now += seconds(30);
+  world.Add("new", true);
+  world.now += seconds(4);
+  int seen = 0;
+  for (std::uint64_t part = 1; part <= 200; ++part) {
+    const auto chosen = world.Choose(part);
+    if (chosen->server.id != Id("new")) continue;
+    ++seen;
+    CHECK(chosen->fetch_from);
+  }
+  CHECK(seen > 10);
+}
+
+TEST_CASE("draining and evacuated backend servers get no new work") {
+  World world;
+  world.Add("a");
+  world.Add("b");
+  auto draining = world.registry.Find(Id("a"))->server;
+  draining.draining = true;
+  world.registry.Put(draining, world.now, seconds(3), true);
+  for (std::uint64_t part = 1; part < 30; ++part) {
+    CHECK(world.Choose(part)->server.id == Id("b"));
+  }
+  const auto domain = world.registry.Find(Id("b"))->server.failure_domain;
+  world.registry.SetEvacuated(domain, true, world.now);
+  CHECK(world.Choose(1).error() == PlacementRefusal::kNone);
+  world.registry.SetEvacuated(domain, false, world.now);
+  CHECK(world.Choose(1));
+  // It may have turned cold meanwhile.
+  CHECK(world.registry.Find(Id("b"))->cold_until > world.now);
+}
+
+TEST_CASE("all processes together send a cold backend server what it bears") {
+  World world;
+  world.processes = 4;
+  world.Add("cold", true);
+  int sent = 0;
+  for (int ms = 0; ms < 1000; ms += 5) {
+    world.now += milliseconds(5);
+    if (!world.Start(0).empty()) ++sent;
+  }
+  CHECK(sent * world.processes <= 20);
+  CHECK(sent >= 3);
+  CHECK(world.Choose(0).error() == PlacementRefusal::kCold);
+  world.now += seconds(3);
+  CHECK(world.Choose(0));
+}
+
+TEST_CASE("a failing backend server is spared while most others are sound") {
+  World world;
+  for (int i = 0; i < 4; ++i) world.Add("b" + std::to_string(i));
+  for (int i = 0; i < 3; ++i) {
+    world.health.OnSignal(Id("b0"), HealthSignal::kFailed, world.now);
+  }
+  for (std::uint64_t part = 1; part < 60; ++part) {
+    CHECK(world.Choose(part)->server.id != Id("b0"));
+  }
+  for (int b = 1; b < 4; ++b) {
+    for (int i = 0; i < 3; ++i) {
+      world.health.OnSignal(Id("b" + std::to_string(b)), HealthSignal::kFailed,
+                            world.now);
+    }
+  }
+  std::map<std::string, int> counts;
+  for (std::uint64_t part = 1; part < 60; ++part) {
+    ++counts[world.Choose(part)->server.id.value];
+  }
+  CHECK(counts.size() == 4);
+}
+
+TEST_CASE("unreachable backend servers are left alone and tried again later") {
+  World world;
+  world.Add("b");
+  world.health.OnSignal(Id("b"), HealthSignal::kUnreachable, world.now);
+  // One failure may be a lost packet.
+  CHECK(world.Choose(1));
+  world.health.OnSignal(Id("b"), HealthSignal::kUnreachable, world.now);
+  CHECK(world.Choose(1).error() == PlacementRefusal::kUnreachable);
+  world.now += seconds(5);
+  CHECK(world.Choose(1));
+}
+
+TEST_CASE("reported loads of others fade and own calls count at once") {
+  BackendLoadTable loads;
+  const TimePoint start{seconds(1)};
+  loads.OnSent(Id("b"));
+  loads.OnReport(Id("b"), {9, 2}, start);
+  CHECK(loads.Estimate(Id("b"), start) == Approx(11));
+  loads.OnSent(Id("b"));
+  CHECK(loads.Estimate(Id("b"), start) == Approx(12));
+  CHECK(loads.Estimate(Id("b"), start + seconds(2)) == Approx(7));
+  loads.OnFinished(Id("b"));
+  loads.OnFinished(Id("b"));
+  loads.OnFinished(Id("b"));
+  CHECK(loads.OwnInFlight(Id("b")) == 0);
+}
+
+TEST_CASE("the prompt cache index forgets what was used longest ago") {
+  PromptCacheIndex index(2);
+  const TimePoint now{seconds(1)};
+  index.OnRead(1, Id("a"), now);
+  index.OnRead(2, Id("b"), now);
+  index.OnRead(1, Id("c"), now);
+  index.OnRead(3, Id("d"), now);
+  CHECK(index.Holders(2, now).empty());
+  const auto holders = index.Holders(1, now);
+  REQUIRE(holders.size() == 2);
+  CHECK(holders.front() == Id("c"));
+  CHECK(index.Holders(1, now + std::chrono::minutes(10)).empty());
+}
+
+}  // namespace
+}  // namespace wasabiwall::coordination
