--- a/programs/daemon_main.h
+++ b/programs/daemon_main.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <thrift/TOutput.h>
+#include <thrift/Thrift.h>
 
 #include <iostream>
 #include <string>
--- a/src/wasabiwall/coordination/backend_health.cc
+++ b/src/wasabiwall/coordination/backend_health.cc
@@ -27,6 +27,11 @@
                              HealthSignal signal, TimePoint now) {
   if (signal == HealthSignal::kRefused) return false;
   Entry& entry = m_entries[id];
+  if (signal == HealthSignal::kReplaced) {
+    entry.consecutive_unreachable = kUnreachableFailures;
+    entry.spared_until = now + kLongestSparing;
+    return true;
+  }
   if (signal == HealthSignal::kUnreachable) {
     ++entry.consecutive_unreachable;
   } else {
--- a/src/wasabiwall/coordination/backend_health.h
+++ b/src/wasabiwall/coordination/backend_health.h
@@ -17,6 +17,8 @@
   kFailed,
   /// No connection could be made.
   kUnreachable,
+  /// Another backend server answers at its address.
+  kReplaced,
 };
 
 /// Detects failing backend servers from the outcomes of calls, without probes,
@@ -50,7 +52,7 @@
     TimePoint spared_until;
   };
 
-  bool Spare(Entry* entry, TimePoint now);
+  static bool Spare(Entry* entry, TimePoint now);
 
   std::unordered_map<state::BackendServerId, Entry> m_entries;
 };
--- a/src/wasabiwall/transport/call_codec.h
+++ b/src/wasabiwall/transport/call_codec.h
@@ -46,6 +46,8 @@
   std::string attempt_id;
   /// The backend server has not run the call and will not.
   bool not_run = false;
+  /// The answer came from another backend server than the expected one.
+  bool wrong_backend = false;
   std::optional<coordination::ReportedLoad> load;
   /// How long the backend server will still be cold.
   std::optional<std::chrono::milliseconds> cold_left;
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -419,9 +419,12 @@
   const int status = m_reply.head.status;
   const auto reply = m_context->codec.decode_reply(m_reply.head);
   if (reply.not_run) {
-    EndAttempt(HealthSignal::kRefused);
+    EndAttempt(reply.wrong_backend ? HealthSignal::kReplaced
+                                   : HealthSignal::kRefused);
     --m_runs;
-    RepeatOrFail(true, ErrorKind::kOverloaded, "refused_by_backend");
+    RepeatOrFail(
+        true, ErrorKind::kOverloaded,
+        reply.wrong_backend ? "backend_replaced" : "refused_by_backend");
     return;
   }
   const bool failed = status >= kFirstServerError;
--- a/tests/fakes/gateway_fixture.cc
+++ b/tests/fakes/gateway_fixture.cc
@@ -62,7 +62,9 @@
   codec.decode_reply = [](const transport::MessageHead& head) {
     transport::ReplyMetadata reply;
     reply.attempt_id = ValueOf(head.headers, "Attempt");
-    reply.not_run = head.headers.Find("Not-Run") != nullptr;
+    reply.wrong_backend = head.headers.Find("Wrong-Backend") != nullptr;
+    reply.not_run =
+        reply.wrong_backend || head.headers.Find("Not-Run") != nullptr;
     return reply;
   };
   return codec;
--- a/tests/gateway/refusal_test.cc
+++ b/tests/gateway/refusal_test.cc
@@ -67,6 +67,24 @@
   CHECK(other.Requests().size() == 10);
 }
 
+TEST_CASE("an address that another backend server answers at is left alone") {
+  GatewayFixture fleet;
+  LoopBackend& replaced =
+      fleet.AddBackend("b1", [](const LoopBackend::Received& call) {
+        call.session->Write(PlainAnswer("", 421, "", "Wrong-Backend: 1\r\n"));
+      });
+  fleet.AddBackend("b2", [](const LoopBackend::Received& call) {
+    call.session->Write(
+        PlainAnswer(*call.head.headers.Find("Attempt"), 200, "x"));
+  });
+  for (int i = 0; i < 30; ++i) {
+    LoopClient& client = fleet.Call("/once/x", "a" + std::to_string(i));
+    REQUIRE(fleet.RunUntil([&] { return client.Status() != 0; }));
+    CHECK(client.Status() == 200);
+  }
+  CHECK(replaced.Requests().size() <= 1);
+}
+
 TEST_CASE("unknown routes and malformed requests get their own answers") {
   GatewayFixture fleet;
   LoopClient& unknown = fleet.Call("/none/x", "a1");
