Calls wait for a backend server that warms up instead of being refused

Now a call that all candidates refuse as warming up waits 250 ms and asks them again, for at most 3 s and never past its deadline, within the budget of repeats.

--- a/src/wasabiwall/coordination/call_plan.cc
+++ b/src/wasabiwall/coordination/call_plan.cc
@@ -17,6 +17,11 @@
 constexpr int kMaxPullFailures = 3;
 constexpr milliseconds kPullRetryWait{50};
 constexpr milliseconds kResubmitWait{500};
+/// Pause before all candidates are asked again, about the time in which a
+/// warming backend server finishes a call.
+constexpr milliseconds kRoomWait{250};
+/// Waits for a warming backend server: together as long as a warm-up takes.
+constexpr int kMostRoomWaits = 12;
 
 /// Refusals that another backend server would give as well.
 bool FinalRefusal(ErrorKind kind) {
@@ -126,6 +131,9 @@
     return FailWith({ErrorKind::kDeadlineExceeded, "", {}});
   }
   if (m_after_wait == AfterWait::kPull) return Pull();
+  if (m_after_wait == AfterWait::kAllAgain) {
+    return NextCandidate(now, *m_waits_on);
+  }
   return Submit(now, m_target);
 }
 
@@ -172,6 +180,9 @@
 }
 
 Step CallPlan::NextCandidate(TimePoint now, const Error& error) {
+  const bool exhausted =
+      m_attempts >= m_max_attempts || m_next >= m_order.size();
+  if (exhausted && MayWaitForRoom(now, error)) return WaitForRoom(error);
   if (m_attempts >= m_max_attempts) return FailWith(error);
   if (m_next >= m_order.size()) {
     const bool suspect = m_hooks.known_crashes() > 0;
@@ -185,6 +196,19 @@
   return Submit(now, m_order[m_next++]);
 }
 
+bool CallPlan::MayWaitForRoom(TimePoint now, const Error& error) const {
+  return error.kind == ErrorKind::kWarmingUp && !m_order.empty() &&
+         m_room_waits < kMostRoomWaits && now + kRoomWait < m_spec.deadline;
+}
+
+Step CallPlan::WaitForRoom(const Error& error) {
+  ++m_room_waits;
+  m_waits_on = error;
+  m_next = 0;
+  m_max_attempts = m_attempts + static_cast<int>(m_order.size());
+  return Wait(kRoomWait, AfterWait::kAllAgain);
+}
+
 Step CallPlan::AfterCrash(TimePoint now, const Error& error) {
   if (m_hooks.known_crashes() >= kQuarantineCrashes) {
     return EndQuarantined(now, {error.kind, "quarantined",
--- a/src/wasabiwall/coordination/call_plan.h
+++ b/src/wasabiwall/coordination/call_plan.h
@@ -117,13 +117,16 @@
   int Attempts() const { return m_attempts; }
 
  private:
-  enum class AfterWait { kPull, kResubmit };
+  enum class AfterWait { kPull, kResubmit, kAllAgain };
 
   Step Submit(TimePoint now, const state::BackendServerId& target);
   Step Pull() const;
   Step Wait(std::chrono::milliseconds wait, AfterWait after);
   Step FailWith(const protocol::Error& error) const;
   Step NextCandidate(TimePoint now, const protocol::Error& error);
+  /// Waits for a warming backend server and then asks all candidates again.
+  Step WaitForRoom(const protocol::Error& error);
+  bool MayWaitForRoom(TimePoint now, const protocol::Error& error) const;
   Step AfterCrash(TimePoint now, const protocol::Error& error);
   /// Tells all candidates of the crashes, so that a repeat through any entry
   /// is refused, then fails.
@@ -143,6 +146,9 @@
   std::optional<protocol::Error> m_last_word;
   int m_redirects = 0;
   int m_pull_failures = 0;
+  int m_room_waits = 0;
+  /// The refusal that the call waits on.
+  std::optional<protocol::Error> m_waits_on;
   /// Whether the current or an earlier attempt may have been run, so that no
   /// answer may claim that the call was not.
   bool m_current_may_run = false;
--- a/src/wasabiwall/protocol/event_stream.cc
+++ b/src/wasabiwall/protocol/event_stream.cc
@@ -18,12 +18,12 @@
 }
 
 std::optional<std::int64_t> IdOf(std::string_view event) {
-  constexpr std::string_view kField = "id:";
+  constexpr std::string_view field = "id:";
   std::size_t line = 0;
   while (line < event.size()) {
     std::string_view rest = event.substr(line);
-    if (rest.starts_with(kField)) {
-      rest.remove_prefix(kField.size());
+    if (rest.starts_with(field)) {
+      rest.remove_prefix(field.size());
       while (rest.starts_with(' ')) rest.remove_prefix(1);
       std::int64_t id = 0;
       const auto result =
--- a/src/wasabiwall/transport/backend_connection.cc
+++ b/src/wasabiwall/transport/backend_connection.cc
@@ -10,12 +10,12 @@
 
 /// @return Seconds of `timeout=N` in a Keep-Alive field.
 std::optional<std::chrono::seconds> TimeoutOf(const std::string* keep_alive) {
-  constexpr std::string_view kName = "timeout=";
+  constexpr std::string_view name = "timeout=";
   if (keep_alive == nullptr) return std::nullopt;
-  const auto at = keep_alive->find(kName);
+  const auto at = keep_alive->find(name);
   if (at == std::string::npos) return std::nullopt;
   int seconds = 0;
-  const char* begin = keep_alive->data() + at + kName.size();
+  const char* begin = keep_alive->data() + at + name.size();
   const auto result =
       std::from_chars(begin, keep_alive->data() + keep_alive->size(), seconds);
   if (result.ec != std::errc()) return std::nullopt;
--- a/src/wasabiwall/transport/backend_pool.cc
+++ b/src/wasabiwall/transport/backend_pool.cc
@@ -33,7 +33,7 @@
   const std::string key = KeyOf(server);
   Connections& connections = m_connections[key];
   while (!connections.idle.empty()) {
-    const auto connection = connections.idle.back();
+    auto connection = connections.idle.back();
     if (connection->IsReusable() && IsFresh(*connection, max_idle)) {
       connections.idle.pop_back();
       return connection;
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -172,8 +172,8 @@
       m_route->prefers_cached_prompt && m_call.shared_part != 0
           ? m_call.shared_part
           : state::FastHash(m_call.attempt_id);
-  constexpr std::uint64_t kSteps = 1U << 20U;
-  double place = total * static_cast<double>(hash % kSteps) / kSteps;
+  constexpr std::uint64_t steps = 1U << 20U;
+  double place = total * static_cast<double>(hash % steps) / steps;
   const state::Service* first = nullptr;
   for (const auto& share : m_route->services) {
     const state::Service* service = m_config->FindService(share.service);
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -123,7 +123,6 @@
   int m_unreachable = 0;
   Reply m_reply;
   bool m_reply_begun = false;
-  bool m_reply_taken = false;
 
   protocol::EventStreamCutter m_events;
   /// Whether the head of the answer has been written to the caller.
--- a/src/wasabiwall/transport/http1_message.cc
+++ b/src/wasabiwall/transport/http1_message.cc
@@ -72,17 +72,17 @@
 }
 
 std::string PercentEncode(std::string_view text) {
-  constexpr std::string_view kPlain = "-._~/";
-  constexpr std::string_view kDigits = "0123456789ABCDEF";
+  constexpr std::string_view plain = "-._~/";
+  constexpr std::string_view digits = "0123456789ABCDEF";
   std::string encoded;
   for (const unsigned char c : text) {
-    if (std::isalnum(c) != 0 || kPlain.find(c) != kPlain.npos) {
+    if (std::isalnum(c) != 0 || plain.find(c) != plain.npos) {
       encoded += static_cast<char>(c);
       continue;
     }
     encoded += '%';
-    encoded += kDigits[c >> 4U];
-    encoded += kDigits[c & 15U];
+    encoded += digits[c >> 4U];
+    encoded += digits[c & 15U];
   }
   return encoded;
 }
--- a/src/wasabiwall/transport/http1_parser.cc
+++ b/src/wasabiwall/transport/http1_parser.cc
@@ -13,10 +13,10 @@
 constexpr int kFail = -1;
 
 bool IsToken(std::string_view name) {
-  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
   return !name.empty() &&
          std::all_of(name.begin(), name.end(), [&](unsigned char c) {
-           return std::isalnum(c) != 0 || kMarks.find(c) != kMarks.npos;
+           return std::isalnum(c) != 0 || marks.find(c) != marks.npos;
          });
 }
 
