A prompt that a gateway does not know is looked for at the next preferred backend server

The gateway now names the next preferred one as the source when it knows no holder; a source without the prompt costs nothing.

--- a/src/wasabiwall/coordination/backend_placement.cc
+++ b/src/wasabiwall/coordination/backend_placement.cc
@@ -16,10 +16,6 @@
 constexpr double kLoadSlack = 2.0;
 /// Shared tokens from which a copy between engines costs less than its set-up.
 constexpr std::int64_t kFetchTokens = 256;
-/// Age up to which a backend server may lack prompts that others hold.
-constexpr std::chrono::seconds kNewcomerAge{20};
-/// Lead in age that makes another backend server the likely earlier holder.
-constexpr std::chrono::seconds kEarlierBy{2};
 /// Cost of leaving the own failure domain, in calls: it only breaks ties.
 constexpr double kOtherDomainCost = 0.5;
 /// Cost of a backend server that fails all calls, in calls.
@@ -168,24 +164,19 @@
     }
     return known->server;
   }
-  // Other processes may have sent the prompt to whoever was preferred before
-  // the target appeared.
-  const state::KnownBackendServer* earlier = nullptr;
+  // Other processes may have sent the prompt to the next one in the order of
+  // preference, before the target appeared or while it was busy.
+  const state::KnownBackendServer* next = nullptr;
   for (const auto* known : m_inputs.registry->Of(query.service->id)) {
     if (known->server.id == target_id) continue;
     if (m_inputs.health->IsUnreachable(known->server.id, now)) continue;
-    if (earlier == nullptr || AffinityCost(*known, query.shared_part) <
-                                  AffinityCost(*earlier, query.shared_part)) {
-      earlier = known;
+    if (next == nullptr || AffinityCost(*known, query.shared_part) <
+                               AffinityCost(*next, query.shared_part)) {
+      next = known;
     }
   }
-  if (earlier == nullptr) return {};
-  const bool newcomer = now - target.first_seen < kNewcomerAge &&
-                        target.first_seen - earlier->first_seen > kEarlierBy;
-  const bool preferred = AffinityCost(*earlier, query.shared_part) <
-                         AffinityCost(target, query.shared_part);
-  if (!newcomer && !preferred) return {};
-  return earlier->server;
+  if (next == nullptr) return {};
+  return next->server;
 }
 
 }  // namespace wasabiwall::coordination
