Attempt decisions and reply text in modules of their own

exchange.cc held timing constants, repeat rules and serialization beside its state machine (645 lines). AttemptPolicy decides without I/O and has its own test; reply_text writes heads and own errors for exchanges, rejected requests and status pages alike; the settings schemas share TableSpec.

--- a/src/wasabiwall/protocol/gateway_settings.cc
+++ b/src/wasabiwall/protocol/gateway_settings.cc
@@ -8,32 +8,24 @@
   return {.name = name, .type = type, .min = min, .max = max};
 }
 
-FieldSpec Table(const std::string& name, bool required,
-                std::vector<FieldSpec> fields) {
-  return {.name = name,
-          .type = FieldType::kTable,
-          .required = required,
-          .fields = std::move(fields)};
-}
-
 std::vector<FieldSpec> Schema() {
   return {
-      Table("process", true,
-            {{.name = "name", .required = true},
-             {.name = "failure_domain", .required = true},
-             {.name = "log_level",
-              .choices = {"trace", "debug", "info", "warn", "error"}}}),
-      Table("listen", true,
-            {{.name = "callers", .required = true},
-             {.name = "readiness", .required = true},
-             {.name = "metrics"}}),
-      Table("store", true, {{.name = "address", .required = true}}),
-      Table("limits", false,
-            {Number("stop_timeout_s", FieldType::kNumber, 0.1, 3600),
-             Number("load_factor", FieldType::kNumber, 1, 100),
-             Number("retry_share", FieldType::kNumber, 0, 1),
-             Number("retry_burst", FieldType::kNumber, 0, 100000),
-             Number("lapse_grace_ms", FieldType::kInteger, 0, 60000)}),
+      TableSpec("process", true,
+                {{.name = "name", .required = true},
+                 {.name = "failure_domain", .required = true},
+                 {.name = "log_level",
+                  .choices = {"trace", "debug", "info", "warn", "error"}}}),
+      TableSpec("listen", true,
+                {{.name = "callers", .required = true},
+                 {.name = "readiness", .required = true},
+                 {.name = "metrics"}}),
+      TableSpec("store", true, {{.name = "address", .required = true}}),
+      TableSpec("limits", false,
+                {Number("stop_timeout_s", FieldType::kNumber, 0.1, 3600),
+                 Number("load_factor", FieldType::kNumber, 1, 100),
+                 Number("retry_share", FieldType::kNumber, 0, 1),
+                 Number("retry_burst", FieldType::kNumber, 0, 100000),
+                 Number("lapse_grace_ms", FieldType::kInteger, 0, 60000)}),
   };
 }
 
--- a/src/wasabiwall/protocol/settings.cc
+++ b/src/wasabiwall/protocol/settings.cc
@@ -7,14 +7,6 @@
   return {.name = name, .type = FieldType::kInteger, .min = min, .max = max};
 }
 
-FieldSpec Table(const std::string& name, bool required,
-                std::vector<FieldSpec> fields) {
-  return {.name = name,
-          .type = FieldType::kTable,
-          .required = required,
-          .fields = std::move(fields)};
-}
-
 std::vector<FieldSpec> SettingsSchema(ProcessRole role) {
   std::vector<FieldSpec> process = {
       {.name = "name", .required = true},
@@ -45,10 +37,11 @@
       Integer("lease_ttl_ms", 1000, 60000),
       Integer("drain_timeout_ms", 100, 3600000),
   };
-  return {Table("process", true, process), Table("listen", true, listen),
-          Table("platform", true, platform),
-          Table("security", true, {{.name = "secret", .required = true}}),
-          Table("limits", false, limits)};
+  return {TableSpec("process", true, process),
+          TableSpec("listen", true, listen),
+          TableSpec("platform", true, platform),
+          TableSpec("security", true, {{.name = "secret", .required = true}}),
+          TableSpec("limits", false, limits)};
 }
 
 void ReadDuration(const nlohmann::json& table, const char* key,
--- a/src/wasabiwall/protocol/toml_schema.cc
+++ b/src/wasabiwall/protocol/toml_schema.cc
@@ -180,6 +180,14 @@
 
 }  // namespace
 
+FieldSpec TableSpec(const std::string& name, bool required,
+                    std::vector<FieldSpec> fields) {
+  return {.name = name,
+          .type = FieldType::kTable,
+          .required = required,
+          .fields = std::move(fields)};
+}
+
 std::string TomlProblem::Text() const {
   return file + ":" + std::to_string(line) + ": " +
          (key.empty() ? "" : key + ": ") + reason;
--- a/src/wasabiwall/protocol/toml_schema.h
+++ b/src/wasabiwall/protocol/toml_schema.h
@@ -35,6 +35,10 @@
   std::vector<FieldSpec> fields;
 };
 
+/// @return A table with these fields.
+FieldSpec TableSpec(const std::string& name, bool required,
+                    std::vector<FieldSpec> fields);
+
 /// A fault in a TOML file with its place.
 struct TomlProblem {
   std::string file;
--- a/src/wasabiwall/transport/client_connection.cc
+++ b/src/wasabiwall/transport/client_connection.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "wasabiwall/transport/logging.h"
+#include "wasabiwall/transport/reply_text.h"
 
 namespace wasabiwall::transport {
 namespace {
@@ -200,16 +201,11 @@
 
 void ClientConnection::Reject(protocol::ErrorKind kind) {
   m_rejected = true;
-  const protocol::ErrorRow& row = protocol::RowOf(kind);
-  const std::string body = protocol::ErrorBody({kind, "", {}});
-  std::string bytes = "HTTP/1.1 " + std::to_string(row.http_status) + " " +
-                      std::string(ReasonOf(row.http_status)) + "\r\n";
-  AppendHeader("Content-Type", "application/json", &bytes);
-  AppendHeader("Content-Length", std::to_string(body.size()), &bytes);
-  AppendHeader("Connection", "close", &bytes);
-  m_tcp->Write(bytes + "\r\n" + body);
-  LogInfo("request_rejected", {{"reason", row.name}});
-  m_context->metrics.CountCall("", row.name);
+  const OwnReply reply = ReplyOf({kind, "", {}});
+  m_tcp->Write(HeadText(reply.head, reply.body.size(), true) + reply.body);
+  const char* name = protocol::RowOf(kind).name;
+  LogInfo("request_rejected", {{"reason", name}});
+  m_context->metrics.CountCall("", name);
   m_timer.Start(kLinger, [this] {
     const auto self = shared_from_this();
     Close();
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -5,6 +5,7 @@
 
 #include "wasabiwall/state/digest.h"
 #include "wasabiwall/transport/logging.h"
+#include "wasabiwall/transport/reply_text.h"
 
 namespace wasabiwall::transport {
 namespace {
@@ -14,43 +15,6 @@
 using protocol::ErrorKind;
 using std::chrono::milliseconds;
 
-/// Longest time to connect. A connection takes a few milliseconds; one whose
-/// first packet is lost takes over a second.
-constexpr milliseconds kConnectTimeout{100};
-/// Shortest time to connect, for calls with a short objective.
-constexpr milliseconds kShortestConnectTimeout{30};
-/// Part of the objective that a connection may take.
-constexpr int kConnectObjectiveDivisor = 4;
-/// Time left below which no further attempt is begun: a round trip and the
-/// shortest answer.
-constexpr milliseconds kShortestAttempt{20};
-/// Attempts to reach a backend server for one call.
-constexpr int kMostUnreachable = 4;
-/// Sends of one call, those included that were refused without running it.
-constexpr int kMostSends = 4;
-/// Longest idle time of a connection for a call that may run only once, since
-/// a backend server may drop idle connections without notice.
-constexpr milliseconds kUnsafeIdle{500};
-/// Longest idle time of a connection for other calls.
-constexpr milliseconds kIdle{4000};
-/// Part of the objective after which a plain call is tried elsewhere.
-constexpr double kPlainSilenceShare = 0.6;
-constexpr milliseconds kShortestPlainSilence{80};
-/// Multiple of the objective after which a stream without a first event is
-/// tried elsewhere.
-constexpr int kFirstEventObjectives = 3;
-/// Multiple of the permitted pause after which a stream is resumed elsewhere.
-constexpr int kEventGaps = 4;
-/// Part of the objective for which a call may wait for a backend server.
-constexpr double kWaitObjectiveShare = 0.75;
-/// Part of the time left after which refused callers may come back; they wait
-/// no longer than a third.
-constexpr int kReturnDivisor = 4;
-constexpr milliseconds kLongestReturn{2000};
-constexpr milliseconds kBusyReturn{200};
-/// When callers may come back to a process that stops: a restart takes about a
-/// second.
-constexpr milliseconds kRestartReturn{1000};
 /// Answers that are held in memory before they are passed on.
 constexpr std::size_t kMostReplyBytes = 16U << 20U;
 /// Unsent bytes of a stream at which the backend server is read no further.
@@ -64,47 +28,10 @@
   return status >= kFirstSuccess && status < kFirstRedirect;
 }
 
-milliseconds Scale(milliseconds time, double factor) {
-  return milliseconds(static_cast<std::int64_t>(time.count() * factor));
-}
-
 milliseconds ToMilliseconds(std::chrono::microseconds time) {
   return std::chrono::duration_cast<milliseconds>(time);
 }
 
-const char* NameOf(PlacementRefusal refusal) {
-  switch (refusal) {
-    case PlacementRefusal::kNone:
-      return "no_backend_server";
-    case PlacementRefusal::kUnreachable:
-      return "all_unreachable";
-    case PlacementRefusal::kCold:
-      return "all_cold";
-    case PlacementRefusal::kFull:
-      return "all_full";
-  }
-  return "unknown";
-}
-
-ErrorKind KindOf(PlacementRefusal refusal) {
-  switch (refusal) {
-    case PlacementRefusal::kNone:
-    case PlacementRefusal::kUnreachable:
-      return ErrorKind::kNoBackendServer;
-    case PlacementRefusal::kCold:
-      return ErrorKind::kWarmingUp;
-    case PlacementRefusal::kFull:
-      return ErrorKind::kOverloaded;
-  }
-  return ErrorKind::kInternal;
-}
-
-std::string RetryAfterSeconds(milliseconds time) {
-  const std::string thousandths = std::to_string(time.count() % 1000);
-  return std::to_string(time.count() / 1000) + "." +
-         std::string(3 - thousandths.size(), '0') + thousandths;
-}
-
 }  // namespace
 
 Exchange::Exchange(GatewayContext* context, GatewayRequest request,
@@ -152,7 +79,8 @@
       m_request.received +
       std::min(m_call.deadline.value_or(m_route->timeout), m_route->timeout);
   if (m_context->ends_by && m_deadline > *m_context->ends_by) {
-    return protocol::Error{ErrorKind::kDraining, "stopping", kRestartReturn};
+    return protocol::Error{ErrorKind::kDraining, "stopping",
+                           coordination::ReturnTimeOf(ErrorKind::kDraining)};
   }
   if (TimeLeft() <= milliseconds{0}) {
     return protocol::Error{ErrorKind::kDeadlineTooShort, "", {}};
@@ -213,13 +141,11 @@
 }
 
 void Exchange::WaitForPlace(PlacementRefusal refusal) {
-  const bool hopeless = refusal == PlacementRefusal::kUnreachable ||
-                        (refusal == PlacementRefusal::kNone && m_tried.empty());
-  const auto wait = std::min(Scale(m_route->objective, kWaitObjectiveShare),
-                             TimeLeft() - kShortestAttempt);
+  const auto wait =
+      Policy().WaitForPlace(refusal, !m_tried.empty(), TimeLeft());
   m_tried.clear();
   const bool waits =
-      !hopeless && wait > milliseconds{0} &&
+      wait > milliseconds{0} &&
       m_context->queue.Add({.service = m_service->id,
                             .priority = Priority(),
                             .expires = m_context->loop->Now() + wait,
@@ -243,13 +169,19 @@
 
 void Exchange::RefuseUnplaced(PlacementRefusal refusal) {
   m_ticket = 0;
-  const ErrorKind kind = KindOf(refusal);
-  const milliseconds base =
-      kind == ErrorKind::kNoBackendServer ? kLongestReturn : kBusyReturn;
-  const auto bound = std::max(milliseconds{1}, TimeLeft() / kReturnDivisor);
-  const auto after = m_context->return_times.Next(std::min(base, bound),
-                                                  m_context->loop->Now());
-  Fail({kind, NameOf(refusal), std::min(after, bound)});
+  Refuse(coordination::ErrorOf(refusal), NameOf(refusal));
+}
+
+void Exchange::Refuse(ErrorKind kind, const char* detail) {
+  const auto longest = coordination::LongestReturnTime(TimeLeft());
+  const auto after = m_context->return_times.Next(
+      std::min(coordination::ReturnTimeOf(kind), longest),
+      m_context->loop->Now());
+  Fail({kind, detail, std::min(after, longest)});
+}
+
+coordination::AttemptPolicy Exchange::Policy() const {
+  return coordination::AttemptPolicy(*m_route);
 }
 
 void Exchange::Begin(coordination::Placement placement) {
@@ -273,14 +205,12 @@
            {"registry", std::to_string(m_context->registry.Revision())}});
   m_context->loads.OnSent(server.id);
   m_context->cold_starts.OnSent(server.id, m_context->loop->Now());
-  m_connection = m_context->connections.Acquire(
-      server, m_route->IsIdempotent() ? kIdle : kUnsafeIdle);
+  m_connection =
+      m_context->connections.Acquire(server, Policy().MaxConnectionIdle());
   m_placement = std::move(placement);
   if (!m_connection->IsConnected()) {
-    const auto timeout =
-        std::clamp(m_route->objective / kConnectObjectiveDivisor,
-                   kShortestConnectTimeout, kConnectTimeout);
-    m_attempt_timer.Start(timeout, [this] { OnConnectTimeout(); });
+    m_attempt_timer.Start(Policy().ConnectTimeout(),
+                          [this] { OnConnectTimeout(); });
   }
   const auto guarded = [this](auto method) {
     return [this, method] {
@@ -311,8 +241,8 @@
 }
 
 std::string Exchange::RequestBytes() {
-  ++m_sends;
-  ++m_runs;
+  ++m_counts.sends;
+  ++m_counts.runs;
   StartSilenceTimer();
   HeaderList headers = m_request.head.headers;
   headers.RemoveHopByHop();
@@ -342,16 +272,8 @@
 
 void Exchange::StartSilenceTimer() {
   m_attempt_timer.Stop();
-  if (!MayRepeat()) return;
-  milliseconds patience;
-  if (m_route->kind != state::CallKind::kStream) {
-    patience = std::max(Scale(m_route->objective, kPlainSilenceShare),
-                        kShortestPlainSilence);
-  } else if (m_reply_begun) {
-    patience = std::max(m_route->event_gap * kEventGaps, m_route->objective);
-  } else {
-    patience = m_route->objective * kFirstEventObjectives;
-  }
+  if (!Policy().MayRunAgain(m_counts)) return;
+  const auto patience = Policy().Patience(m_reply_begun);
   m_attempt_timer.Start(patience, [this] {
     const auto self = shared_from_this();
     OnSilence();
@@ -421,7 +343,7 @@
   if (reply.not_run) {
     EndAttempt(reply.wrong_backend ? HealthSignal::kReplaced
                                    : HealthSignal::kRefused);
-    --m_runs;
+    --m_counts.runs;
     RepeatOrFail(
         true, ErrorKind::kOverloaded,
         reply.wrong_backend ? "backend_replaced" : "refused_by_backend");
@@ -433,7 +355,7 @@
     FinishStream();
     return;
   }
-  if (m_head_written || (failed && MayRepeat())) {
+  if (m_head_written || (failed && Policy().MayRunAgain(m_counts))) {
     RepeatOrFail(false, ErrorKind::kBackendServerFailed, "error_answer");
     return;
   }
@@ -443,7 +365,7 @@
 void Exchange::OnAttemptFailed() {
   if (!m_connection->HasSent()) {
     EndAttempt(HealthSignal::kUnreachable);
-    ++m_unreachable;
+    ++m_counts.unreachable;
     RepeatOrFail(true, ErrorKind::kNoBackendServer, "unreachable");
     return;
   }
@@ -460,12 +382,15 @@
 void Exchange::OnConnectTimeout() {
   const auto self = shared_from_this();
   AbandonAttempt(HealthSignal::kUnreachable);
-  ++m_unreachable;
+  ++m_counts.unreachable;
   RepeatOrFail(true, ErrorKind::kNoBackendServer, "connect_timeout");
 }
 
 void Exchange::OnSilence() {
-  if (!MayRepeat() || TimeLeft() < kShortestAttempt || !TakeRepeat()) return;
+  const bool repeats = Policy().MayRunAgain(m_counts) &&
+                       Policy().MayRepeat(m_counts, false, TimeLeft()) &&
+                       TakeRepeat();
+  if (!repeats) return;
   LogInfo("attempt_silent", {{"id", m_call.attempt_id},
                              {"backend", m_placement->server.id.value}});
   AbandonAttempt(HealthSignal::kFailed);
@@ -494,19 +419,13 @@
   EndAttempt(signal);
 }
 
-bool Exchange::MayRepeat() const {
-  return m_route->IsIdempotent() && m_runs < m_route->max_attempts;
-}
-
 bool Exchange::TakeRepeat() {
-  return m_sends == 0 ||
-         (m_sends < kMostSends && m_context->RetriesOf(m_service->id).Take());
+  return m_counts.sends == 0 || m_context->RetriesOf(m_service->id).Take();
 }
 
 void Exchange::RepeatOrFail(bool not_run, ErrorKind kind, const char* reason) {
-  const bool allowed = (not_run && m_runs == 0) || MayRepeat();
-  const bool repeats = allowed && TimeLeft() >= kShortestAttempt &&
-                       m_unreachable < kMostUnreachable && TakeRepeat();
+  const bool repeats =
+      Policy().MayRepeat(m_counts, not_run, TimeLeft()) && TakeRepeat();
   LogInfo("attempt_failed", {{"id", m_call.attempt_id},
                              {"backend", m_placement->server.id.value},
                              {"reason", reason},
@@ -522,10 +441,7 @@
     WritePlainReply();
     return;
   }
-  const auto bound = std::max(milliseconds{1}, TimeLeft() / kReturnDivisor);
-  const auto after =
-      m_context->return_times.Next(kBusyReturn, m_context->loop->Now());
-  Fail({kind, reason, std::min(after, bound)});
+  Refuse(kind, reason);
 }
 
 void Exchange::WriteHead(const MessageHead& head,
@@ -535,22 +451,7 @@
   m_context->metrics.ObserveFirstByte(
       m_workspace != nullptr ? m_workspace->id.value : "",
       *m_first_byte - m_request.received);
-  HeaderList headers = head.headers;
-  headers.RemoveHopByHop();
-  std::string bytes =
-      "HTTP/1.1 " + std::to_string(head.status) + " " +
-      (head.reason.empty() ? std::string(ReasonOf(head.status)) : head.reason) +
-      "\r\n";
-  for (const Header& field : headers.Fields()) {
-    AppendHeader(field.name, field.value, &bytes);
-  }
-  if (length) {
-    AppendHeader("Content-Length", std::to_string(*length), &bytes);
-  } else {
-    AppendHeader("Transfer-Encoding", "chunked", &bytes);
-  }
-  if (m_output.closes()) AppendHeader("Connection", "close", &bytes);
-  m_output.write(bytes + "\r\n");
+  m_output.write(HeadText(head, length, m_output.closes()));
 }
 
 void Exchange::WritePlainReply() {
@@ -577,21 +478,14 @@
     return;
   }
   // A call that may have run is never answered as not run.
-  if (m_runs > 0 && protocol::RowOf(error.kind).not_run) {
+  if (m_counts.runs > 0 && protocol::RowOf(error.kind).not_run) {
     error.kind = ErrorKind::kBackendServerFailed;
   }
-  const protocol::ErrorRow& row = protocol::RowOf(error.kind);
-  MessageHead head;
-  head.status = row.http_status;
-  head.headers.Add("Content-Type", "application/json");
-  if (row.not_run && error.RetryAfter().count() > 0) {
-    head.headers.Add("Retry-After", RetryAfterSeconds(error.RetryAfter()));
-  }
-  const std::string body = protocol::ErrorBody(error);
-  WriteHead(head, body.size());
+  const OwnReply reply = ReplyOf(error);
+  WriteHead(reply.head, reply.body.size());
   if (m_ended) return;
-  if (m_request.head.method != "HEAD") m_output.write(body);
-  Finish(End::kWhole, row.name);
+  if (m_request.head.method != "HEAD") m_output.write(reply.body);
+  Finish(End::kWhole, protocol::RowOf(error.kind).name);
 }
 
 void Exchange::OnDeadline() {
@@ -601,10 +495,10 @@
   }
   AbandonAttempt(m_reply_begun ? HealthSignal::kRefused
                                : HealthSignal::kFailed);
-  Fail(
-      {m_runs > 0 ? ErrorKind::kDeadlineExceeded : ErrorKind::kDeadlineTooShort,
-       "",
-       {}});
+  Fail({m_counts.runs > 0 ? ErrorKind::kDeadlineExceeded
+                          : ErrorKind::kDeadlineTooShort,
+        "",
+        {}});
 }
 
 void Exchange::Cancel() {
@@ -626,7 +520,7 @@
   const bool answered = outcome.starts_with("answered");
   if (answered) m_context->return_times.OnAnswered(now);
   m_context->metrics.CountCall(workspace, answered ? "" : outcome);
-  m_context->metrics.CountAttempts(m_sends);
+  m_context->metrics.CountAttempts(m_counts.sends);
   const auto ms = [&](coordination::TimePoint time) {
     return std::to_string(ToMilliseconds(time - m_request.received).count());
   };
@@ -635,8 +529,8 @@
                    {"route", m_route != nullptr ? m_route->name : "-"},
                    {"workspace", workspace.empty() ? "-" : workspace},
                    {"config", std::to_string(m_config ? m_config->version : 0)},
-                   {"sends", std::to_string(m_sends)},
-                   {"may_have_run", std::to_string(m_runs)},
+                   {"sends", std::to_string(m_counts.sends)},
+                   {"may_have_run", std::to_string(m_counts.runs)},
                    {"first_byte_ms", m_first_byte ? ms(*m_first_byte) : "-"},
                    {"total_ms", ms(now)}});
   m_output.on_end(end);
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "wasabiwall/coordination/attempt_policy.h"
 #include "wasabiwall/protocol/error_kind.h"
 #include "wasabiwall/protocol/event_stream.h"
 #include "wasabiwall/transport/gateway_context.h"
@@ -70,6 +71,9 @@
   bool Place();
   void WaitForPlace(coordination::PlacementRefusal refusal);
   void RefuseUnplaced(coordination::PlacementRefusal refusal);
+  /// Answers with a time to come back that spreads refused callers.
+  void Refuse(protocol::ErrorKind kind, const char* detail);
+  coordination::AttemptPolicy Policy() const;
 
   // One attempt.
   void Begin(coordination::Placement placement);
@@ -85,7 +89,6 @@
   void AbandonAttempt(coordination::HealthSignal signal);
 
   // After an attempt.
-  bool MayRepeat() const;
   void RepeatOrFail(bool not_run, protocol::ErrorKind kind, const char* reason);
   bool TakeRepeat();
 
@@ -118,9 +121,7 @@
   std::shared_ptr<BackendConnection> m_connection;
   std::optional<coordination::Placement> m_placement;
   std::vector<state::BackendServerId> m_tried;
-  int m_runs = 0;
-  int m_sends = 0;
-  int m_unreachable = 0;
+  coordination::AttemptCounts m_counts;
   Reply m_reply;
   bool m_reply_begun = false;
 
--- a/src/wasabiwall/transport/status_server.cc
+++ b/src/wasabiwall/transport/status_server.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "wasabiwall/transport/reply_text.h"
+
 namespace wasabiwall::transport {
 
 struct StatusServer::Connection {
@@ -45,13 +47,11 @@
                 const std::string& target = connection->head.target;
                 const StatusPage page =
                     m_on_page(target.substr(0, target.find('?')));
-                std::string bytes = "HTTP/1.1 " + std::to_string(page.status) +
-                                    " " + std::string(ReasonOf(page.status)) +
-                                    "\r\n";
-                AppendHeader("Content-Type", page.content_type, &bytes);
-                AppendHeader("Content-Length", std::to_string(page.body.size()),
-                             &bytes);
-                connection->tcp->Write(bytes + "\r\n" + page.body);
+                MessageHead head;
+                head.status = page.status;
+                head.headers.Add("Content-Type", page.content_type);
+                connection->tcp->Write(HeadText(head, page.body.size(), false) +
+                                       page.body);
               }});
   connection->tcp = std::make_unique<TcpConnection>(
       m_loop, stream, TcpOptions{.keep_alive = true},
--- /dev/null
+++ b/tests/gateway/attempt_policy_test.cc
@@ -0,0 +1,78 @@
+#include "wasabiwall/coordination/attempt_policy.h"
+
+#include <catch2/catch.hpp>
+
+namespace wasabiwall::coordination {
+namespace {
+
+using std::chrono::milliseconds;
+
+state::Route MakeRoute(state::CallKind kind, bool resumable = false) {
+  state::Route route;
+  route.kind = kind;
+  route.resumable = resumable;
+  route.objective = milliseconds(200);
+  route.event_gap = milliseconds(100);
+  route.max_attempts = 2;
+  return route;
+}
+
+const state::Route kSafe = MakeRoute(state::CallKind::kSafe);
+const state::Route kUnsafe = MakeRoute(state::CallKind::kUnsafe);
+const state::Route kChat = MakeRoute(state::CallKind::kStream, true);
+const state::Route kTalk = MakeRoute(state::CallKind::kStream);
+constexpr milliseconds kAmple{5000};
+
+TEST_CASE("only idempotent calls run again, on as many as the route allows") {
+  CHECK(AttemptPolicy(kSafe).MayRepeat({.runs = 1, .sends = 1}, false, kAmple));
+  CHECK(AttemptPolicy(kChat).MayRepeat({.runs = 1, .sends = 1}, false, kAmple));
+  CHECK_FALSE(
+      AttemptPolicy(kSafe).MayRepeat({.runs = 2, .sends = 2}, false, kAmple));
+  CHECK_FALSE(
+      AttemptPolicy(kUnsafe).MayRepeat({.runs = 1, .sends = 1}, false, kAmple));
+  CHECK_FALSE(
+      AttemptPolicy(kTalk).MayRepeat({.runs = 1, .sends = 1}, false, kAmple));
+}
+
+TEST_CASE("what has not run may go elsewhere, a few times and in time") {
+  const AttemptPolicy policy(kUnsafe);
+  CHECK(policy.MayRepeat({.sends = 1}, true, kAmple));
+  CHECK_FALSE(policy.MayRepeat({.runs = 1, .sends = 2}, true, kAmple));
+  CHECK_FALSE(policy.MayRepeat({.sends = 4}, true, kAmple));
+  CHECK_FALSE(policy.MayRepeat({.unreachable = 4}, true, kAmple));
+  CHECK_FALSE(policy.MayRepeat({.sends = 1}, true, milliseconds(5)));
+}
+
+TEST_CASE("calls wait only where waiting can help") {
+  const AttemptPolicy policy(kUnsafe);
+  using Refusal = PlacementRefusal;
+  CHECK(policy.WaitForPlace(Refusal::kNone, false, kAmple).count() == 0);
+  CHECK(policy.WaitForPlace(Refusal::kUnreachable, true, kAmple).count() == 0);
+  CHECK(policy.WaitForPlace(Refusal::kNone, true, kAmple).count() > 0);
+  CHECK(policy.WaitForPlace(Refusal::kFull, false, kAmple) < kUnsafe.objective);
+  CHECK(policy.WaitForPlace(Refusal::kFull, false, milliseconds(30)) <=
+        milliseconds(10));
+  CHECK(policy.WaitForPlace(Refusal::kFull, false, milliseconds(5)).count() ==
+        0);
+}
+
+TEST_CASE("refused callers come back within a third of their time") {
+  for (const int left : {1, 100, 1500, 12000}) {
+    CHECK(LongestReturnTime(milliseconds(left)) <=
+          std::max(milliseconds(1), milliseconds(left) / 3));
+  }
+  CHECK(ReturnTimeOf(protocol::ErrorKind::kNoBackendServer) >
+        ReturnTimeOf(protocol::ErrorKind::kOverloaded));
+}
+
+TEST_CASE("connections and silences are short against the objective") {
+  CHECK(AttemptPolicy(kSafe).ConnectTimeout() < kSafe.objective);
+  CHECK(AttemptPolicy(kSafe).Patience(false) < kSafe.objective);
+  CHECK(AttemptPolicy(kChat).Patience(false) > kChat.objective);
+  CHECK(AttemptPolicy(kChat).Patience(true) > kChat.event_gap);
+  CHECK(AttemptPolicy(kUnsafe).MaxConnectionIdle() <
+        AttemptPolicy(kSafe).MaxConnectionIdle());
+}
+
+}  // namespace
+}  // namespace wasabiwall::coordination
