Connections are bounded by the descriptors that the process may open

Cause: the process had used up its descriptors (4,444 files) and hung from 12.3 s on; libuv's accept loop never ends when accept fails for want of a descriptor and its spare one is gone. Ruled out: processor time (0.14 cores), a closed connection not noticed (no log line of any kind after 12.3 s). Now half of the descriptors are for callers and three tenths for backend servers; a connection beyond is closed unread. The limit comes from the settings. Test: refusal_test.

--- a/src/wasabiwall/protocol/gateway_settings.cc
+++ b/src/wasabiwall/protocol/gateway_settings.cc
@@ -25,7 +25,8 @@
                  Number("load_factor", FieldType::kNumber, 1, 100),
                  Number("retry_share", FieldType::kNumber, 0, 1),
                  Number("retry_burst", FieldType::kNumber, 0, 100000),
-                 Number("lapse_grace_ms", FieldType::kInteger, 0, 60000)}),
+                 Number("lapse_grace_ms", FieldType::kInteger, 0, 60000),
+                 Number("max_descriptors", FieldType::kInteger, 64, 10000000)}),
   };
 }
 
@@ -56,6 +57,8 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(seconds);
   }
   duration("lapse_grace_ms", &settings.lapse_grace);
+  settings.max_descriptors =
+      limits.value("max_descriptors", settings.max_descriptors);
   settings.load_factor = limits.value("load_factor", settings.load_factor);
   settings.retry_share = limits.value("retry_share", settings.retry_share);
   settings.retry_burst = limits.value("retry_burst", settings.retry_burst);
--- a/src/wasabiwall/protocol/gateway_settings.h
+++ b/src/wasabiwall/protocol/gateway_settings.h
@@ -29,6 +29,8 @@
   double retry_share = 0.2;
   double retry_burst = 50;
   std::chrono::milliseconds lapse_grace{2500};
+  /// File descriptors that the process may have open.
+  int max_descriptors = 4096;
 };
 
 /// Parses and checks settings.
--- a/src/wasabiwall/transport/backend_pool.cc
+++ b/src/wasabiwall/transport/backend_pool.cc
@@ -45,6 +45,7 @@
     connection->Close();
   }
   ++m_opened;
+  ++m_open;
   auto connection = std::make_shared<BackendConnection>(m_loop, server);
   connections.open.insert(connection);
   const TcpOptions options{.unacknowledged_timeout = kUnacknowledgedTimeout,
@@ -89,6 +90,7 @@
 
 void BackendPool::Forget(const std::string& key,
                          BackendConnection* connection) {
+  --m_open;
   const auto found = m_connections.find(key);
   if (found == m_connections.end()) return;
   const auto is_this = [connection](const auto& c) {
--- a/src/wasabiwall/transport/backend_pool.h
+++ b/src/wasabiwall/transport/backend_pool.h
@@ -24,6 +24,7 @@
   /// closed.
   void Release(const std::shared_ptr<BackendConnection>& connection);
 
+  /// @param limit Connections that may be open to the backend server.
   /// @return Whether a connection is idle or may be opened.
   bool HasRoom(const state::BackendServer& server, int limit) const;
 
@@ -32,6 +33,9 @@
   void Prune(
       const std::function<bool(const state::BackendServerId&)>& is_known);
 
+  /// @return Connections that are open now.
+  std::size_t Open() const { return m_open; }
+
   /// @return Connections opened since the start.
   std::int64_t Opened() const { return m_opened; }
 
@@ -50,6 +54,7 @@
   EventLoop* m_loop;
   std::unordered_map<std::string, Connections> m_connections;
   std::int64_t m_opened = 0;
+  std::size_t m_open = 0;
 };
 
 }  // namespace wasabiwall::transport
--- a/src/wasabiwall/transport/gateway.cc
+++ b/src/wasabiwall/transport/gateway.cc
@@ -53,6 +53,13 @@
 }
 
 void Gateway::OnAccept(uv_stream_t* stream) {
+  if (m_connections.size() >= m_context->CallerLimit()) {
+    // Closed before anything is read, so that the caller may go elsewhere. To
+    // run out of descriptors instead would stop the event loop.
+    TcpConnection(m_context->loop, stream, {}, {}).Reset();
+    ++m_rejected_connections;
+    return;
+  }
   auto connection = std::make_shared<ClientConnection>(
       m_context, [this](const std::shared_ptr<ClientConnection>& closed) {
         m_connections.erase(closed);
@@ -69,6 +76,12 @@
 }
 
 void Gateway::OnHousekeeping() {
+  if (m_rejected_connections != m_logged_rejections) {
+    LogWarn("connections_rejected",
+            {{"since_start", std::to_string(m_rejected_connections)},
+             {"limit", std::to_string(m_context->CallerLimit())}});
+    m_logged_rejections = m_rejected_connections;
+  }
   m_context->registry.Expire(m_context->loop->Now());
   EndIfDone();
   m_context->connections.Prune([this](const state::BackendServerId& id) {
@@ -122,6 +135,8 @@
 StatusPage Gateway::MetricsPage() {
   m_context->metrics.SetGauge("wasabiwall_connections",
                               static_cast<double>(m_connections.size()));
+  m_context->metrics.SetGauge("wasabiwall_rejected_connections",
+                              static_cast<double>(m_rejected_connections));
   m_context->metrics.SetGauge("wasabiwall_waiting_calls",
                               static_cast<double>(m_context->queue.Size()));
   m_context->metrics.SetGauge("wasabiwall_backend_servers",
--- a/src/wasabiwall/transport/gateway.h
+++ b/src/wasabiwall/transport/gateway.h
@@ -53,6 +53,8 @@
   Timer m_out_of_rotation;
   Timer m_stop_timeout;
   std::unordered_set<std::shared_ptr<ClientConnection>> m_connections;
+  std::int64_t m_rejected_connections = 0;
+  std::int64_t m_logged_rejections = 0;
   bool m_loaded = false;
   bool m_stopped = false;
 };
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -18,6 +18,10 @@
 /// How long a higher count of processes is kept to; longer than a process that
 /// is cut off from the store goes on.
 constexpr std::chrono::seconds kCountRetention{20};
+/// Shares of the descriptors for connections of callers and to backend servers.
+/// The rest is for logs, the store, metrics and connections that are closing.
+constexpr double kCallerShare = 0.5;
+constexpr double kBackendShare = 0.3;
 /// Part of shared limits that is used, for processes not yet counted.
 constexpr double kSharedLimitMargin = 0.8;
 
@@ -47,8 +51,9 @@
                  .has_connection =
                      [this](const state::BackendServer& server,
                             const state::Service& service) {
-                       return connections.HasRoom(server,
-                                                  ConnectionLimit(service));
+                       const bool spare = connections.Open() < BackendLimit();
+                       return connections.HasRoom(
+                           server, spare ? ConnectionLimit(service) : 0);
                      },
                  .processes = [this] { return Processes(); },
                  .random = SeededRandom()},
@@ -111,6 +116,14 @@
   return std::max(1, static_cast<int>(share));
 }
 
+std::size_t GatewayContext::CallerLimit() const {
+  return static_cast<std::size_t>(options.max_descriptors * kCallerShare);
+}
+
+std::size_t GatewayContext::BackendLimit() const {
+  return static_cast<std::size_t>(options.max_descriptors * kBackendShare);
+}
+
 void GatewayContext::ForgetBackendServer(const state::BackendServerId& id) {
   loads.Forget(id);
   health.Forget(id);
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -43,6 +43,8 @@
   double retry_burst = 50;
   /// How long an entry that vanished in a registry outage is kept.
   std::chrono::milliseconds lapse_grace{2500};
+  /// File descriptors that the process may have open.
+  int max_descriptors = 4096;
 };
 
 /// What the calls of one gateway process share. Used on one event loop only.
@@ -71,6 +73,9 @@
   /// @return Connections that this process may have to a backend server.
   int ConnectionLimit(const state::Service& service) const;
 
+  /// @return Connections of callers that are kept open at once.
+  std::size_t CallerLimit() const;
+
   /// Drops what is kept about backend servers that are gone.
   void ForgetBackendServer(const state::BackendServerId& id);
 
@@ -98,6 +103,7 @@
 
  private:
   void ShareRetryBurst();
+  std::size_t BackendLimit() const;
 
   std::shared_ptr<const state::ServiceConfig> m_config;
   std::unordered_map<state::ServiceId,
--- a/tests/gateway/refusal_test.cc
+++ b/tests/gateway/refusal_test.cc
@@ -1,4 +1,5 @@
 // When calls are refused, how soon, and whether "not run" is true.
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "fakes/gateway_fixture.h"
@@ -85,6 +86,28 @@
   CHECK(replaced.Requests().size() <= 1);
 }
 
+TEST_CASE("connections beyond the limit are closed unread and others go on") {
+  auto options = GatewayFixture::DefaultOptions();
+  options.max_descriptors = 20;  // Half of it for callers.
+  GatewayFixture fleet(options);
+  fleet.AddBackend("b", [](const LoopBackend::Received& call) {
+    call.session->Write(
+        PlainAnswer(*call.head.headers.Find("Attempt"), 200, "x"));
+  });
+  std::vector<LoopClient*> clients;
+  for (int i = 0; i < 30; ++i) clients.push_back(&fleet.Connect());
+  fleet.RunFor(milliseconds(100));
+  const auto ended = std::count_if(clients.begin(), clients.end(),
+                                   [](const auto* c) { return c->Ended(); });
+  CHECK(ended == 20);
+  for (LoopClient* client : clients) {
+    if (client->Ended()) continue;
+    client->Send(RequestText("/safe/x", "a1"));
+    REQUIRE(fleet.RunUntil([&] { return client->Status() == 200; }));
+    break;
+  }
+}
+
 TEST_CASE("unknown routes and malformed requests get their own answers") {
   GatewayFixture fleet;
   LoopClient& unknown = fleet.Call("/none/x", "a1");
