--- a/programs/command_line.h
+++ b/programs/command_line.h
@@ -5,7 +5,7 @@
 
 namespace wasabiwall::programs {
 
-/// Exit codes shared by all programs; see docs/operations.md.
+/// Exit codes shared by all programs; see docs/OPERATIONS.md.
 enum ExitCode {
   kExitOk = 0,
   kExitFailed = 1,
