Shares of a cold backend server under one call a second are spread over time

Cause: each of 32 gateways was allowed at least one call in a second, and all heard of the newcomer at once. Ruled out: a wrong count of gateways, a cold time too short. A gateway whose share is under one call a second now waits for a random part of the pause between two calls first. Test: placement_test plays 32 gateways.

--- a/src/wasabiwall/coordination/backend_placement.cc
+++ b/src/wasabiwall/coordination/backend_placement.cc
@@ -115,9 +115,10 @@
   if (service.cold_calls_per_second <= 0 || now >= known.cold_until) {
     return true;
   }
-  const int share = ColdStartLimiter::ShareOf(
+  const double share = ColdStartLimiter::ShareOf(
       service.cold_calls_per_second * kColdMargin, m_inputs.processes());
-  return m_inputs.cold_starts->HasRoom(known.server.id, share, now);
+  return m_inputs.cold_starts->HasRoom(known.server.id, share,
+                                       known.cold_until - known.cold_time, now);
 }
 
 double BackendPlacement::AffinityCost(const state::KnownBackendServer& known,
--- a/tests/gateway/placement_test.cc
+++ b/tests/gateway/placement_test.cc
@@ -16,6 +16,7 @@
  public:
   World()
       : registry(milliseconds(2500)),
+        cold_starts(1),
         prompt_cache(1000),
         placement(
             {.registry = &registry,
@@ -187,6 +188,34 @@
   CHECK(world.Choose(0));
 }
 
+TEST_CASE("many processes together stay within what a cold one bears") {
+  // A deployment of 32 gateways; the rules allow half more and five calls.
+  constexpr int processes = 32;
+  constexpr double calls_per_second = 13;
+  constexpr double allowed = calls_per_second * 1.5 + 5;
+  const TimePoint cold_since{seconds(100)};
+  std::vector<ColdStartLimiter> limiters;
+  for (std::uint64_t i = 0; i < processes; ++i) limiters.emplace_back(i);
+  const double share = ColdStartLimiter::ShareOf(calls_per_second, processes);
+  std::vector<TimePoint> sent;
+  for (int ms = 0; ms < 6000; ms += 5) {
+    const TimePoint now = cold_since + milliseconds(ms);
+    for (ColdStartLimiter& limiter : limiters) {
+      if (!limiter.HasRoom(Id("b"), share, cold_since, now)) continue;
+      limiter.OnSent(Id("b"), now);
+      sent.push_back(now);
+    }
+  }
+  for (const TimePoint begin : sent) {
+    const auto in_second =
+        std::count_if(sent.begin(), sent.end(), [begin](TimePoint time) {
+          return time >= begin && time - begin < seconds(1);
+        });
+    CHECK(in_second <= allowed);
+  }
+  CHECK(sent.size() >= 3 * calls_per_second);
+}
+
 TEST_CASE("a failing backend server is spared while most others are sound") {
   World world;
   for (int i = 0; i < 4; ++i) world.Add("b" + std::to_string(i));
