--- a/tests/gateway/refusal_test.cc
+++ b/tests/gateway/refusal_test.cc
@@ -94,8 +94,10 @@
     call.session->Write(
         PlainAnswer(*call.head.headers.Find("Attempt"), 200, "x"));
   });
+  constexpr int connections = 30;
   std::vector<LoopClient*> clients;
-  for (int i = 0; i < 30; ++i) clients.push_back(&fleet.Connect());
+  clients.reserve(connections);
+  for (int i = 0; i < connections; ++i) clients.push_back(&fleet.Connect());
   fleet.RunFor(milliseconds(100));
   const auto ended = std::count_if(clients.begin(), clients.end(),
                                    [](const auto* c) { return c->Ended(); });
