Idle connections of callers make room for new ones

Ruled out: descriptors for backend servers, and an event loop that is late (accepts went on).

At the limit the connections that have been idle for the longest are closed, a fiftieth of the limit at once. Logged and counted.

Test: refusal_test, failed first.

--- a/src/wasabiwall/transport/client_connection.cc
+++ b/src/wasabiwall/transport/client_connection.cc
@@ -187,6 +187,7 @@
                                           : state::IngressLimits{};
   const auto timeout =
       m_parser.InMessage() ? limits.header_timeout : limits.idle_timeout;
+  if (!m_parser.InMessage()) m_idle_since = m_context->loop->Now();
   m_timer.Start(timeout, [this] { OnTimeout(); });
 }
 
--- a/src/wasabiwall/transport/client_connection.h
+++ b/src/wasabiwall/transport/client_connection.h
@@ -24,12 +24,15 @@
   /// Takes over an accepted stream.
   void Accept(uv_stream_t* listener);
 
-  /// The process stops: closes the connection if no request is in progress.
+  /// Closes the connection if no request is in progress.
   void CloseIfIdle();
 
   /// @return Whether a request is being read or answered.
   bool IsBusy() const;
 
+  /// @return Since when there has been no request; only valid while not busy.
+  coordination::TimePoint IdleSince() const { return m_idle_since; }
+
  private:
   void OnData(std::string_view data);
   void Parse(std::string_view data);
@@ -55,6 +58,7 @@
   /// Bytes received while a request is being answered.
   std::string m_pending;
   Timer m_timer;
+  coordination::TimePoint m_idle_since;
   bool m_client_keeps = true;
   bool m_rejected = false;
   bool m_closed = false;
--- a/src/wasabiwall/transport/gateway.cc
+++ b/src/wasabiwall/transport/gateway.cc
@@ -17,6 +17,12 @@
 constexpr std::chrono::milliseconds kRotationTime{2500};
 /// Time kept free at the end of the stop timeout.
 constexpr std::chrono::milliseconds kStopMargin{100};
+/// Idle time from which a caller's connection may be closed for a new one. A
+/// caller that has just connected sends its request within a round trip.
+constexpr std::chrono::milliseconds kShortestEvictedIdle{250};
+/// Share of the limit that is evicted at once, so that the search for the
+/// longest idle is rare.
+constexpr double kEvictedShare = 0.02;
 
 }  // namespace
 
@@ -53,6 +59,7 @@
 }
 
 void Gateway::OnAccept(uv_stream_t* stream) {
+  if (m_connections.size() >= m_context->CallerLimit()) EvictIdle();
   if (m_connections.size() >= m_context->CallerLimit()) {
     // Closed before anything is read, so that the caller may go elsewhere. To
     // run out of descriptors instead would stop the event loop.
@@ -79,6 +86,8 @@
   if (m_rejected_connections != m_logged_rejections) {
     LogWarn("connections_rejected",
             {{"since_start", std::to_string(m_rejected_connections)},
+             {"evicted", std::to_string(m_evicted_connections)},
+             {"busy", std::to_string(BusyConnections())},
              {"limit", std::to_string(m_context->CallerLimit())}});
     m_logged_rejections = m_rejected_connections;
   }
@@ -115,17 +124,41 @@
   for (const auto& connection : connections) connection->CloseIfIdle();
 }
 
+void Gateway::EvictIdle() {
+  const auto newest = m_context->loop->Now() - kShortestEvictedIdle;
+  std::vector<std::shared_ptr<ClientConnection>> idle;
+  for (const auto& connection : m_connections) {
+    if (!connection->IsBusy() && connection->IdleSince() <= newest) {
+      idle.push_back(connection);
+    }
+  }
+  const auto share = static_cast<std::size_t>(
+      static_cast<double>(m_context->CallerLimit()) * kEvictedShare);
+  const auto count = std::min(idle.size(), std::max<std::size_t>(1, share));
+  std::partial_sort(idle.begin(),
+                    idle.begin() + static_cast<std::ptrdiff_t>(count),
+                    idle.end(), [](const auto& a, const auto& b) {
+                      return a->IdleSince() < b->IdleSince();
+                    });
+  idle.resize(count);
+  for (const auto& connection : idle) connection->CloseIfIdle();
+  m_evicted_connections += static_cast<std::int64_t>(count);
+}
+
 void Gateway::EndIfDone() {
   if (!m_context->ends_by) return;
-  const bool busy =
-      std::any_of(m_connections.begin(), m_connections.end(),
-                  [](const auto& connection) { return connection->IsBusy(); });
-  if (busy || std::exchange(m_stopped, true)) return;
+  if (BusyConnections() > 0 || std::exchange(m_stopped, true)) return;
   m_listener.reset();
   CloseIdle();
   m_on_stopped();
 }
 
+std::size_t Gateway::BusyConnections() const {
+  return static_cast<std::size_t>(
+      std::count_if(m_connections.begin(), m_connections.end(),
+                    [](const auto& connection) { return connection->IsBusy(); }));
+}
+
 StatusPage Gateway::ReadinessPage() const {
   if (IsReady()) return {.status = 200, .body = "ready\n"};
   return {.status = 503,
@@ -137,6 +170,8 @@
                               static_cast<double>(m_connections.size()));
   m_context->metrics.SetGauge("wasabiwall_rejected_connections",
                               static_cast<double>(m_rejected_connections));
+  m_context->metrics.SetGauge("wasabiwall_evicted_connections",
+                              static_cast<double>(m_evicted_connections));
   m_context->metrics.SetGauge("wasabiwall_waiting_calls",
                               static_cast<double>(m_context->queue.Size()));
   m_context->metrics.SetGauge("wasabiwall_backend_servers",
--- a/src/wasabiwall/transport/gateway.h
+++ b/src/wasabiwall/transport/gateway.h
@@ -39,7 +39,11 @@
   void OnTick();
   void OnHousekeeping();
   void CloseIdle();
+  /// Closes some of the connections that have been idle for the longest.
+  void EvictIdle();
   void EndIfDone();
+  /// @return Connections on which a request is being read or answered.
+  std::size_t BusyConnections() const;
   StatusPage ReadinessPage() const;
   StatusPage MetricsPage();
 
@@ -53,6 +57,7 @@
   Timer m_out_of_rotation;
   Timer m_stop_timeout;
   std::unordered_set<std::shared_ptr<ClientConnection>> m_connections;
+  std::int64_t m_evicted_connections = 0;
   std::int64_t m_rejected_connections = 0;
   std::int64_t m_logged_rejections = 0;
   bool m_loaded = false;
--- a/tests/gateway/refusal_test.cc
+++ b/tests/gateway/refusal_test.cc
@@ -110,6 +110,44 @@
   }
 }
 
+TEST_CASE("connections left idle after a burst make room for new callers") {
+  auto options = GatewayFixture::DefaultOptions();
+  options.max_descriptors = 20;  // Half of it for callers.
+  GatewayFixture fleet(options);
+  std::vector<LoopBackend::Received> held;
+  fleet.AddBackend("b", [&held](const LoopBackend::Received& call) {
+    if (call.head.target == "/once/held") {
+      held.push_back(call);
+      return;
+    }
+    call.session->Write(
+        PlainAnswer(*call.head.headers.Find("Attempt"), 200, "x"));
+  });
+  LoopClient& busy = fleet.Call("/once/held", "a-held");
+  constexpr int burst = 9;
+  std::vector<LoopClient*> idle;
+  idle.reserve(burst);
+  for (int i = 0; i < burst; ++i) {
+    idle.push_back(&fleet.Call("/safe/x", "a" + std::to_string(i)));
+  }
+  REQUIRE(fleet.RunUntil([&] {
+    return std::all_of(idle.begin(), idle.end(),
+                       [](const auto* c) { return c->Status() == 200; });
+  }));
+  fleet.RunFor(milliseconds(300));
+  for (int i = 0; i < 3; ++i) {
+    LoopClient& late = fleet.Call("/safe/x", "late" + std::to_string(i));
+    REQUIRE(fleet.RunUntil([&] { return late.Status() != 0; }));
+    CHECK(late.Status() == 200);
+  }
+  CHECK(std::count_if(idle.begin(), idle.end(),
+                      [](const auto* c) { return c->Ended(); }) == 3);
+  REQUIRE(held.size() == 1);
+  held[0].session->Write(PlainAnswer("a-held", 200, "y"));
+  REQUIRE(fleet.RunUntil([&] { return busy.Status() != 0; }));
+  CHECK(busy.Status() == 200);
+}
+
 TEST_CASE("unknown routes and malformed requests get their own answers") {
   GatewayFixture fleet;
   LoopClient& unknown = fleet.Call("/none/x", "a1");
