--- a/src/wasabiwall/transport/gateway.cc
+++ b/src/wasabiwall/transport/gateway.cc
@@ -154,9 +154,9 @@
 }
 
 std::size_t Gateway::BusyConnections() const {
-  return static_cast<std::size_t>(
-      std::count_if(m_connections.begin(), m_connections.end(),
-                    [](const auto& connection) { return connection->IsBusy(); }));
+  return static_cast<std::size_t>(std::count_if(
+      m_connections.begin(), m_connections.end(),
+      [](const auto& connection) { return connection->IsBusy(); }));
 }
 
 StatusPage Gateway::ReadinessPage() const {
