--- a/src/wasabiwall/transport/event_loop.cc
+++ b/src/wasabiwall/transport/event_loop.cc
@@ -13,6 +13,13 @@
 
 }  // namespace
 
+struct EventLoop::BackgroundTask {
+  uv_work_t request;
+  EventLoop* loop;
+  std::function<void()> work;
+  std::function<void()> done;
+};
+
 EventLoop::EventLoop() {
   Check(uv_loop_init(&m_loop));
   Check(uv_idle_init(&m_loop, &m_idle));
@@ -20,6 +27,8 @@
 }
 
 EventLoop::~EventLoop() {
+  m_closing = true;
+  while (m_background_tasks > 0) uv_run(&m_loop, UV_RUN_ONCE);
   uv_close(reinterpret_cast<uv_handle_t*>(&m_idle), nullptr);
   // Lets handles that were closed before run their last callbacks.
   uv_run(&m_loop, UV_RUN_NOWAIT);
@@ -45,6 +54,25 @@
   for (const auto& task : tasks) task();
 }
 
+void EventLoop::RunInBackground(std::function<void()> work,
+                                std::function<void()> done) {
+  auto* task = new BackgroundTask{{}, this, std::move(work), std::move(done)};
+  task->request.data = task;
+  ++m_background_tasks;
+  Check(uv_queue_work(
+      &m_loop, &task->request,
+      [](uv_work_t* request) {
+        static_cast<BackgroundTask*>(request->data)->work();
+      },
+      [](uv_work_t* request, int /*status*/) {
+        const std::unique_ptr<BackgroundTask> finished(
+            static_cast<BackgroundTask*>(request->data));
+        EventLoop* loop = finished->loop;
+        --loop->m_background_tasks;
+        if (!loop->m_closing) finished->done();
+      }));
+}
+
 coordination::TimePoint EventLoop::Now() const {
   return std::chrono::time_point_cast<std::chrono::microseconds>(
       std::chrono::steady_clock::now());
--- a/src/wasabiwall/transport/event_loop.h
+++ b/src/wasabiwall/transport/event_loop.h
@@ -28,17 +28,27 @@
   /// Runs `task` after the callback that is running.
   void Post(std::function<void()> task);
 
+  /// Runs `work` on another thread and then `done` on the loop's, so that long
+  /// computations do not hold up the loop. `done` is left out when the loop is
+  /// destroyed meanwhile.
+  /// @param work Must not use anything that the loop's thread may use.
+  void RunInBackground(std::function<void()> work, std::function<void()> done);
+
   /// @return Time on the monotonic clock.
   coordination::TimePoint Now() const;
 
   uv_loop_t* Handle() { return &m_loop; }
 
  private:
+  struct BackgroundTask;
+
   void RunPosted();
 
   uv_loop_t m_loop;
   uv_idle_t m_idle;
   std::vector<std::function<void()>> m_posted;
+  int m_background_tasks = 0;
+  bool m_closing = false;
 };
 
 /// Calls back once or repeatedly. Must be destroyed on the loop's thread.
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -319,6 +319,7 @@
   if (events.empty()) return;
   const auto now = m_context->loop->Now();
   if (m_first_byte) {
+    m_longest_gap = std::max(m_longest_gap, now - m_last_event);
     m_context->metrics.ObservePartGap(
         m_workspace != nullptr ? m_workspace->id.value : "",
         now - m_last_event);
@@ -532,6 +533,8 @@
                    {"sends", std::to_string(m_counts.sends)},
                    {"may_have_run", std::to_string(m_counts.runs)},
                    {"first_byte_ms", m_first_byte ? ms(*m_first_byte) : "-"},
+                   {"longest_gap_ms",
+                    std::to_string(ToMilliseconds(m_longest_gap).count())},
                    {"total_ms", ms(now)}});
   m_output.on_end(end);
 }
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -132,6 +132,7 @@
   bool m_ended = false;
   std::optional<coordination::TimePoint> m_first_byte;
   coordination::TimePoint m_last_event;
+  std::chrono::microseconds m_longest_gap{0};
 };
 
 }  // namespace wasabiwall::transport
