Gateways share which engines hold a prompt part

Ruled out: evictions (30 calls, 6,500 tokens) and engines that were gone (298,000 tokens).

Each part has two homes among the gateways, which are told and asked by datagram; a call whose prompt is unknown waits 15 ms at most.

--- a/src/wasabiwall/coordination/backend_placement.cc
+++ b/src/wasabiwall/coordination/backend_placement.cc
@@ -149,22 +149,35 @@
   return count == 0 ? 0 : sum / count;
 }
 
+bool BackendPlacement::LacksHolder(const PlacementQuery& query,
+                                   TimePoint now) const {
+  return query.shared_part != 0 && query.shared_tokens >= kFetchTokens &&
+         Holders(query, now).empty();
+}
+
+std::vector<const state::KnownBackendServer*> BackendPlacement::Holders(
+    const PlacementQuery& query, TimePoint now) const {
+  std::vector<const state::KnownBackendServer*> holders;
+  for (const auto& id :
+       m_inputs.prompt_cache->Holders(query.shared_part, now)) {
+    const auto* known = m_inputs.registry->Find(id);
+    if (known == nullptr || m_inputs.health->IsUnreachable(id, now)) continue;
+    holders.push_back(known);
+  }
+  return holders;
+}
+
 std::optional<state::BackendServer> BackendPlacement::FetchSource(
     const PlacementQuery& query, const state::KnownBackendServer& target,
     TimePoint now) const {
   if (query.shared_part == 0 || query.shared_tokens < kFetchTokens) return {};
   const state::BackendServerId& target_id = target.server.id;
-  const auto holders = m_inputs.prompt_cache->Holders(query.shared_part, now);
-  if (std::find(holders.begin(), holders.end(), target_id) != holders.end()) {
-    return {};
-  }
-  for (const state::BackendServerId& holder : holders) {
-    const auto* known = m_inputs.registry->Find(holder);
-    if (known == nullptr || m_inputs.health->IsUnreachable(holder, now)) {
-      continue;
-    }
-    return known->server;
-  }
+  const auto holders = Holders(query, now);
+  const bool is_held = std::any_of(
+      holders.begin(), holders.end(),
+      [&](const auto* holder) { return holder->server.id == target_id; });
+  if (is_held) return {};
+  if (!holders.empty()) return holders.front()->server;
   // Other processes may have sent the prompt to the next one in the order of
   // preference, before the target appeared or while it was busy.
   const state::KnownBackendServer* next = nullptr;
--- a/src/wasabiwall/coordination/backend_placement.h
+++ b/src/wasabiwall/coordination/backend_placement.h
@@ -82,6 +82,10 @@
   tl::expected<Placement, PlacementRefusal> Choose(const PlacementQuery& query,
                                                    TimePoint now) const;
 
+  /// @return Whether the prompt is worth a copy from another backend server,
+  /// but none is known to hold it.
+  bool LacksHolder(const PlacementQuery& query, TimePoint now) const;
+
  private:
   struct Candidate {
     const state::KnownBackendServer* known;
@@ -99,6 +103,10 @@
                       std::uint64_t shared_part) const;
   double LoadCost(const Candidate& candidate) const;
   double MeanLoad(const state::Service& service, TimePoint now) const;
+  /// @return Backend servers that can be reached and hold the shared parts, the
+  /// latest reader first.
+  std::vector<const state::KnownBackendServer*> Holders(
+      const PlacementQuery& query, TimePoint now) const;
   std::optional<state::BackendServer> FetchSource(
       const PlacementQuery& query, const state::KnownBackendServer& target,
       TimePoint now) const;
--- a/src/wasabiwall/protocol/gateway_settings.cc
+++ b/src/wasabiwall/protocol/gateway_settings.cc
@@ -18,7 +18,8 @@
       TableSpec("listen", true,
                 {{.name = "callers", .required = true},
                  {.name = "readiness", .required = true},
-                 {.name = "metrics"}}),
+                 {.name = "metrics"},
+                 {.name = "peers"}}),
       TableSpec("store", true, {{.name = "address", .required = true}}),
       TableSpec("limits", false,
                 {Number("stop_timeout_s", FieldType::kNumber, 0.1, 3600),
@@ -45,6 +46,7 @@
   settings.callers_address = listen.at("callers");
   settings.readiness_address = listen.at("readiness");
   settings.metrics_address = listen.value("metrics", "");
+  settings.peer_address = listen.value("peers", "");
   settings.store_address = root->at("store").at("address");
   const nlohmann::json limits = root->value("limits", nlohmann::json::object());
   const auto duration = [&limits](const char* key,
--- a/src/wasabiwall/protocol/gateway_settings.h
+++ b/src/wasabiwall/protocol/gateway_settings.h
@@ -22,6 +22,8 @@
   std::string readiness_address;
   /// `ip:port` for metrics; empty serves none.
   std::string metrics_address;
+  /// `ip:port` for datagrams of other gateways; empty shares nothing.
+  std::string peer_address;
   /// `ip:port` of the key-value service.
   std::string store_address;
   std::chrono::milliseconds stop_timeout{8000};
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -20,6 +20,10 @@
 /// Unsent bytes of a stream at which the backend server is read no further.
 constexpr std::size_t kMostQueuedBytes = 256U << 10U;
 
+/// Longest wait for another gateway's answer: a round trip between failure
+/// domains, 3 ms, and its turn on a machine with a tenth of a core.
+constexpr milliseconds kHoldersTimeout{15};
+
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 constexpr int kFirstServerError = 500;
@@ -52,7 +56,7 @@
   }
   m_deadline_timer.Start(TimeLeft(), [this] { OnDeadline(); });
   m_context->RetriesOf(m_service->id).OnFirstAttempt();
-  Place();
+  if (!AskForHolders()) Place();
 }
 
 std::optional<protocol::Error> Exchange::Resolve() {
@@ -124,14 +128,49 @@
   return m_route->priority;
 }
 
-bool Exchange::Place() {
-  const coordination::PlacementQuery query{
+coordination::PlacementQuery Exchange::Query() const {
+  return {
       .service = m_service,
       .shared_part = m_route->prefers_cached_prompt ? m_call.shared_part : 0,
       .shared_tokens = m_call.shared_tokens,
       .tried = m_tried};
+}
+
+bool Exchange::AskForHolders() {
+  const auto now = m_context->loop->Now();
+  if (!m_context->placement.LacksHolder(Query(), now)) return false;
+  m_question = m_context->prompt_directory.Ask(
+      m_call.shared_part, now, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self) self->OnHoldersAnswered("answered");
+      });
+  if (!m_question) return false;
+  m_attempt_timer.Start(kHoldersTimeout, [this] {
+    m_context->prompt_directory.GiveUp(*m_question, m_context->loop->Now());
+    OnHoldersAnswered("no_answer");
+  });
+  return true;
+}
+
+void Exchange::OnHoldersAnswered(const char* outcome) {
+  const auto self = shared_from_this();
+  m_attempt_timer.Stop();
+  m_question.reset();
+  const auto now = m_context->loop->Now();
+  LogInfo("holders_asked",
+          {{"id", m_call.attempt_id},
+           {"part", std::to_string(m_call.shared_part)},
+           {"outcome", outcome},
+           {"known",
+            m_context->placement.LacksHolder(Query(), now) ? "false" : "true"},
+           {"waited_ms",
+            std::to_string(ToMilliseconds(now - m_request.received).count())}});
+  Place();
+}
+
+bool Exchange::Place() {
   const auto placement =
-      m_context->placement.Choose(query, m_context->loop->Now());
+      m_context->placement.Choose(Query(), m_context->loop->Now());
   if (!placement) {
     if (m_ticket == 0) WaitForPlace(placement.error());
     return false;
@@ -291,7 +330,9 @@
   m_reply_begun = true;
   m_reply.head = std::move(head);
   if (IsEventStream()) {
-    m_context->prompt_cache.OnRead(m_call.shared_part, id, now);
+    if (m_call.shared_part != 0) {
+      m_context->prompt_directory.OnRead(m_call.shared_part, id, now);
+    }
     StartSilenceTimer();
   }
 }
@@ -514,6 +555,7 @@
   if (std::exchange(m_ended, true)) return;
   m_deadline_timer.Stop();
   m_attempt_timer.Stop();
+  if (m_question) m_context->prompt_directory.Cancel(*m_question);
   if (m_ticket != 0) m_context->queue.Remove(std::exchange(m_ticket, 0));
   const auto now = m_context->loop->Now();
   const std::string workspace =
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -68,6 +68,11 @@
   // Admission.
   std::optional<protocol::Error> Resolve();
   const state::Service* ChooseService() const;
+  coordination::PlacementQuery Query() const;
+  /// Asks other gateways who holds the prompt, when that is not known here.
+  /// @return Whether it asked; the call is placed after the answer.
+  bool AskForHolders();
+  void OnHoldersAnswered(const char* outcome);
   bool Place();
   void WaitForPlace(coordination::PlacementRefusal refusal);
   void RefuseUnplaced(coordination::PlacementRefusal refusal);
@@ -117,6 +122,7 @@
   Timer m_deadline_timer;
   Timer m_attempt_timer;
   coordination::AdmissionQueue::Ticket m_ticket = 0;
+  std::optional<coordination::PromptDirectory::QuestionId> m_question;
 
   std::shared_ptr<BackendConnection> m_connection;
   std::optional<coordination::Placement> m_placement;
--- a/src/wasabiwall/transport/gateway.cc
+++ b/src/wasabiwall/transport/gateway.cc
@@ -48,6 +48,10 @@
       !m_metrics.Listen(options.metrics_address)) {
     return false;
   }
+  if (!options.peer_address.host.empty() &&
+      !m_context->peer_socket.Bind(options.peer_address)) {
+    return false;
+  }
   m_tick.StartRepeating(kTickPeriod, [this] { OnTick(); });
   m_housekeeping.StartRepeating(kHousekeepingPeriod,
                                 [this] { OnHousekeeping(); });
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -41,6 +41,15 @@
       registry(options.lapse_grace),
       cold_starts(SeededRandom()()),
       prompt_cache(kPromptParts),
+      peer_socket(event_loop,
+                  [this](const std::string& from, std::string_view data) {
+                    OnPeerMessage(from, data);
+                  }),
+      prompt_directory(
+          options.name, &prompt_cache,
+          [this](const std::string& to, const protocol::PromptNews& news) {
+            peer_socket.Send(to, protocol::EncodePromptNews(news));
+          }),
       queue(kMostWaiting),
       return_times(SeededRandom()),
       connections(event_loop),
@@ -76,8 +85,11 @@
   m_config = std::move(config);
 }
 
-void GatewayContext::SetProcesses(int count) {
+void GatewayContext::SetGateways(
+    const std::map<std::string, std::string>& addresses) {
+  prompt_directory.SetMembers(addresses);
   const auto now = loop->Now();
+  const int count = static_cast<int>(addresses.size());
   if (count >= m_recent_processes || now >= m_recent_until) {
     m_recent_processes = count;
     m_recent_until = now + kCountRetention;
@@ -89,6 +101,17 @@
   ShareRetryBurst();
 }
 
+void GatewayContext::OnPeerMessage(const std::string& from,
+                                   std::string_view data) {
+  const auto news = protocol::DecodePromptNews(data);
+  if (!news) {
+    LogWarn("peer_message_ignored",
+            {{"from", from}, {"bytes", std::to_string(data.size())}});
+    return;
+  }
+  prompt_directory.OnMessage(from, *news, loop->Now());
+}
+
 int GatewayContext::Processes() const {
   if (m_processes == 0) return kAssumedProcesses;
   return std::max(m_processes, m_recent_processes);
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -12,12 +13,14 @@
 #include "wasabiwall/coordination/backend_placement.h"
 #include "wasabiwall/coordination/cold_start_limiter.h"
 #include "wasabiwall/coordination/prompt_cache_index.h"
+#include "wasabiwall/coordination/prompt_directory.h"
 #include "wasabiwall/coordination/retry_budget.h"
 #include "wasabiwall/coordination/return_times.h"
 #include "wasabiwall/state/backend_registry.h"
 #include "wasabiwall/state/service_config.h"
 #include "wasabiwall/transport/backend_pool.h"
 #include "wasabiwall/transport/call_codec.h"
+#include "wasabiwall/transport/datagram_socket.h"
 #include "wasabiwall/transport/event_loop.h"
 #include "wasabiwall/transport/metrics.h"
 
@@ -33,6 +36,8 @@
   Address readiness_address;
   /// Address for metrics; port 0 serves none.
   Address metrics_address;
+  /// Address for datagrams of other gateways; without a host there are none.
+  Address peer_address;
   /// Time between the signal to stop and the end of the process.
   std::chrono::milliseconds stop_timeout{8000};
   /// Multiple of the mean load that no backend server may exceed.
@@ -60,9 +65,11 @@
     return m_config;
   }
 
-  /// Notes how many gateway processes share the limits of backend servers.
-  /// Each keeps to its share of the highest count of the last while.
-  void SetProcesses(int count);
+  /// Notes the gateway processes of the fleet. They share the limits of backend
+  /// servers, each by the highest count of the last while, and what they know
+  /// of cached prompts.
+  /// @param addresses Addresses for datagrams by name; may be empty.
+  void SetGateways(const std::map<std::string, std::string>& addresses);
 
   /// @return Processes to divide shared limits by.
   int Processes() const;
@@ -90,6 +97,8 @@
   coordination::BackendHealth health;
   coordination::ColdStartLimiter cold_starts;
   coordination::PromptCacheIndex prompt_cache;
+  DatagramSocket peer_socket;
+  coordination::PromptDirectory prompt_directory;
   coordination::AdmissionQueue queue;
   coordination::ReturnTimes return_times;
   BackendPool connections;
@@ -103,6 +112,7 @@
 
  private:
   void ShareRetryBurst();
+  void OnPeerMessage(const std::string& from, std::string_view data);
   std::size_t BackendLimit() const;
 
   std::shared_ptr<const state::ServiceConfig> m_config;
--- a/tests/fakes/gateway_fixture.cc
+++ b/tests/fakes/gateway_fixture.cc
@@ -46,6 +46,8 @@
     if (headers.Find("Key") != nullptr) call.key = ValueOf(headers, "Key");
     const std::string part = ValueOf(headers, "Part");
     if (!part.empty()) call.shared_part = std::stoul(part);
+    const std::string tokens = ValueOf(headers, "Tokens");
+    if (!tokens.empty()) call.shared_tokens = std::stol(tokens);
     return call;
   };
   codec.encode_call = [](const transport::ForwardedCall& call,
@@ -54,6 +56,7 @@
     headers->Remove("Key");
     headers->Add("Deadline", std::to_string(call.time_left.count()));
     headers->Add("Expect-Backend", call.backend_server.value);
+    if (call.fetch_from) headers->Add("Fetch", *call.fetch_from);
     if (call.last_event_id) {
       headers->Remove("Last-Event-Id");
       headers->Add("Last-Event-Id", std::to_string(*call.last_event_id));
@@ -96,7 +99,7 @@
     : context(&loop, std::move(options), ShortCodec()),
       gateway(&context, [this] { stopped = true; }) {
   context.ApplyConfig(MakeConfig(1));
-  context.SetProcesses(1);
+  context.SetGateways({{"test", ""}});
   gateway.SetLoaded();
   gateway.Start();
 }
--- a/tests/fakes/gateway_fixture.h
+++ b/tests/fakes/gateway_fixture.h
@@ -11,8 +11,8 @@
 
 namespace wasabiwall::fakes {
 
-/// Codec with short header names: Attempt, Deadline, Key, Part in calls;
-/// Attempt, Not-Run, Load in answers.
+/// Codec with short header names: Attempt, Deadline, Key, Part, Tokens in
+/// calls; Fetch in forwarded calls; Attempt, Not-Run, Load in answers.
 transport::CallCodec ShortCodec();
 
 /// A caller's connection whose bytes a test writes and reads.
--- /dev/null
+++ b/tests/gateway/prompt_directory_test.cc
@@ -0,0 +1,294 @@
+// What gateways tell each other about cached prompts, on virtual time and with
+// messages that get lost.
+#include "wasabiwall/coordination/prompt_directory.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <random>
+
+#include "fakes/gateway_fixture.h"
+
+namespace wasabiwall::coordination {
+namespace {
+
+using fakes::GatewayFixture;
+using fakes::LoopBackend;
+using fakes::LoopClient;
+using protocol::PromptNews;
+using state::BackendServerId;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kRemembered = 1000;
+
+/// Gateways whose messages arrive at once unless they are lost.
+class Fleet {
+ public:
+  explicit Fleet(int size) {
+    for (int i = 0; i < size; ++i) Restart(i);
+    for (int i = 0; i < size; ++i) m_members[NameOf(i)] = NameOf(i);
+    for (auto& gateway : m_gateways) gateway.directory->SetMembers(m_members);
+  }
+
+  /// Replaces a gateway by one that knows nothing.
+  void Restart(int index) {
+    if (index == static_cast<int>(m_gateways.size())) m_gateways.emplace_back();
+    Gateway& gateway = m_gateways[static_cast<std::size_t>(index)];
+    gateway.known = std::make_unique<PromptCacheIndex>(kRemembered);
+    gateway.directory = std::make_unique<PromptDirectory>(
+        NameOf(index), gateway.known.get(),
+        [this, index](const std::string& to, const PromptNews& news) {
+          m_messages.push_back({NameOf(index), to, news});
+        });
+    gateway.directory->SetMembers(m_members);
+  }
+
+  void Read(int index, std::uint64_t part, const std::string& engine) {
+    DirectoryOf(index).OnRead(part, BackendServerId(engine), now);
+    Deliver();
+  }
+
+  /// Asks and then takes what is known, as a gateway does before it places.
+  std::vector<BackendServerId> Ask(int index, std::uint64_t part) {
+    bool answered = false;
+    const auto id =
+        DirectoryOf(index).Ask(part, now, [&answered] { answered = true; });
+    Deliver();
+    if (id && !answered) DirectoryOf(index).GiveUp(*id, now);
+    return m_gateways[static_cast<std::size_t>(index)].known->Holders(part,
+                                                                      now);
+  }
+
+  PromptDirectory& DirectoryOf(int index) {
+    return *m_gateways[static_cast<std::size_t>(index)].directory;
+  }
+
+  void Deliver() {
+    while (!m_messages.empty()) {
+      const Message message = m_messages.front();
+      m_messages.pop_front();
+      ++sent;
+      if (is_lost && is_lost(message.from, message.to)) continue;
+      const int to = std::stoi(message.to);
+      // Over the wire and back.
+      const auto news =
+          protocol::DecodePromptNews(protocol::EncodePromptNews(message.news));
+      REQUIRE(news);
+      DirectoryOf(to).OnMessage(message.from, *news, now);
+    }
+  }
+
+  TimePoint now{seconds(100)};
+  int sent = 0;
+  std::function<bool(const std::string& from, const std::string& to)> is_lost;
+
+ private:
+  struct Gateway {
+    std::unique_ptr<PromptCacheIndex> known;
+    std::unique_ptr<PromptDirectory> directory;
+  };
+  struct Message {
+    std::string from;
+    std::string to;
+    PromptNews news;
+  };
+
+  static std::string NameOf(int index) { return std::to_string(index); }
+
+  std::vector<Gateway> m_gateways;
+  std::map<std::string, std::string> m_members;
+  std::deque<Message> m_messages;
+};
+
+TEST_CASE("every gateway finds an engine that any of them saw read a prompt") {
+  constexpr int gateways = 20;
+  Fleet fleet(gateways);
+  for (std::uint64_t part = 1; part <= 200; ++part) {
+    const std::string engine = "e" + std::to_string(part % 40);
+    fleet.Read(static_cast<int>(part) % gateways, part, engine);
+    const auto holders = fleet.Ask(static_cast<int>(part * 7) % gateways, part);
+    REQUIRE_FALSE(holders.empty());
+    CHECK(holders.front() == BackendServerId(engine));
+  }
+}
+
+TEST_CASE("messages for a prompt do not grow with the fleet") {
+  for (const int gateways : {10, 1000}) {
+    Fleet fleet(gateways);
+    for (int i = 0; i < 100; ++i) fleet.Read(3, 77, "e1");
+    CHECK(fleet.sent <= 2);
+    fleet.sent = 0;
+    fleet.Ask(5, 77);
+    CHECK(fleet.sent <= 4);
+  }
+}
+
+TEST_CASE("a lost message or a lost home leaves the other home to answer") {
+  Fleet fleet(20);
+  std::mt19937 random(1);
+  fleet.is_lost = [&random](const auto&, const auto&) {
+    return random() % 10 == 0;
+  };
+  constexpr int parts = 500;
+  int found = 0;
+  for (std::uint64_t part = 1; part <= parts; ++part) {
+    fleet.Read(1, part, "e1");
+    fleet.now += milliseconds(100);
+    if (!fleet.Ask(2, part).empty()) ++found;
+  }
+  // Each way over a home takes three messages: 1 - (1 - 0.9^3)^2 = 0.93.
+  CHECK(found > parts * 9 / 10);
+}
+
+TEST_CASE("homes that were restarted learn again what is in use") {
+  Fleet fleet(4);
+  fleet.Read(1, 77, "e1");
+  for (int i : {0, 2, 3}) fleet.Restart(i);
+  fleet.Read(1, 77, "e1");
+  fleet.now += seconds(11);
+  fleet.Read(1, 77, "e1");
+  for (int i : {0, 2, 3}) CHECK_FALSE(fleet.Ask(i, 77).empty());
+}
+
+TEST_CASE("a silent home is left alone for a while") {
+  Fleet fleet(3);
+  fleet.is_lost = [](const auto&, const auto&) { return true; };
+  std::uint64_t part = 1;
+  // A part of which neither home is the asking gateway.
+  while (fleet.sent != 2) {
+    fleet.sent = 0;
+    fleet.Ask(0, ++part);
+    fleet.now += seconds(3);
+  }
+  fleet.Ask(0, part);
+  CHECK_FALSE(fleet.DirectoryOf(0).Ask(part, fleet.now, [] {}));
+  fleet.now += seconds(3);
+  CHECK(fleet.DirectoryOf(0).Ask(part, fleet.now, [] {}));
+}
+
+TEST_CASE("answers that nobody asked for and late ones change nothing") {
+  Fleet fleet(3);
+  const PromptNews answer{.kind = PromptNews::Kind::kAnswer,
+                          .question = 1,
+                          .part = 77,
+                          .holders = {BackendServerId("forged")}};
+  fleet.DirectoryOf(0).OnMessage("9", answer, fleet.now);
+  CHECK(fleet.Ask(0, 77).empty());
+}
+
+TEST_CASE("a gateway alone has nobody to ask") {
+  Fleet fleet(1);
+  CHECK_FALSE(fleet.DirectoryOf(0).Ask(77, fleet.now, [] {}));
+  fleet.Read(0, 77, "e1");
+  CHECK(fleet.sent == 0);
+}
+
+TEST_CASE("bytes that are no message are rejected") {
+  const std::string good = protocol::EncodePromptNews(
+      {.kind = PromptNews::Kind::kHeld, .part = 7, .holders = {}});
+  CHECK(protocol::DecodePromptNews(good));
+  for (std::size_t size = 0; size < good.size(); ++size) {
+    CHECK_FALSE(protocol::DecodePromptNews(good.substr(0, size)));
+  }
+  CHECK_FALSE(protocol::DecodePromptNews("HTTP/1.1 200 OK"));
+  PromptNews crowded{.kind = PromptNews::Kind::kHeld, .part = 7};
+  crowded.holders.resize(9);
+  CHECK_FALSE(protocol::DecodePromptNews(protocol::EncodePromptNews(crowded)));
+  std::mt19937 random(20261204);
+  for (int i = 0; i < 20000; ++i) {
+    std::string bytes = good;
+    bytes[random() % bytes.size()] = static_cast<char>(random());
+    protocol::DecodePromptNews(bytes);
+  }
+}
+
+/// Another gateway, on a socket of its own.
+class Peer {
+ public:
+  explicit Peer(GatewayFixture* fleet)
+      : m_socket(&fleet->loop,
+                 [this](const std::string& from, std::string_view data) {
+                   const auto news = protocol::DecodePromptNews(data);
+                   REQUIRE(news);
+                   received.push_back(*news);
+                   if (news->kind != PromptNews::Kind::kQuestion) return;
+                   if (!answers) return;
+                   PromptNews answer = *news;
+                   answer.kind = PromptNews::Kind::kAnswer;
+                   answer.holders = {BackendServerId("b2")};
+                   m_socket.Send(from, protocol::EncodePromptNews(answer));
+                 }) {
+    REQUIRE(m_socket.Bind({"127.0.0.1", 0}));
+    REQUIRE(fleet->context.peer_socket.Bind({"127.0.0.1", 0}));
+    fleet->context.SetGateways(
+        {{"test", fleet->context.peer_socket.LocalAddress()},
+         {"peer", m_socket.LocalAddress()}});
+  }
+
+  bool answers = true;
+  std::vector<PromptNews> received;
+
+ private:
+  transport::DatagramSocket m_socket;
+};
+
+/// Adds an engine that answers each call with one event.
+LoopBackend& AddEngine(GatewayFixture* fleet, const std::string& id) {
+  return fleet->AddBackend(id, [](const LoopBackend::Received& call) {
+    call.session->Write(fakes::StreamHead(*call.head.headers.Find("Attempt")) +
+                        fakes::EventChunk(1, "x") + "0\r\n\r\n");
+  });
+}
+
+/// @return A part that the gateway sends to engine b1 by itself.
+std::uint64_t PartOfFirst(GatewayFixture* fleet) {
+  const state::Service* service =
+      fleet->context.Config()->FindService(state::ServiceId("s"));
+  for (std::uint64_t part = 1;; ++part) {
+    const auto placement = fleet->context.placement.Choose(
+        {.service = service, .shared_part = part, .shared_tokens = 10000},
+        fleet->loop.Now());
+    REQUIRE(placement);
+    if (placement->server.id == BackendServerId("b1")) return part;
+  }
+}
+
+TEST_CASE("a call's prompt is copied from the engine that another names") {
+  GatewayFixture fleet;
+  const LoopBackend& first = AddEngine(&fleet, "b1");
+  AddEngine(&fleet, "b0");
+  const LoopBackend& second = AddEngine(&fleet, "b2");
+  Peer peer(&fleet);
+  const std::string part = std::to_string(PartOfFirst(&fleet));
+  LoopClient& client =
+      fleet.Call("/chat/x", "a1", "Part: " + part + "\r\nTokens: 10000\r\n");
+  REQUIRE(fleet.RunUntil([&] { return client.Has("\r\n0\r\n"); }));
+  REQUIRE(first.Requests().size() == 1);
+  const std::string* source = first.Requests()[0].head.headers.Find("Fetch");
+  REQUIRE(source != nullptr);
+  CHECK(*source == second.Address());
+  REQUIRE(fleet.RunUntil([&] { return peer.received.size() == 2; }));
+  CHECK(peer.received[0].kind == PromptNews::Kind::kQuestion);
+  CHECK(peer.received[1].kind == PromptNews::Kind::kHeld);
+  CHECK(peer.received[1].holders ==
+        std::vector<BackendServerId>{BackendServerId("b1")});
+}
+
+TEST_CASE(
+    "a call goes on when no gateway answers, and when its caller leaves") {
+  GatewayFixture fleet;
+  AddEngine(&fleet, "b1");
+  Peer peer(&fleet);
+  peer.answers = false;
+  LoopClient& left =
+      fleet.Call("/chat/x", "a1", "Part: 5\r\nTokens: 10000\r\n");
+  REQUIRE(fleet.RunUntil([&] { return peer.received.size() == 1; }));
+  left.Leave();
+  LoopClient& client =
+      fleet.Call("/chat/x", "a2", "Part: 6\r\nTokens: 10000\r\n");
+  REQUIRE(fleet.RunUntil([&] { return client.Has("\r\n0\r\n"); }));
+  CHECK(client.Status() == 200);
+}
+
+}  // namespace
+}  // namespace wasabiwall::coordination
