Engines that are slow beside the others of their service are spared

Cause: a gateway noticed errors, broken connections and silence, but not slow answers. After 4 s without events it is tried again.

--- a/src/wasabiwall/coordination/backend_placement.cc
+++ b/src/wasabiwall/coordination/backend_placement.cc
@@ -41,6 +41,7 @@
   PlacementRefusal refusal = PlacementRefusal::kNone;
   std::vector<Candidate> candidates = Candidates(query, now, &refusal);
   if (candidates.empty()) return tl::make_unexpected(refusal);
+  SpareSlow(&candidates, now);
   const auto spared = static_cast<std::size_t>(
       std::count_if(candidates.begin(), candidates.end(),
                     [](const auto& c) { return c.spared; }));
@@ -109,6 +110,21 @@
   return candidates;
 }
 
+void BackendPlacement::SpareSlow(std::vector<Candidate>* candidates,
+                                 TimePoint now) const {
+  std::vector<state::BackendServerId> ids;
+  ids.reserve(candidates->size());
+  for (const auto& candidate : *candidates) {
+    ids.push_back(candidate.known->server.id);
+  }
+  const auto slow_from = m_inputs.paces->SlowFrom(ids, now);
+  if (!slow_from) return;
+  for (auto& candidate : *candidates) {
+    const auto pace = m_inputs.paces->PaceOf(candidate.known->server.id, now);
+    if (pace && *pace >= *slow_from) candidate.spared = true;
+  }
+}
+
 bool BackendPlacement::HasColdRoom(const state::KnownBackendServer& known,
                                    const state::Service& service,
                                    TimePoint now) const {
--- a/src/wasabiwall/coordination/backend_placement.h
+++ b/src/wasabiwall/coordination/backend_placement.h
@@ -10,6 +10,7 @@
 #include "wasabiwall/coordination/backend_health.h"
 #include "wasabiwall/coordination/backend_load_table.h"
 #include "wasabiwall/coordination/cold_start_limiter.h"
+#include "wasabiwall/coordination/pace_table.h"
 #include "wasabiwall/coordination/prompt_cache_index.h"
 #include "wasabiwall/state/backend_registry.h"
 #include "wasabiwall/state/service_config.h"
@@ -59,6 +60,7 @@
     const state::BackendRegistry* registry;
     const BackendLoadTable* loads;
     const BackendHealth* health;
+    const PaceTable* paces;
     const ColdStartLimiter* cold_starts;
     const PromptCacheIndex* prompt_cache;
     /// @return Whether a connection to the address may be used or opened.
@@ -97,6 +99,8 @@
 
   std::vector<Candidate> Candidates(const PlacementQuery& query, TimePoint now,
                                     PlacementRefusal* refusal) const;
+  /// Marks the candidates that are slow beside the others.
+  void SpareSlow(std::vector<Candidate>* candidates, TimePoint now) const;
   bool HasColdRoom(const state::KnownBackendServer& known,
                    const state::Service& service, TimePoint now) const;
   double AffinityCost(const state::KnownBackendServer& known,
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -229,6 +229,7 @@
   m_tried.push_back(server.id);
   m_reply = {};
   m_reply_begun = false;
+  m_run_has_events = false;
   m_events.Restart();
   LogInfo("placed",
           {{"id", m_call.attempt_id},
@@ -359,6 +360,10 @@
   const std::string events = m_events.Feed(data);
   if (events.empty()) return;
   const auto now = m_context->loop->Now();
+  if (m_run_has_events) {
+    m_context->paces.OnEvent(m_placement->server.id, now - m_last_event, now);
+  }
+  m_run_has_events = true;
   if (m_first_byte) {
     m_longest_gap = std::max(m_longest_gap, now - m_last_event);
     m_context->metrics.ObservePartGap(
--- a/src/wasabiwall/transport/gateway.cc
+++ b/src/wasabiwall/transport/gateway.cc
@@ -95,6 +95,7 @@
              {"limit", std::to_string(m_context->CallerLimit())}});
     m_logged_rejections = m_rejected_connections;
   }
+  m_context->LogPaces();
   m_context->registry.Expire(m_context->loop->Now());
   EndIfDone();
   m_context->connections.Prune([this](const state::BackendServerId& id) {
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -56,6 +56,7 @@
       placement({.registry = &registry,
                  .loads = &loads,
                  .health = &health,
+                 .paces = &paces,
                  .cold_starts = &cold_starts,
                  .prompt_cache = &prompt_cache,
                  .has_connection =
@@ -151,9 +152,39 @@
 void GatewayContext::ForgetBackendServer(const state::BackendServerId& id) {
   loads.Forget(id);
   health.Forget(id);
+  paces.Forget(id);
+  m_slow.erase(id);
   cold_starts.Forget(id);
 }
 
+void GatewayContext::LogPaces() {
+  if (!m_config) return;
+  const auto now = loop->Now();
+  const auto text = [](std::chrono::microseconds time) {
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+  };
+  for (const auto& [service, properties] : m_config->services) {
+    std::vector<state::BackendServerId> engines;
+    for (const auto* known : registry.Of(service)) {
+      if (registry.IsEligible(*known)) engines.push_back(known->server.id);
+    }
+    const auto slow_from = paces.SlowFrom(engines, now);
+    if (!slow_from) continue;
+    for (const auto& id : engines) {
+      const auto pace = paces.PaceOf(id, now);
+      const bool is_slow = pace && *pace >= *slow_from;
+      const bool changed =
+          is_slow ? m_slow.insert(id).second : m_slow.erase(id) > 0;
+      if (!changed) continue;
+      LogWarn(is_slow ? "backend_slow" : "backend_pace_regained",
+              {{"backend", id.value},
+               {"pace_ms", pace ? text(*pace) : "-"},
+               {"slow_from_ms", text(*slow_from)}});
+    }
+  }
+}
+
 void GatewayContext::ApplyOptions(const GatewayOptions& changed) {
   options.stop_timeout = changed.stop_timeout;
   options.load_factor = changed.load_factor;
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 #include "wasabiwall/coordination/admission_queue.h"
@@ -12,6 +13,7 @@
 #include "wasabiwall/coordination/backend_load_table.h"
 #include "wasabiwall/coordination/backend_placement.h"
 #include "wasabiwall/coordination/cold_start_limiter.h"
+#include "wasabiwall/coordination/pace_table.h"
 #include "wasabiwall/coordination/prompt_cache_index.h"
 #include "wasabiwall/coordination/prompt_directory.h"
 #include "wasabiwall/coordination/retry_budget.h"
@@ -86,6 +88,9 @@
   /// Drops what is kept about backend servers that are gone.
   void ForgetBackendServer(const state::BackendServerId& id);
 
+  /// Logs which engines have turned slow or fast again since the last call.
+  void LogPaces();
+
   /// Replaces the settings that may change while the process runs.
   void ApplyOptions(const GatewayOptions& options);
 
@@ -95,6 +100,7 @@
   state::BackendRegistry registry;
   coordination::BackendLoadTable loads;
   coordination::BackendHealth health;
+  coordination::PaceTable paces;
   coordination::ColdStartLimiter cold_starts;
   coordination::PromptCacheIndex prompt_cache;
   DatagramSocket peer_socket;
@@ -119,6 +125,8 @@
   std::unordered_map<state::ServiceId,
                      std::unique_ptr<coordination::RetryBudget>>
       m_retries;
+  /// Engines that were slow when they were last looked at.
+  std::set<state::BackendServerId> m_slow;
   int m_processes = 0;
   int m_recent_processes = 0;
   coordination::TimePoint m_recent_until;
--- a/tests/gateway/placement_test.cc
+++ b/tests/gateway/placement_test.cc
@@ -22,6 +22,7 @@
             {.registry = &registry,
              .loads = &loads,
              .health = &health,
+             .paces = &paces,
              .cold_starts = &cold_starts,
              .prompt_cache = &prompt_cache,
              .has_connection = [](const auto&, const auto&) { return true; },
@@ -67,6 +68,7 @@
   state::BackendRegistry registry;
   BackendLoadTable loads;
   BackendHealth health;
+  PaceTable paces;
   ColdStartLimiter cold_starts;
   PromptCacheIndex prompt_cache;
   BackendPlacement placement;
@@ -279,5 +281,113 @@
   CHECK(index.Holders(1, now + std::chrono::minutes(10)).empty());
 }
 
+/// Ten engines whose streams give an event each 40 ms, or a multiple of that,
+/// played in steps of 10 ms with 200 calls a second of 40 prompts.
+class PacedLoad {
+ public:
+  explicit PacedLoad(std::map<std::string, double> slowness)
+      : m_slowness(std::move(slowness)) {
+    for (int i = 0; i < 10; ++i) world.Add("b" + std::to_string(i));
+  }
+
+  /// @return Calls placed at each engine in the time.
+  std::map<std::string, int> Play(milliseconds time) {
+    constexpr milliseconds step{10};
+    std::map<std::string, int> placed;
+    for (milliseconds at{0}; at < time; at += step) {
+      world.now += step;
+      std::erase_if(m_streams, [this](Stream& s) { return Advance(&s); });
+      for (int i = 0; i < 2; ++i) {
+        const std::string id = world.Start(m_random() % 40);
+        if (id.empty()) continue;
+        ++placed[id];
+        m_streams.push_back({id, world.now, 10});
+      }
+    }
+    return placed;
+  }
+
+  void SetSlowness(std::map<std::string, double> slowness) {
+    m_slowness = std::move(slowness);
+  }
+
+  World world;
+
+ private:
+  struct Stream {
+    std::string engine;
+    TimePoint last;
+    int events;
+  };
+
+  /// @return Whether the stream is over.
+  bool Advance(Stream* stream) {
+    const auto found = m_slowness.find(stream->engine);
+    const double factor = found == m_slowness.end() ? 1 : found->second;
+    const std::chrono::duration<double> pause(0.040 * factor);
+    const auto since = world.now - stream->last;
+    if (since < pause) return false;
+    world.paces.OnEvent(Id(stream->engine), since, world.now);
+    stream->last = world.now;
+    if (--stream->events > 0) return false;
+    world.loads.OnFinished(Id(stream->engine));
+    return true;
+  }
+
+  std::map<std::string, double> m_slowness;
+  std::vector<Stream> m_streams;
+  std::mt19937_64 m_random{11};
+};
+
+int Sum(const std::map<std::string, int>& counts) {
+  int sum = 0;
+  for (const auto& [id, count] : counts) sum += count;
+  return sum;
+}
+
+TEST_CASE("engines that are slow beside the others get hardly any calls") {
+  PacedLoad load({{"b2", 4}, {"b5", 4}, {"b8", 4}});
+  load.Play(seconds(2));
+  auto counts = load.Play(seconds(4));
+  CHECK(counts["b2"] + counts["b5"] + counts["b8"] < Sum(counts) / 20);
+}
+
+TEST_CASE("an engine that is fast again gets its calls back") {
+  PacedLoad load({{"b2", 4}});
+  load.Play(seconds(4));
+  load.SetSlowness({});
+  load.Play(seconds(4));
+  auto counts = load.Play(seconds(4));
+  CHECK(counts["b2"] > Sum(counts) / 40);
+}
+
+TEST_CASE("engines with fuller batches are not taken for slow") {
+  std::map<std::string, double> slowness;
+  for (int i = 0; i < 10; ++i) slowness["b" + std::to_string(i)] = 1 + i * 0.08;
+  PacedLoad load(slowness);
+  load.Play(seconds(2));
+  std::vector<state::BackendServerId> ids;
+  for (const auto& [id, factor] : slowness) ids.push_back(Id(id));
+  const auto slow_from = load.world.paces.SlowFrom(ids, load.world.now);
+  REQUIRE(slow_from);
+  for (const auto& id : ids) {
+    const auto pace = load.world.paces.PaceOf(id, load.world.now);
+    if (pace) CHECK(*pace < *slow_from);
+  }
+}
+
+TEST_CASE("two engines alone are not compared, nor are few events trusted") {
+  PaceTable paces;
+  const TimePoint now{seconds(100)};
+  for (int i = 0; i < 100; ++i) {
+    paces.OnEvent(Id("a"), milliseconds(40), now);
+    paces.OnEvent(Id("b"), milliseconds(400), now);
+  }
+  CHECK_FALSE(paces.SlowFrom({Id("a"), Id("b")}, now));
+  paces.OnEvent(Id("c"), milliseconds(400), now);
+  CHECK_FALSE(paces.PaceOf(Id("c"), now));
+  CHECK_FALSE(paces.PaceOf(Id("a"), now + seconds(5)));
+}
+
 }  // namespace
 }  // namespace wasabiwall::coordination
