A silent engine is spared after one call without answer, and tried one call at a time

Calls that may not be repeated had no timer, so that 113 were given up by their callers and told nothing about the engine; each gateway needed three failures, and sent all its calls again after half a second.

A stream's call that is silent for three objectives now counts whether or not it is repeated, and is enough when nothing was answered since it was sent. A spared backend server gets one call; the others follow its answer.

Test: stream_test, failed with the timer for repeatable calls only; placement_test plays a silent engine.

--- a/src/wasabiwall/coordination/backend_health.cc
+++ b/src/wasabiwall/coordination/backend_health.cc
@@ -1,6 +1,7 @@
 #include "wasabiwall/coordination/backend_health.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace wasabiwall::coordination {
 namespace {
@@ -20,6 +21,9 @@
 /// Failures to connect in a row after which a backend server is not tried at
 /// all while it is spared; a single one may be a lost packet.
 constexpr int kUnreachableFailures = 2;
+/// How long the call that tries a spared backend server may take before
+/// another one tries: longer than the objective of any call.
+constexpr std::chrono::milliseconds kTrialTime{1000};
 
 }  // namespace
 
@@ -38,6 +42,7 @@
     entry.consecutive_unreachable = 0;
   }
   if (signal == HealthSignal::kAnswered) {
+    OnAnswerBegun(id, now);
     entry.failure_share *= 1.0 - kOutcomeWeight;
     entry.consecutive_failures = 0;
     if (entry.failure_share < kSparedFailureShare / 2) entry.times_spared = 0;
@@ -52,8 +57,35 @@
   return failing && Spare(&entry, now);
 }
 
+void BackendHealth::OnSent(const state::BackendServerId& id, TimePoint now) {
+  const auto found = m_entries.find(id);
+  if (found == m_entries.end()) return;
+  Entry& entry = found->second;
+  if (!entry.unproven || now < entry.spared_until) return;
+  entry.on_trial = true;
+  entry.spared_until = now + kTrialTime;
+}
+
+void BackendHealth::OnAnswerBegun(const state::BackendServerId& id,
+                                  TimePoint now) {
+  Entry& entry = m_entries[id];
+  entry.last_answer = now;
+  entry.unproven = false;
+  if (std::exchange(entry.on_trial, false)) entry.spared_until = now;
+}
+
+bool BackendHealth::OnSilence(const state::BackendServerId& id,
+                              TimePoint sent_at, TimePoint now) {
+  const bool spared = OnSignal(id, HealthSignal::kFailed, now);
+  Entry& entry = m_entries[id];
+  if (spared || entry.last_answer >= sent_at) return spared;
+  return Spare(&entry, now);
+}
+
 bool BackendHealth::Spare(Entry* entry, TimePoint now) {
-  if (now < entry->spared_until) return false;
+  if (now < entry->spared_until && !entry->on_trial) return false;
+  entry->on_trial = false;
+  entry->unproven = true;
   const int doublings = std::min(entry->times_spared, kMostDoublings);
   entry->spared_until =
       now + std::min(kShortestSparing * (1 << doublings), kLongestSparing);
--- a/src/wasabiwall/coordination/backend_health.h
+++ b/src/wasabiwall/coordination/backend_health.h
@@ -22,14 +22,28 @@
 };
 
 /// Detects failing backend servers from the outcomes of calls, without probes,
-/// and spares them for a time that grows while they keep failing. Not safe for
-/// concurrent use.
+/// and spares them for a time that grows while they keep failing. After that
+/// time a single call tries them, and the others follow once it is answered.
+/// Not safe for concurrent use.
 class BackendHealth {
  public:
   /// @return Whether the signal made the backend server spared.
   bool OnSignal(const state::BackendServerId& id, HealthSignal signal,
                 TimePoint now);
 
+  /// A call was sent.
+  void OnSent(const state::BackendServerId& id, TimePoint now);
+
+  /// An answer has begun to arrive.
+  void OnAnswerBegun(const state::BackendServerId& id, TimePoint now);
+
+  /// A call has been without an answer for longer than is usual. When nothing
+  /// has been answered since it was sent, this alone is a reason to spare the
+  /// backend server; otherwise it counts as one failure.
+  /// @return Whether the backend server is now spared.
+  bool OnSilence(const state::BackendServerId& id, TimePoint sent_at,
+                 TimePoint now);
+
   /// The backend server is gone.
   void Forget(const state::BackendServerId& id) { m_entries.erase(id); }
 
@@ -50,6 +64,11 @@
     int times_spared = 0;
     int consecutive_unreachable = 0;
     TimePoint spared_until;
+    /// Whether it was spared and has answered nothing since.
+    bool unproven = false;
+    /// Whether a call tries it; it stays spared for others until the answer.
+    bool on_trial = false;
+    TimePoint last_answer;
   };
 
   static bool Spare(Entry* entry, TimePoint now);
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -244,6 +244,7 @@
             placement.fetch_from ? placement.fetch_from->id.value : "-"},
            {"registry", std::to_string(m_context->registry.Revision())}});
   m_context->loads.OnSent(server.id);
+  m_context->health.OnSent(server.id, m_context->loop->Now());
   m_context->cold_starts.OnSent(server.id, m_context->loop->Now());
   m_connection =
       m_context->connections.Acquire(server, Policy().MaxConnectionIdle());
@@ -283,6 +284,7 @@
 std::string Exchange::RequestBytes() {
   ++m_counts.sends;
   ++m_counts.runs;
+  m_sent_at = m_context->loop->Now();
   StartSilenceTimer();
   HeaderList headers = m_request.head.headers;
   headers.RemoveHopByHop();
@@ -312,7 +314,8 @@
 
 void Exchange::StartSilenceTimer() {
   m_attempt_timer.Stop();
-  if (!Policy().MayRunAgain(m_counts)) return;
+  const bool is_stream = m_route->kind == state::CallKind::kStream;
+  if (!is_stream && !Policy().MayRunAgain(m_counts)) return;
   const auto patience = Policy().Patience(m_reply_begun);
   m_attempt_timer.Start(patience, [this] {
     const auto self = shared_from_this();
@@ -363,7 +366,9 @@
   if (m_run_has_events) {
     m_context->paces.OnEvent(m_placement->server.id, now - m_last_event, now);
   }
-  m_run_has_events = true;
+  if (!std::exchange(m_run_has_events, true)) {
+    m_context->health.OnAnswerBegun(m_placement->server.id, now);
+  }
   if (m_first_byte) {
     m_longest_gap = std::max(m_longest_gap, now - m_last_event);
     m_context->metrics.ObservePartGap(
@@ -437,10 +442,20 @@
   const bool repeats = Policy().MayRunAgain(m_counts) &&
                        Policy().MayRepeat(m_counts, false, TimeLeft()) &&
                        TakeRepeat();
-  if (!repeats) return;
+  const state::BackendServerId id = m_placement->server.id;
+  // Work of plain calls varies too much for one silent call to tell anything.
+  const bool spared =
+      m_route->kind == state::CallKind::kStream &&
+      m_context->health.OnSilence(id, m_sent_at, m_context->loop->Now());
   LogInfo("attempt_silent", {{"id", m_call.attempt_id},
-                             {"backend", m_placement->server.id.value}});
-  AbandonAttempt(HealthSignal::kFailed);
+                             {"backend", id.value},
+                             {"begun", m_reply_begun ? "true" : "false"},
+                             {"spared", spared ? "true" : "false"},
+                             {"repeats", repeats ? "true" : "false"}});
+  if (!repeats) return;
+  AbandonAttempt(m_route->kind == state::CallKind::kStream
+                     ? HealthSignal::kRefused
+                     : HealthSignal::kFailed);
   Place();
 }
 
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -137,6 +137,8 @@
   bool m_reading_paused = false;
   bool m_ended = false;
   std::optional<coordination::TimePoint> m_first_byte;
+  /// When the call was handed to the current backend server.
+  coordination::TimePoint m_sent_at;
   /// Whether the current backend server has sent an event of the stream.
   bool m_run_has_events = false;
   coordination::TimePoint m_last_event;
--- a/tests/gateway/placement_test.cc
+++ b/tests/gateway/placement_test.cc
@@ -389,5 +389,47 @@
   CHECK_FALSE(paces.PaceOf(Id("a"), now + seconds(5)));
 }
 
+TEST_CASE("a backend server that answers nothing gets a call now and then") {
+  BackendHealth health;
+  TimePoint now{seconds(100)};
+  struct Call {
+    TimePoint sent;
+    bool judged = false;
+  };
+  std::vector<Call> calls;
+  // Ten calls a second would go there; none is answered.
+  for (int i = 0; i < 200; ++i, now += milliseconds(100)) {
+    for (Call& call : calls) {
+      if (call.judged || now - call.sent < milliseconds(900)) continue;
+      call.judged = true;
+      health.OnSilence(Id("b"), call.sent, now);
+    }
+    if (health.IsSpared(Id("b"), now)) continue;
+    health.OnSent(Id("b"), now);
+    calls.push_back({now});
+  }
+  // Those before the first verdict, and one each few seconds after.
+  CHECK(calls.size() <= 9 + 20 / 2);
+  CHECK(calls.size() >= 9 + 3);
+}
+
+TEST_CASE("the first answer ends the sparing, and others' answers prevent it") {
+  BackendHealth health;
+  TimePoint now{seconds(100)};
+  CHECK(health.OnSilence(Id("b"), now - seconds(1), now));
+  CHECK(health.IsSpared(Id("b"), now));
+  now += milliseconds(600);
+  CHECK_FALSE(health.IsSpared(Id("b"), now));
+  health.OnSent(Id("b"), now);
+  CHECK(health.IsSpared(Id("b"), now));
+  now += milliseconds(50);
+  health.OnAnswerBegun(Id("b"), now);
+  CHECK_FALSE(health.IsSpared(Id("b"), now));
+  // One call is slow while others are answered.
+  health.OnAnswerBegun(Id("c"), now);
+  CHECK_FALSE(health.OnSilence(Id("c"), now - seconds(1), now));
+  CHECK_FALSE(health.IsSpared(Id("c"), now));
+}
+
 }  // namespace
 }  // namespace wasabiwall::coordination
--- a/tests/gateway/stream_test.cc
+++ b/tests/gateway/stream_test.cc
@@ -172,5 +172,30 @@
   CHECK(*received.head.headers.Find("Content-Length") == "5");
 }
 
+TEST_CASE("streams that run once leave an engine that answers nothing") {
+  GatewayFixture fleet;
+  const LoopBackend& silent =
+      fleet.AddBackend("b1", [](const LoopBackend::Received&) {});
+  fleet.AddBackend("b2", [](const LoopBackend::Received& call) {
+    call.session->Write(StreamHead(*call.head.headers.Find("Attempt")) +
+                        EventChunk(1, "x") + "0\r\n\r\n");
+  });
+  int number = 0;
+  const auto play = [&](int calls) {
+    for (int i = 0; i < calls; ++i) {
+      fleet.Call("/talk/x", "a" + std::to_string(++number),
+                 "Part: " + std::to_string(i + 1) + "\r\n");
+    }
+  };
+  play(10);
+  // The patience for a first event: three times the objective.
+  fleet.RunFor(milliseconds(1300));
+  const std::size_t before = silent.Requests().size();
+  REQUIRE(before > 0);
+  play(10);
+  fleet.RunFor(milliseconds(100));
+  CHECK(silent.Requests().size() == before);
+}
+
 }  // namespace
 }  // namespace wasabiwall::fakes
