--- a/tests/gateway/placement_test.cc
+++ b/tests/gateway/placement_test.cc
@@ -367,6 +367,7 @@
   PacedLoad load(slowness);
   load.Play(seconds(2));
   std::vector<state::BackendServerId> ids;
+  ids.reserve(slowness.size());
   for (const auto& [id, factor] : slowness) ids.push_back(Id(id));
   const auto slow_from = load.world.paces.SlowFrom(ids, load.world.now);
   REQUIRE(slow_from);
