Calls of the store that wait are dropped with their client

Ruled out: the decoding in the background (the leak is there with small answers). Seen in tests only, since the gateway ends without destroying its client.

The requester drops its waiting calls and the pool closes its connections when they are destroyed.

--- a/src/wasabiwall/transport/backend_pool.cc
+++ b/src/wasabiwall/transport/backend_pool.cc
@@ -15,6 +15,15 @@
 
 }  // namespace
 
+BackendPool::~BackendPool() {
+  // A call and its connection refer to each other until one of them ends.
+  std::vector<std::shared_ptr<BackendConnection>> open;
+  for (const auto& [key, connections] : m_connections) {
+    open.insert(open.end(), connections.open.begin(), connections.open.end());
+  }
+  for (const auto& connection : open) connection->Close();
+}
+
 std::string BackendPool::KeyOf(const state::BackendServer& server) {
   return server.id.value + "@" + server.address + "#" +
          std::to_string(server.born);
--- a/src/wasabiwall/transport/backend_pool.h
+++ b/src/wasabiwall/transport/backend_pool.h
@@ -15,6 +15,11 @@
  public:
   explicit BackendPool(EventLoop* loop) : m_loop(loop) {}
 
+  /// Closes all connections; their calls are not told.
+  ~BackendPool();
+  BackendPool(const BackendPool&) = delete;
+  BackendPool& operator=(const BackendPool&) = delete;
+
   /// Hands out an idle connection, or opens one.
   /// @param max_idle Longest time for which it may have been idle.
   std::shared_ptr<BackendConnection> Acquire(
--- a/src/wasabiwall/transport/http_requester.cc
+++ b/src/wasabiwall/transport/http_requester.cc
@@ -31,12 +31,25 @@
   m_server.address = address;
 }
 
+HttpRequester::~HttpRequester() {
+  for (const auto& pending : m_pending) {
+    const auto call = pending.lock();
+    if (!call) continue;
+    call->connection->Close();
+    // Its callback refers to the call.
+    call->timer.Start(std::chrono::milliseconds(0), nullptr);
+    call->timer.Stop();
+  }
+}
+
 void HttpRequester::Call(const std::string& method, const std::string& target,
                          const std::string& body,
                          std::chrono::milliseconds timeout,
                          ReplyHandler on_reply) {
   const auto call = std::make_shared<PendingCall>(m_loop);
   call->on_reply = std::move(on_reply);
+  std::erase_if(m_pending, [](const auto& other) { return other.expired(); });
+  m_pending.push_back(call);
   call->connection = m_pool.Acquire(m_server, kIdle);
   std::string bytes = method + " " + target + " HTTP/1.1\r\n";
   AppendHeader("Host", m_server.address, &bytes);
--- a/src/wasabiwall/transport/http_requester.h
+++ b/src/wasabiwall/transport/http_requester.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "wasabiwall/transport/backend_pool.h"
 
@@ -24,6 +25,11 @@
 
   HttpRequester(EventLoop* loop, const std::string& address);
 
+  /// Drops the calls that wait; their handlers are not called.
+  ~HttpRequester();
+  HttpRequester(const HttpRequester&) = delete;
+  HttpRequester& operator=(const HttpRequester&) = delete;
+
   /// Sends a request.
   /// @param body Sent as JSON when not empty.
   /// @param timeout Time after which the answer is given up.
@@ -37,6 +43,7 @@
   EventLoop* m_loop;
   state::BackendServer m_server;
   BackendPool m_pool;
+  std::vector<std::weak_ptr<PendingCall>> m_pending;
 };
 
 }  // namespace wasabiwall::transport
