Say in logs and metrics how a backend server's response ended

The lines `call` and `attempt_failed` now carry `framing` (length, chunked, close) and `partial_bytes`, the size of the event inside which a stream ended; wasabiwall_backend_responses_total{framing,end} counts the same. No decision changes.

--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -1,6 +1,7 @@
 #include "wasabiwall/transport/exchange.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "wasabiwall/state/digest.h"
@@ -233,6 +234,7 @@
   m_tried_servers.push_back(server.id);
   m_reply = {};
   m_reply_started = false;
+  m_framing.reset();
   m_attempt_has_events = false;
   m_events.DropPartialEvent();
   LogInfo("backend_selected",
@@ -337,6 +339,7 @@
   }
   m_reply_started = true;
   m_reply.head = std::move(head);
+  m_framing = m_reply.head.framing;
   if (IsEventStream()) {
     if (m_call.shared_part != 0) {
       m_context->prompt_directory.OnRead(m_call.shared_part, id, now);
@@ -394,7 +397,18 @@
   if (m_connection) m_connection->ResumeReading();
 }
 
+void Exchange::CountResponse(const char* end) {
+  m_context->metrics.CountBackendResponse(
+      m_framing ? NameOf(*m_framing) : "none", end);
+}
+
+std::vector<LogField> Exchange::ResponseFields() const {
+  return {{"framing", m_framing ? NameOf(*m_framing) : "-"},
+          {"partial_bytes", std::to_string(m_events.Partial().size())}};
+}
+
 void Exchange::OnReplyComplete() {
+  CountResponse(m_events.Partial().empty() ? "complete" : "inside_event");
   const int status = m_reply.head.status;
   const auto reply = m_context->codec.decode_reply(m_reply.head);
   if (reply.not_run) {
@@ -429,6 +443,7 @@
   // An idle connection may have been dropped by the peer without notice.
   const bool stale = m_connection->WasUsedBefore() && !m_reply_started;
   const bool has_started = m_reply_started;
+  CountResponse("connection_broken");
   EndAttempt(stale ? HealthSignal::kRefused : HealthSignal::kFailed);
   m_reply = {};
   RetryOrFail(
@@ -496,12 +511,15 @@
 void Exchange::RetryOrFail(bool not_run, ErrorKind kind, const char* reason) {
   const bool will_retry =
       Policy().MayRetry(m_counts, not_run, TimeLeft()) && TakeRetryToken();
-  LogInfo("attempt_failed", {{"id", m_call.attempt_id},
-                             {"backend", m_placement->server.id.value},
-                             {"reason", reason},
-                             {"not_run", not_run ? "true" : "false"},
-                             {"repeats", will_retry ? "true" : "false"},
-                             {"left_ms", std::to_string(TimeLeft().count())}});
+  std::vector<LogField> fields = {
+      {"id", m_call.attempt_id},
+      {"backend", m_placement->server.id.value},
+      {"reason", reason},
+      {"not_run", not_run ? "true" : "false"},
+      {"repeats", will_retry ? "true" : "false"},
+      {"left_ms", std::to_string(TimeLeft().count())}};
+  std::ranges::move(ResponseFields(), std::back_inserter(fields));
+  LogInfo("attempt_failed", fields);
   if (will_retry) {
     Place();
     return;
@@ -595,17 +613,19 @@
   const auto ms = [&](coordination::TimePoint time) {
     return std::to_string(ToMilliseconds(time - m_request.received).count());
   };
-  LogInfo("call", {{"id", m_call.attempt_id},
-                   {"outcome", outcome},
-                   {"route", m_route != nullptr ? m_route->name : "-"},
-                   {"workspace", workspace.empty() ? "-" : workspace},
-                   {"config", std::to_string(m_config ? m_config->version : 0)},
-                   {"sends", std::to_string(m_counts.sends)},
-                   {"may_have_run", std::to_string(m_counts.runs)},
-                   {"first_byte_ms", m_first_byte ? ms(*m_first_byte) : "-"},
-                   {"longest_gap_ms",
-                    std::to_string(ToMilliseconds(m_longest_gap).count())},
-                   {"total_ms", ms(now)}});
+  std::vector<LogField> fields = {
+      {"id", m_call.attempt_id},
+      {"outcome", outcome},
+      {"route", m_route != nullptr ? m_route->name : "-"},
+      {"workspace", workspace.empty() ? "-" : workspace},
+      {"config", std::to_string(m_config ? m_config->version : 0)},
+      {"sends", std::to_string(m_counts.sends)},
+      {"may_have_run", std::to_string(m_counts.runs)},
+      {"first_byte_ms", m_first_byte ? ms(*m_first_byte) : "-"},
+      {"longest_gap_ms", std::to_string(ToMilliseconds(m_longest_gap).count())},
+      {"total_ms", ms(now)}};
+  std::ranges::move(ResponseFields(), std::back_inserter(fields));
+  LogInfo("call", fields);
   m_output.on_end(end);
 }
 
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -11,6 +11,7 @@
 #include "wasabiwall/protocol/error_kind.h"
 #include "wasabiwall/protocol/event_stream.h"
 #include "wasabiwall/transport/gateway_context.h"
+#include "wasabiwall/transport/logging.h"
 
 namespace wasabiwall::transport {
 
@@ -100,6 +101,11 @@
   void OnConnectTimeout();
   void OnIdleTimeout();
   void StartIdleTimer();
+  /// Counts a response of a backend server by how it ended.
+  void CountResponse(const char* end);
+  /// @return Framing of the last response, and the size of the event inside
+  /// which it has ended, for logs.
+  std::vector<LogField> ResponseFields() const;
   void EndAttempt(coordination::HealthSignal signal);
   void AbortAttempt(coordination::HealthSignal signal);
 
@@ -142,6 +148,8 @@
   coordination::AttemptCounts m_counts;
   Reply m_reply;
   bool m_reply_started = false;
+  /// Framing of the last response that has begun.
+  std::optional<BodyFraming> m_framing;
 
   protocol::EventStreamSplitter m_events;
   /// Whether the head of the response has been written to the caller.
--- a/src/wasabiwall/transport/http1_message.cc
+++ b/src/wasabiwall/transport/http1_message.cc
@@ -28,6 +28,18 @@
   return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
+const char* NameOf(BodyFraming framing) {
+  switch (framing) {
+    case BodyFraming::kLength:
+      return "length";
+    case BodyFraming::kChunked:
+      return "chunked";
+    case BodyFraming::kConnectionClose:
+      return "close";
+  }
+  return "unknown";
+}
+
 const std::string* HeaderList::Find(std::string_view name) const {
   for (const Header& field : m_fields) {
     if (EqualsIgnoringCase(field.name, name)) return &field.value;
--- a/src/wasabiwall/transport/http1_message.h
+++ b/src/wasabiwall/transport/http1_message.h
@@ -38,6 +38,19 @@
   std::vector<Header> m_fields;
 };
 
+/// What marks the end of a response's body.
+enum class BodyFraming {
+  /// A length that is known from the head; also a response without a body.
+  kLength,
+  /// The last chunk.
+  kChunked,
+  /// The end of the connection.
+  kConnectionClose,
+};
+
+/// @return Name of a framing for logs and metrics.
+const char* NameOf(BodyFraming framing);
+
 /// Head of a request or response.
 struct MessageHead {
   /// Set in requests.
@@ -46,6 +59,7 @@
   /// Set in responses.
   int status = 0;
   std::string reason;
+  BodyFraming framing = BodyFraming::kLength;
 
   HeaderList headers;
   /// Whether another message may follow on the connection.
--- a/src/wasabiwall/transport/http1_parser.cc
+++ b/src/wasabiwall/transport/http1_parser.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <climits>
+#include <cstdint>
 #include <utility>
 
 namespace wasabiwall::transport {
@@ -27,6 +29,18 @@
   });
 }
 
+/// @return What marks the end of the response whose head has been parsed.
+BodyFraming FramingOf(const http_parser& parser) {
+  constexpr std::uint64_t no_length = ULLONG_MAX;
+  if ((parser.flags & F_CHUNKED) != 0) return BodyFraming::kChunked;
+  const bool has_no_body = parser.status_code / 100 == 1 ||
+                           parser.status_code == HTTP_STATUS_NO_CONTENT ||
+                           parser.status_code == HTTP_STATUS_NOT_MODIFIED;
+  return has_no_body || parser.content_length != no_length
+             ? BodyFraming::kLength
+             : BodyFraming::kConnectionClose;
+}
+
 }  // namespace
 
 Http1Parser::Http1Parser(Kind kind, Handlers handlers)
@@ -88,6 +102,7 @@
   m_head.keep_alive = http_should_keep_alive(&m_parser) != 0;
   if (m_kind == Kind::kResponses) {
     m_head.status = m_parser.status_code;
+    m_head.framing = FramingOf(m_parser);
     return true;
   }
   const bool version_1_1 = m_parser.http_major == 1 && m_parser.http_minor == 1;
--- a/src/wasabiwall/transport/metrics.cc
+++ b/src/wasabiwall/transport/metrics.cc
@@ -45,13 +45,19 @@
                      .Name("wasabiwall_attempts_total")
                      .Help("Submits to side processes.")
                      .Register(registry)
-                     .Add({})) {}
+                     .Add({})),
+        backend_responses(prometheus::BuildCounter()
+                              .Name("wasabiwall_backend_responses_total")
+                              .Help("Responses of backend servers by framing "
+                                    "and by how they ended.")
+                              .Register(registry)) {}
 
   prometheus::Registry registry;
   prometheus::Family<prometheus::Counter>& calls;
   prometheus::Family<prometheus::Histogram>& first_byte;
   prometheus::Family<prometheus::Histogram>& part_gap;
   prometheus::Counter& attempts;
+  prometheus::Family<prometheus::Counter>& backend_responses;
 };
 
 Metrics::Metrics() : m_families(std::make_unique<Families>()) {}
@@ -84,6 +90,12 @@
   m_families->attempts.Increment(attempts);
 }
 
+void Metrics::CountBackendResponse(const std::string& framing,
+                                   const std::string& end) {
+  m_families->backend_responses.Add({{"framing", framing}, {"end", end}})
+      .Increment();
+}
+
 void Metrics::SetGauge(const std::string& name, double value) {
   prometheus::BuildGauge()
       .Name(name)
--- a/src/wasabiwall/transport/metrics.h
+++ b/src/wasabiwall/transport/metrics.h
@@ -31,6 +31,11 @@
   /// Adds the attempts of one call.
   void CountAttempts(int attempts);
 
+  /// Counts one response of a backend server.
+  /// @param framing What marks the end of its body.
+  /// @param end How it ended; a name that the operations page lists.
+  void CountBackendResponse(const std::string& framing, const std::string& end);
+
   /// Sets a gauge without labels.
   void SetGauge(const std::string& name, double value);
 
