--- a/tests/gateway/response_framing_test.cc
+++ b/tests/gateway/response_framing_test.cc
@@ -45,6 +45,85 @@
   CHECK(client.Has("Content-Length: 3"));
 }
 
+/// @return Head of an event stream that ends with its connection.
+std::string UnframedStreamHead(const std::string& attempt_id) {
+  return "HTTP/1.1 200 OK\r\nAttempt: " + attempt_id +
+         "\r\nSeal: s\r\nContent-Type: text/event-stream\r\n"
+         "Connection: close\r\n\r\n";
+}
+
+const std::string kFirstEvent = "id: 1\ndata: one\n\n";
+const std::string kSecondEvent = "id: 2\r\ndata: two\r\n\r\n";
+
+TEST_CASE(
+    "a stream that closes inside an event does not reach the caller as "
+    "complete") {
+  for (std::size_t cut = 1; cut < kSecondEvent.size(); ++cut) {
+    CAPTURE(cut);
+    GatewayFixture fixture;
+    fixture.AddBackend("b", [&](const ScriptedBackend::Received& call) {
+      call.session->Write(UnframedStreamHead("a1") + kFirstEvent +
+                          kSecondEvent.substr(0, cut));
+      call.session->Close();
+    });
+    TestClient& client = fixture.Call("/talk/x", "a1");
+    REQUIRE(fixture.RunUntil(
+        [&] { return client.Ended() || client.Has("0\r\n\r\n"); }));
+    CHECK(client.Broken());
+    CHECK(client.Has(kFirstEvent));
+    CHECK_FALSE(client.Has("id: 2"));
+    CHECK_FALSE(client.Has("0\r\n\r\n"));
+  }
+}
+
+TEST_CASE("a stream that closes inside its first event is an error") {
+  GatewayFixture fixture;
+  fixture.AddBackend("b", [&](const ScriptedBackend::Received& call) {
+    call.session->Write(UnframedStreamHead("a1") + "id: 1\nda");
+    call.session->Close();
+  });
+  TestClient& client = fixture.Call("/talk/x", "a1");
+  REQUIRE(fixture.RunUntil([&] { return client.Status() != 0; }));
+  CHECK(client.Status() == 502);
+}
+
+TEST_CASE("a resumable stream that closes inside an event is resumed") {
+  for (std::size_t cut = 1; cut < kSecondEvent.size(); ++cut) {
+    CAPTURE(cut);
+    GatewayFixture fixture;
+    int runs = 0;
+    const auto script = [&](const ScriptedBackend::Received& call) {
+      const std::string* last = call.head.headers.Find("Last-Event-Id");
+      ++runs;
+      call.session->Write(last == nullptr
+                              ? UnframedStreamHead("a1") + kFirstEvent +
+                                    kSecondEvent.substr(0, cut)
+                              : UnframedStreamHead("a1") + kSecondEvent);
+      call.session->Close();
+    };
+    fixture.AddBackend("b1", script);
+    fixture.AddBackend("b2", script);
+    TestClient& client = fixture.Call("/chat/x", "a1");
+    REQUIRE(fixture.RunUntil(
+        [&] { return client.Ended() || client.Has("0\r\n\r\n"); }));
+    CHECK(runs == 2);
+    CHECK(client.Has(transport::EncodeChunk(kFirstEvent) +
+                     transport::EncodeChunk(kSecondEvent) + "0\r\n\r\n"));
+  }
+}
+
+TEST_CASE("a stream that closes after an event is complete") {
+  GatewayFixture fixture;
+  fixture.AddBackend("b", [&](const ScriptedBackend::Received& call) {
+    call.session->Write(UnframedStreamHead("a1") + kFirstEvent + kSecondEvent);
+    call.session->Close();
+  });
+  TestClient& client = fixture.Call("/talk/x", "a1");
+  REQUIRE(fixture.RunUntil([&] { return client.Has("0\r\n\r\n"); }));
+  CHECK(client.Has(kSecondEvent));
+  CHECK_FALSE(client.Broken());
+}
+
 TEST_CASE("responses are counted by framing and by how they ended") {
   GatewayFixture fixture;
   const std::string head = "HTTP/1.1 200 OK\r\nAttempt: a1\r\n";
