Split event streams whose lines end in carriage returns

The standard for server-sent events allows line feeds, carriage returns or both. The splitter knew no events in a stream whose lines end in carriage returns alone: callers got nothing until the stream ended and then all of it at once, and it could not be resumed.

--- a/src/wasabiwall/protocol/event_stream.cc
+++ b/src/wasabiwall/protocol/event_stream.cc
@@ -8,8 +8,9 @@
 /// @return Offset after the empty line that ends the first event, or npos.
 std::size_t FindEventEnd(std::string_view data) {
   for (std::size_t i = 0; i + 1 < data.size(); ++i) {
-    if (data[i] != '\n') continue;
-    if (data[i + 1] == '\n') return i + 2;
+    if (data[i] != '\n' && data[i] != '\r') continue;
+    if (data[i + 1] == data[i]) return i + 2;
+    if (data[i] == '\r') continue;
     if (data[i + 1] == '\r' && i + 2 < data.size() && data[i + 2] == '\n') {
       return i + 3;
     }
@@ -31,7 +32,7 @@
       if (result.ec != std::errc()) return std::nullopt;
       return id;
     }
-    const auto end = event.find('\n', line);
+    const auto end = event.find_first_of("\r\n", line);
     if (end == std::string_view::npos) break;
     line = end + 1;
   }
--- a/tests/gateway/stream_test.cc
+++ b/tests/gateway/stream_test.cc
@@ -30,6 +30,21 @@
   }
 }
 
+TEST_CASE("a stream whose lines end in carriage returns is split into events") {
+  const std::string stream = "id: 1\rdata: a\r\rid: 2\rdata: b\r\r";
+  for (std::size_t size = 1; size <= stream.size(); ++size) {
+    CAPTURE(size);
+    protocol::EventStreamSplitter splitter;
+    std::string passed;
+    for (std::size_t at = 0; at < stream.size(); at += size) {
+      passed += splitter.Feed(stream.substr(at, size));
+    }
+    CHECK(passed == stream);
+    CHECK(splitter.Partial().empty());
+    CHECK(splitter.LastId() == 2);
+  }
+}
+
 TEST_CASE("events that were forwarded before are dropped after a resumption") {
   protocol::EventStreamSplitter splitter;
   CHECK(splitter.Feed("id: 1\n\nid: 2\n\nid: 3\nda") == "id: 1\n\nid: 2\n\n");
