Do not join a plain answer to an event stream

The gateway took every 2xx on a streaming route for an event stream. When a stream broke off and the backend server that was to resume it answered 200 with JSON, callers got the JSON after the first events, and the last chunk: two answers joined, framed as one. A plain answer without a stream before it came in chunks, with its parts held back until an empty line.

Now the media type decides: text/event-stream, or none stated, is forwarded event by event; anything else is forwarded in one piece with its length, and cannot continue a stream. The latter counts as a failed attempt (`reason=no_event_stream`).

--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -34,6 +34,14 @@
   return status >= kFirstSuccess && status < kFirstRedirect;
 }
 
+/// @return Whether the media type is that of an event stream or not stated.
+bool MayBeEventStream(const HeaderList& headers) {
+  constexpr std::string_view event_stream = "text/event-stream";
+  const std::string* type = headers.Find("Content-Type");
+  if (type == nullptr) return true;
+  return EqualsIgnoringCase(type->substr(0, event_stream.size()), event_stream);
+}
+
 milliseconds ToMilliseconds(std::chrono::microseconds time) {
   return std::chrono::duration_cast<milliseconds>(time);
 }
@@ -350,7 +358,8 @@
 
 bool Exchange::IsEventStream() const {
   return m_route->kind == state::CallKind::kStream &&
-         IsSuccess(m_reply.head.status);
+         IsSuccess(m_reply.head.status) &&
+         MayBeEventStream(m_reply.head.headers);
 }
 
 void Exchange::OnReplyBody(std::string_view data) {
@@ -427,7 +436,8 @@
     return;
   }
   if (m_head_written || (failed && Policy().MayRunAgain(m_counts))) {
-    RetryOrFail(false, ErrorKind::kBackendServerFailed, "error_answer");
+    RetryOrFail(false, ErrorKind::kBackendServerFailed,
+                failed ? "error_answer" : "no_event_stream");
     return;
   }
   WriteBufferedReply();
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -116,6 +116,7 @@
   bool TakeRetryToken();
 
   // Response to the caller.
+  /// @return Whether the current response is forwarded event by event.
   bool IsEventStream() const;
   void ForwardStream(std::string_view data);
   void WriteHead(const MessageHead& head, std::optional<std::size_t> length);
--- a/tests/gateway/response_framing_test.cc
+++ b/tests/gateway/response_framing_test.cc
@@ -124,6 +124,38 @@
   CHECK_FALSE(client.Broken());
 }
 
+TEST_CASE("a JSON response of a streaming route is forwarded in one piece") {
+  GatewayFixture fixture;
+  fixture.AddBackend("b", [&](const ScriptedBackend::Received& call) {
+    call.session->Write(PlainAnswer("a1", 200, R"({"text":"\n\nwhole"})",
+                                    "Content-Type: application/json\r\n"));
+  });
+  TestClient& client = fixture.Call("/talk/x", "a1");
+  REQUIRE(fixture.RunUntil([&] { return client.Has("whole\"}"); }));
+  CHECK(client.Has("Content-Length: 20"));
+}
+
+TEST_CASE("a JSON response is not appended to a stream that is resumed") {
+  GatewayFixture fixture;
+  int runs = 0;
+  const auto script = [&](const ScriptedBackend::Received& call) {
+    if (++runs == 1) {
+      call.session->Write(StreamHead("a1") + EventChunk(1, "one"));
+      call.session->Close();
+      return;
+    }
+    call.session->Write(PlainAnswer("a1", 200, R"({"text":"other"})",
+                                    "Content-Type: application/json\r\n"));
+  };
+  fixture.AddBackend("b1", script);
+  fixture.AddBackend("b2", script);
+  TestClient& client = fixture.Call("/chat/x", "a1");
+  REQUIRE(fixture.RunUntil(
+      [&] { return client.Ended() || client.Has("0\r\n\r\n"); }));
+  CHECK(client.Broken());
+  CHECK_FALSE(client.Has("other"));
+}
+
 TEST_CASE("responses are counted by framing and by how they ended") {
   GatewayFixture fixture;
   const std::string head = "HTTP/1.1 200 OK\r\nAttempt: a1\r\n";
