Treat a stream that ends inside an event as broken off

Cause: an answer may have neither a length nor chunks and end with its connection. For such an answer BackendConnection rightly takes an orderly close for the end of the message, as HTTP has nothing else to go by. A process that dies closes its connections in order too. Exchange took the end of the message for the end of the stream: FinishStream passed on the bytes of the unfinished event and then the last chunk, which vouches for an answer that nobody had vouched for.

Not the cause: resets taken for closes (the socket's error tells them apart, response_framing_test), resumption (one send each).

The stream itself says whether it is whole: one that ends inside an event has been broken off, however its end is framed. It is now a failed attempt (`reason=ended_inside_event`): resumed at another backend server after the last complete event where the route allows it; else the caller's connection is reset, or 502 is sent where nothing had been. Empty lines and comments after the last event are no event and are still passed on.

--- a/src/wasabiwall/protocol/event_stream.cc
+++ b/src/wasabiwall/protocol/event_stream.cc
@@ -5,6 +5,10 @@
 namespace wasabiwall::protocol {
 namespace {
 
+constexpr std::string_view kLineEnds = "\r\n";
+/// First character of a comment line.
+constexpr char kCommentMark = ':';
+
 /// @return Offset after the empty line that ends the first event, or npos.
 std::size_t FindEventEnd(std::string_view data) {
   for (std::size_t i = 0; i + 1 < data.size(); ++i) {
@@ -32,7 +36,7 @@
       if (result.ec != std::errc()) return std::nullopt;
       return id;
     }
-    const auto end = event.find_first_of("\r\n", line);
+    const auto end = event.find_first_of(kLineEnds, line);
     if (end == std::string_view::npos) break;
     line = end + 1;
   }
@@ -41,6 +45,17 @@
 
 }  // namespace
 
+bool EventStreamSplitter::IsInsideEvent() const {
+  std::string_view rest = m_partial;
+  while (!rest.empty()) {
+    const auto line_end = rest.find_first_of(kLineEnds);
+    if (line_end == std::string_view::npos) return true;
+    if (line_end > 0 && rest.front() != kCommentMark) return true;
+    rest.remove_prefix(line_end + 1);
+  }
+  return false;
+}
+
 std::string EventStreamSplitter::Feed(std::string_view data) {
   m_partial.append(data);
   std::string complete;
--- a/src/wasabiwall/protocol/event_stream.h
+++ b/src/wasabiwall/protocol/event_stream.h
@@ -21,9 +21,14 @@
   /// Keeps the last identifier, so that repeated events are still dropped.
   void DropPartialEvent() { m_partial.clear(); }
 
-  /// @return Bytes of the incomplete event at the end of the stream.
+  /// @return Bytes received after the last complete event.
   const std::string& Partial() const { return m_partial; }
 
+  /// @return Whether a stream that ended now would have been broken off: empty
+  /// lines and comments may follow the last event, anything else is part of an
+  /// incomplete one.
+  bool IsInsideEvent() const;
+
   /// @return Identifier of the last complete event that has one.
   std::optional<std::int64_t> LastId() const { return m_last_id; }
 
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -417,7 +417,8 @@
 }
 
 void Exchange::OnReplyComplete() {
-  CountResponse(m_events.Partial().empty() ? "complete" : "inside_event");
+  const bool inside_event = IsEventStream() && m_events.IsInsideEvent();
+  CountResponse(inside_event ? "inside_event" : "complete");
   const int status = m_reply.head.status;
   const auto reply = m_context->codec.decode_reply(m_reply.head);
   if (reply.not_run) {
@@ -429,6 +430,12 @@
         reply.wrong_backend ? "backend_replaced" : "refused_by_backend");
     return;
   }
+  if (inside_event) {
+    EndAttempt(HealthSignal::kFailed);
+    m_reply = {};
+    RetryOrFail(false, ErrorKind::kAnswerCut, "ended_inside_event");
+    return;
+  }
   const bool failed = status >= kFirstServerError;
   EndAttempt(failed ? HealthSignal::kFailed : HealthSignal::kAnswered);
   if (IsEventStream()) {
--- a/tests/gateway/response_framing_test.cc
+++ b/tests/gateway/response_framing_test.cc
@@ -115,12 +115,14 @@
 TEST_CASE("a stream that closes after an event is complete") {
   GatewayFixture fixture;
   fixture.AddBackend("b", [&](const ScriptedBackend::Received& call) {
-    call.session->Write(UnframedStreamHead("a1") + kFirstEvent + kSecondEvent);
+    call.session->Write(UnframedStreamHead("a1") + kFirstEvent + kSecondEvent +
+                        ": bye\n");
     call.session->Close();
   });
   TestClient& client = fixture.Call("/talk/x", "a1");
   REQUIRE(fixture.RunUntil([&] { return client.Has("0\r\n\r\n"); }));
   CHECK(client.Has(kSecondEvent));
+  CHECK(client.Has(": bye\n"));
   CHECK_FALSE(client.Broken());
 }
 
--- a/tests/gateway/stream_test.cc
+++ b/tests/gateway/stream_test.cc
@@ -45,6 +45,24 @@
   }
 }
 
+TEST_CASE("empty lines and comments after the last event belong to no event") {
+  const std::string event = "id: 1\ndata: a\n\n";
+  for (const std::string rest :
+       {"", "\n", "\r\n", "\r", ": bye\n", ": bye\r\n\n", "\n:\n"}) {
+    CAPTURE(rest);
+    protocol::EventStreamSplitter splitter;
+    splitter.Feed(event + rest);
+    CHECK_FALSE(splitter.IsInsideEvent());
+  }
+  for (const std::string rest : {"i", "data: b", "data: b\n", "\ndata: b\r\n",
+                                 ": bye\nid: 2\n", ": by"}) {
+    CAPTURE(rest);
+    protocol::EventStreamSplitter splitter;
+    splitter.Feed(event + rest);
+    CHECK(splitter.IsInsideEvent());
+  }
+}
+
 TEST_CASE("events that were forwarded before are dropped after a resumption") {
   protocol::EventStreamSplitter splitter;
   CHECK(splitter.Feed("id: 1\n\nid: 2\n\nid: 3\nda") == "id: 1\n\nid: 2\n\n");
