Treat an empty stream that ends with its connection as broken off

A backend server that died between the head of an event stream without length or chunks and its first event gave callers 200 and an empty answer framed as complete. Nothing vouches for such an answer, so it is now a failed attempt (`reason=ended_without_event`): tried again where the call may run twice, else 502. Still complete are an empty stream with a length of zero or a last chunk, and one that resumes after the caller's or the first backend server's last event, where nothing may be left.

Test: response_framing_test, 200 instead of 502 before.

--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -26,6 +26,9 @@
 /// core.
 constexpr milliseconds kCacheLookupTimeout{15};
 
+/// Header with which a caller resumes a stream.
+constexpr std::string_view kLastEventId = "Last-Event-ID";
+
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 constexpr int kFirstServerError = 500;
@@ -416,9 +419,21 @@
           {"partial_bytes", std::to_string(m_events.Partial().size())}};
 }
 
+const char* Exchange::TruncationReason() const {
+  if (!IsEventStream()) return nullptr;
+  if (m_events.IsInsideEvent()) return "ended_inside_event";
+  // An empty stream is complete only if its framing says so or there may be
+  // nothing left to resume.
+  const bool resumes =
+      m_head_written || m_request.head.headers.Find(kLastEventId) != nullptr;
+  return m_framing == BodyFraming::kConnectionClose && !resumes
+             ? "ended_without_event"
+             : nullptr;
+}
+
 void Exchange::OnReplyComplete() {
-  const bool inside_event = IsEventStream() && m_events.IsInsideEvent();
-  CountResponse(inside_event ? "inside_event" : "complete");
+  const char* truncation = TruncationReason();
+  CountResponse(truncation != nullptr ? truncation : "complete");
   const int status = m_reply.head.status;
   const auto reply = m_context->codec.decode_reply(m_reply.head);
   if (reply.not_run) {
@@ -430,10 +445,10 @@
         reply.wrong_backend ? "backend_replaced" : "refused_by_backend");
     return;
   }
-  if (inside_event) {
+  if (truncation != nullptr) {
     EndAttempt(HealthSignal::kFailed);
     m_reply = {};
-    RetryOrFail(false, ErrorKind::kAnswerCut, "ended_inside_event");
+    RetryOrFail(false, ErrorKind::kAnswerCut, truncation);
     return;
   }
   const bool failed = status >= kFirstServerError;
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -96,6 +96,9 @@
   std::string EncodeRequest();
   void OnReplyHead(MessageHead head);
   void OnReplyBody(std::string_view data);
+  /// @return Why the stream that has ended is not complete, for logs and
+  /// metrics; null if it is complete.
+  const char* TruncationReason() const;
   void OnReplyComplete();
   void OnAttemptFailed();
   void OnConnectTimeout();
--- a/tests/gateway/response_framing_test.cc
+++ b/tests/gateway/response_framing_test.cc
@@ -87,6 +87,46 @@
   CHECK(client.Status() == 502);
 }
 
+TEST_CASE("a stream that closes before its first event is an error") {
+  GatewayFixture fixture;
+  fixture.AddBackend("b", [&](const ScriptedBackend::Received& call) {
+    call.session->Write(UnframedStreamHead("a1"));
+    call.session->Close();
+  });
+  TestClient& client = fixture.Call("/talk/x", "a1");
+  REQUIRE(fixture.RunUntil([&] { return client.Status() != 0; }));
+  CHECK(client.Status() == 502);
+}
+
+TEST_CASE("a resumed stream may close without further events") {
+  GatewayFixture fixture;
+  const auto script = [&](const ScriptedBackend::Received& call) {
+    if (call.head.headers.Find("Last-Event-Id") == nullptr) {
+      call.session->Write(StreamHead("a1") + EventChunk(1, "one"));
+    } else {
+      call.session->Write(UnframedStreamHead("a1"));
+    }
+    call.session->Close();
+  };
+  fixture.AddBackend("b1", script);
+  fixture.AddBackend("b2", script);
+  TestClient& client = fixture.Call("/chat/x", "a1");
+  REQUIRE(fixture.RunUntil(
+      [&] { return client.Ended() || client.Has("0\r\n\r\n"); }));
+  CHECK_FALSE(client.Broken());
+}
+
+TEST_CASE("a stream whose length is zero is complete") {
+  GatewayFixture fixture;
+  fixture.AddBackend("b", [&](const ScriptedBackend::Received& call) {
+    call.session->Write(
+        PlainAnswer("a1", 200, "", "Content-Type: text/event-stream\r\n"));
+  });
+  TestClient& client = fixture.Call("/talk/x", "a1");
+  REQUIRE(fixture.RunUntil([&] { return client.Has("0\r\n\r\n"); }));
+  CHECK(client.Status() == 200);
+}
+
 TEST_CASE("a resumable stream that closes inside an event is resumed") {
   for (std::size_t cut = 1; cut < kSecondEvent.size(); ++cut) {
     CAPTURE(cut);
@@ -179,7 +219,7 @@
   }
   SECTION("by the end of the connection, inside an event") {
     answer = head + "\r\n" + event + "id: 2\nda";
-    counter = R"({end="inside_event",framing="close"} 1)";
+    counter = R"({end="ended_inside_event",framing="close"} 1)";
   }
   SECTION("by chunks, without the last one") {
     answer = head + "Transfer-Encoding: chunked\r\n\r\n" +
