Take only a whole last line for the end mark of a chat answer

On the product's own interface a streamed chat answer is complete when it ends with `data: [DONE]`. The side process looked for these bytes anywhere in the last 64 of the answer, so an answer that broke off while it quoted them inside an event counted as complete, and the entry ended it as such.

Now the mark has to be the last line, whole, with nothing but empty lines after it.

--- a/src/wasabiwall/protocol/event_stream.cc
+++ b/src/wasabiwall/protocol/event_stream.cc
@@ -45,6 +45,16 @@
 
 }  // namespace
 
+bool EndsWithDoneMark(std::string_view tail) {
+  constexpr std::string_view mark = "data: [DONE]";
+  const auto last = tail.find_last_not_of(kLineEnds);
+  if (last == std::string_view::npos || last + 1 == tail.size()) return false;
+  tail.remove_suffix(tail.size() - last - 1);
+  if (!tail.ends_with(mark)) return false;
+  tail.remove_suffix(mark.size());
+  return tail.empty() || kLineEnds.find(tail.back()) != kLineEnds.npos;
+}
+
 bool EventStreamSplitter::IsInsideEvent() const {
   std::string_view rest = m_partial;
   while (!rest.empty()) {
--- a/src/wasabiwall/protocol/event_stream.h
+++ b/src/wasabiwall/protocol/event_stream.h
@@ -7,6 +7,11 @@
 
 namespace wasabiwall::protocol {
 
+/// @param tail Last bytes of a chat answer; 64 are enough.
+/// @return Whether they end with the line `data: [DONE]`, which marks an answer
+/// as complete; empty lines may follow.
+bool EndsWithDoneMark(std::string_view tail);
+
 /// Splits the bytes of a server-sent event stream into complete events, so that
 /// a stream that breaks off inside an event can be resumed on another backend
 /// server after the last complete one. Drops events whose identifier is not
--- a/src/wasabiwall/transport/backend_runner.cc
+++ b/src/wasabiwall/transport/backend_runner.cc
@@ -3,6 +3,7 @@
 #include <optional>
 #include <utility>
 
+#include "wasabiwall/protocol/event_stream.h"
 #include "wasabiwall/transport/http_client.h"
 
 namespace wasabiwall::transport {
@@ -12,7 +13,8 @@
 using protocol::RowOf;
 
 constexpr std::size_t kMaxQueuedAttempts = 4096;
-constexpr char kStreamEnd[] = "data: [DONE]";
+/// Bytes at the end of an answer that are kept to look for its end mark.
+constexpr std::size_t kTailBytes = 64;
 
 ErrorKind KindOf(HttpFailure failure, bool idempotent) {
   switch (failure) {
@@ -97,7 +99,7 @@
     if (failed) return;
     answer->Append(data);
     tail.append(data);
-    if (tail.size() > 64) tail.erase(0, tail.size() - 64);
+    if (tail.size() > kTailBytes) tail.erase(0, tail.size() - kTailBytes);
   };
   http.cancelled = [&] { return answer->IsCancelled(); };
   const auto response = HttpClient::Send(http);
@@ -106,7 +108,7 @@
                    "");
     return;
   }
-  const bool saw_end = tail.find(kStreamEnd) != std::string::npos;
+  const bool saw_end = protocol::EndsWithDoneMark(tail);
   const std::optional<ErrorKind> fault =
       FaultOf(*response, saw_end, request.idempotent);
   answer->Finish(fault ? RowOf(*fault).name : "", "");
--- /dev/null
+++ b/tests/transport/backend_runner_test.cc
@@ -0,0 +1,50 @@
+#include "wasabiwall/transport/backend_runner.h"
+
+#include <catch2/catch.hpp>
+#include <future>
+
+#include "fakes/test_port.h"
+#include "wasabiwall/transport/http_server.h"
+
+namespace wasabiwall::transport {
+namespace {
+
+constexpr std::chrono::milliseconds kTimeout{5000};
+
+/// @return Error kind of an attempt at an engine that streams `answer` and then
+/// ends its response; empty for a complete answer.
+std::string ErrorAfter(const std::string& answer, int port) {
+  HttpServer engine({.address = fakes::TestAddress(port)},
+                    [&](const auto&, const auto& response) {
+                      response->Begin(200, "text/event-stream");
+                      response->Write(answer);
+                      response->End();
+                    });
+  REQUIRE(engine.Start());
+  BackendRunner runner([&] { return "http://" + fakes::TestAddress(port); }, 1,
+                       [](const auto&) { return std::nullopt; });
+  protocol::gen::SubmitRequest request;
+  request.method = "POST";
+  request.path = "/v1/chat/completions";
+  request.idempotent = true;
+  request.deadline_ms = kTimeout.count();
+  const auto attempt = std::make_shared<state::Attempt>();
+  std::promise<void> ended;
+  runner.Run(request, attempt, [&] { ended.set_value(); });
+  REQUIRE(ended.get_future().wait_for(kTimeout) == std::future_status::ready);
+  runner.Stop();
+  engine.Stop(kTimeout);
+  return attempt->Read(0, 1U << 20U, kTimeout).end.error_kind;
+}
+
+TEST_CASE("a chat answer that breaks off while it quotes the end mark is cut",
+          "[runner]") {
+  const std::string event = "data: {\"text\":\"a\"}\n\n";
+  CHECK(ErrorAfter(event + "data: [DONE]\n\n", 8).empty());
+  CHECK(ErrorAfter(event, 9) == "answer_cut");
+  CHECK(ErrorAfter(event + "data: {\"text\":\"send data: [DONE] at", 10) ==
+        "answer_cut");
+}
+
+}  // namespace
+}  // namespace wasabiwall::transport
