Forward only whole events of a streamed chat answer

When a backend server crashed inside an event, the entry had already written the first bytes of that event; it then wrote an empty line before its `event: error`. To a caller's parser the empty line ends the event, so the cut event was delivered as a whole one, ahead of the error.

The entry now holds the unfinished event back until the rest of it arrives, and drops it when the answer breaks off. A complete answer is forwarded as before, byte for byte. Tests: call_driver_test against a scripted side process (the cut event was forwarded before), event_stream_test.

--- a/src/wasabiwall/protocol/event_stream.cc
+++ b/src/wasabiwall/protocol/event_stream.cc
@@ -45,6 +45,15 @@
 
 }  // namespace
 
+std::size_t CompleteEventsSize(std::string_view data) {
+  std::size_t size = 0;
+  while (true) {
+    const std::size_t end = FindEventEnd(data.substr(size));
+    if (end == std::string_view::npos) return size;
+    size += end;
+  }
+}
+
 bool EndsWithDoneMark(std::string_view tail) {
   constexpr std::string_view mark = "data: [DONE]";
   const auto last = tail.find_last_not_of(kLineEnds);
--- a/src/wasabiwall/protocol/event_stream.h
+++ b/src/wasabiwall/protocol/event_stream.h
@@ -7,6 +7,9 @@
 
 namespace wasabiwall::protocol {
 
+/// @return Size of the complete events at the start of `data`.
+std::size_t CompleteEventsSize(std::string_view data);
+
 /// @param tail Last bytes of a chat answer; 64 are enough.
 /// @return Whether they end with the line `data: [DONE]`, which marks an answer
 /// as complete; empty lines may follow.
--- a/src/wasabiwall/transport/call_driver.cc
+++ b/src/wasabiwall/transport/call_driver.cc
@@ -5,6 +5,7 @@
 #include <thread>
 #include <utility>
 
+#include "wasabiwall/protocol/event_stream.h"
 #include "wasabiwall/state/digest.h"
 
 namespace wasabiwall::transport {
@@ -201,7 +202,18 @@
       m_begun = true;
       if (!m_response->Begin(m_status, m_content_type)) return false;
     }
-    return m_response->Write(reply.data);
+    m_unwritten += reply.data;
+    const std::size_t size = IsEventStream()
+                                 ? protocol::CompleteEventsSize(m_unwritten)
+                                 : m_unwritten.size();
+    if (size == 0) return true;
+    const std::string complete = m_unwritten.substr(0, size);
+    m_unwritten.erase(0, size);
+    return m_response->Write(complete);
+  }
+
+  bool IsEventStream() const {
+    return m_content_type.starts_with("text/event-stream");
   }
 
   void NoteTime() {
@@ -217,6 +229,7 @@
 
   void FinishAnswer() {
     if (m_begun) {
+      if (!m_unwritten.empty()) m_response->Write(m_unwritten);
       m_response->End();
       return;
     }
@@ -231,8 +244,9 @@
                        error.RetryAfter());
       return;
     }
-    m_response->Write("\n\nevent: error\ndata: " + protocol::ErrorBody(error) +
-                      "\n\n");
+    const std::string separator = IsEventStream() ? "" : "\n\n";
+    m_response->Write(separator + "event: error\ndata: " +
+                      protocol::ErrorBody(error) + "\n\n");
     m_response->End();
   }
 
@@ -247,6 +261,8 @@
   std::int64_t m_received = 0;
   state::Sha256Hasher m_digest;
   std::string m_body;
+  /// The unfinished event at the end of what a streamed answer has so far.
+  std::string m_unwritten;
   std::string m_content_type = "application/json";
   int m_status = 200;
   bool m_begun = false;
--- a/tests/protocol/event_stream_test.cc
+++ b/tests/protocol/event_stream_test.cc
@@ -18,5 +18,12 @@
   CHECK_FALSE(EndsWithDoneMark("data: [DONE]\n\ndata: {\"text\":\"b\"}\n\n"));
 }
 
+TEST_CASE("unfinished events at the end of a stream are left out") {
+  const std::string event = "id: 1\ndata: a\n\n";
+  CHECK(CompleteEventsSize("") == 0);
+  CHECK(CompleteEventsSize("data: b\n") == 0);
+  CHECK(CompleteEventsSize(event + event + "data: b\n") == 2 * event.size());
+}
+
 }  // namespace
 }  // namespace wasabiwall::protocol
