Send a plain answer to a streamed call in one piece

When a caller asked for a stream and the backend server answered with another media type, for example a JSON error, the entry began a chunked response with the first part. If the answer then broke off, the caller got 200, half a JSON document followed by an error in the form of an event, and the last chunk.

Only event streams are begun early now; they can carry an error after whole events. Anything else is held until it is whole and sent with its length, or replaced by the error. Test: call_driver_test (200 instead of 502 before).

--- a/src/wasabiwall/transport/call_driver.cc
+++ b/src/wasabiwall/transport/call_driver.cc
@@ -194,7 +194,7 @@
     m_received += static_cast<std::int64_t>(reply.data.size());
     m_outcome.bytes = m_received;
     m_digest.Add(reply.data);
-    if (!m_call.streaming) {
+    if (!m_call.streaming || !IsEventStream()) {
       m_body += reply.data;
       return true;
     }
@@ -203,9 +203,7 @@
       if (!m_response->Begin(m_status, m_content_type)) return false;
     }
     m_unwritten += reply.data;
-    const std::size_t size = IsEventStream()
-                                 ? protocol::CompleteEventsSize(m_unwritten)
-                                 : m_unwritten.size();
+    const std::size_t size = protocol::CompleteEventsSize(m_unwritten);
     if (size == 0) return true;
     const std::string complete = m_unwritten.substr(0, size);
     m_unwritten.erase(0, size);
@@ -244,9 +242,8 @@
                        error.RetryAfter());
       return;
     }
-    const std::string separator = IsEventStream() ? "" : "\n\n";
-    m_response->Write(separator + "event: error\ndata: " +
-                      protocol::ErrorBody(error) + "\n\n");
+    m_response->Write("event: error\ndata: " + protocol::ErrorBody(error) +
+                      "\n\n");
     m_response->End();
   }
 
--- a/tests/transport/call_driver_test.cc
+++ b/tests/transport/call_driver_test.cc
@@ -46,8 +46,10 @@
 /// After the last one, the backend server crashes or the answer is complete.
 class ScriptedSide {
  public:
-  ScriptedSide(std::vector<std::string> parts, bool crashes)
-      : m_parts(std::move(parts)),
+  ScriptedSide(std::string content_type, std::vector<std::string> parts,
+               bool crashes)
+      : m_content_type(std::move(content_type)),
+        m_parts(std::move(parts)),
         m_crashes(crashes),
         m_server(fakes::TestAddress(kPort), "", MakeHandlers()) {
     REQUIRE(m_server.Start());
@@ -65,7 +67,7 @@
       gen::PullReply reply;
       reply.attempt_id = request.attempt_id;
       reply.offset = request.offset;
-      reply.content_type = "text/event-stream";
+      reply.content_type = m_content_type;
       reply.http_status = 200;
       if (m_next < m_parts.size()) {
         reply.data = m_parts[m_next++];
@@ -87,6 +89,7 @@
     return handlers;
   }
 
+  std::string m_content_type;
   std::vector<std::string> m_parts;
   bool m_crashes;
   std::size_t m_next = 0;
@@ -95,9 +98,11 @@
   PeerServer m_server;
 };
 
-/// @return Body that the caller of one streamed call receives.
-std::string BodyOf(const std::vector<std::string>& parts, bool crashes) {
-  const ScriptedSide side(parts, crashes);
+/// @return What the caller of one streamed call receives.
+RecordedResponse ResponseTo(const std::string& content_type,
+                            const std::vector<std::string>& parts,
+                            bool crashes) {
+  const ScriptedSide side(content_type, parts, crashes);
   state::ConfigStore config;
   auto items = fakes::PoolItems({.members = 0});
   items.push_back(fakes::Domain(0, 1, true));
@@ -122,21 +127,35 @@
   call.streaming = true;
   RecordedResponse response;
   driver.Drive(call, &response);
-  CHECK(response.Status() == 200);
-  return response.Body();
+  return response;
 }
 
 TEST_CASE("an event inside which a streamed answer breaks off is not forwarded",
           "[driver]") {
-  const std::string body =
-      BodyOf({"data: one\n\nda", "ta: two\n", "\ndata: thr"}, true);
-  CHECK(body.starts_with("data: one\n\ndata: two\n\nevent: error\ndata: "));
-  CHECK(body.find("thr") == std::string::npos);
+  const RecordedResponse response =
+      ResponseTo("text/event-stream",
+                 {"data: one\n\nda", "ta: two\n", "\ndata: thr"}, true);
+  CHECK(response.Status() == 200);
+  CHECK(response.Body().starts_with(
+      "data: one\n\ndata: two\n\nevent: error\ndata: "));
+  CHECK(response.Body().find("thr") == std::string::npos);
 }
 
 TEST_CASE("a complete streamed answer is forwarded whole", "[driver]") {
-  CHECK(BodyOf({"data: one\n\nda", "ta: [DONE]\n", "\n: bye"}, false) ==
-        "data: one\n\ndata: [DONE]\n\n: bye");
+  const RecordedResponse response =
+      ResponseTo("text/event-stream",
+                 {"data: one\n\nda", "ta: [DONE]\n", "\n: bye"}, false);
+  CHECK(response.Status() == 200);
+  CHECK(response.Body() == "data: one\n\ndata: [DONE]\n\n: bye");
+}
+
+TEST_CASE("a JSON answer to a streamed call that breaks off is an error",
+          "[driver]") {
+  const std::vector<std::string> parts = {R"({"text":)", R"("one"})"};
+  CHECK(ResponseTo("application/json", parts, true).Status() == 502);
+  const RecordedResponse whole = ResponseTo("application/json", parts, false);
+  CHECK(whole.Status() == 200);
+  CHECK(whole.Body() == R"({"text":"one"})");
 }
 
 }  // namespace
