Send no new calls to a backend server whose response says that it leaves

The gateway knew only what the registry says; with the store out of reach, or a backend server that announces nothing there, it went on sending until the registry caught up.

The head of any response now marks the incarnation as leaving at once: streams, refusals and errors too, not the answer of another instance at its address (421). A later entry of the same incarnation without the mark does not clear it, nor does losing and regaining the entry; a new incarnation starts clean. Calls that run there end undisturbed, and prompts are still copied from it.

--- a/src/wasabiwall/state/backend_registry.cc
+++ b/src/wasabiwall/state/backend_registry.cc
@@ -3,6 +3,13 @@
 #include <algorithm>
 
 namespace wasabiwall::state {
+namespace {
+
+/// How long a leaving incarnation is remembered without an entry: longer than
+/// any outage of the registry after which its entry may appear again.
+constexpr std::chrono::minutes kLeavingRetention{30};
+
+}  // namespace
 
 bool BackendRegistry::Put(const BackendServer& server, MonotonicTime now,
                           std::chrono::milliseconds cold_time, bool appeared) {
@@ -19,6 +26,7 @@
         std::max(found->second.cold_until, now + server.cold_left);
     return false;
   }
+  if (!IsLeaving(server)) m_leaving.erase(server.id);
   const auto cold_left =
       appeared ? std::max(server.cold_left, cold_time) : server.cold_left;
   m_servers[server.id] = {server, now, now + cold_left, cold_time};
@@ -70,6 +78,27 @@
     m_servers.erase(entry->first);
     entry = m_lapsing.erase(entry);
   }
+  for (auto& [id, mark] : m_leaving) {
+    if (m_servers.contains(id)) mark.last_known = now;
+  }
+  std::erase_if(m_leaving, [now](const auto& entry) {
+    return now - entry.second.last_known > kLeavingRetention;
+  });
+}
+
+bool BackendRegistry::MarkLeaving(const BackendServer& server,
+                                  MonotonicTime now) {
+  const bool is_news = !IsLeaving(server);
+  m_leaving[server.id] = {server.incarnation, server.address, now};
+  if (is_news) ++m_revision;
+  return is_news;
+}
+
+bool BackendRegistry::IsLeaving(const BackendServer& server) const {
+  const auto found = m_leaving.find(server.id);
+  return found != m_leaving.end() &&
+         found->second.incarnation == server.incarnation &&
+         found->second.address == server.address;
 }
 
 void BackendRegistry::ExtendCold(const BackendServerId& id,
@@ -80,7 +109,8 @@
 }
 
 bool BackendRegistry::IsEligible(const KnownBackendServer& known) const {
-  return !known.server.draining && !IsEvacuated(known.server.failure_domain);
+  return !known.server.draining && !IsLeaving(known.server) &&
+         !IsEvacuated(known.server.failure_domain);
 }
 
 const KnownBackendServer* BackendRegistry::Find(
--- a/src/wasabiwall/state/backend_registry.h
+++ b/src/wasabiwall/state/backend_registry.h
@@ -88,6 +88,15 @@
   /// Removes entries whose grace time is over.
   void Expire(MonotonicTime now);
 
+  /// Records that a backend server has announced that it leaves. This holds for
+  /// its incarnation, whatever the registry says of it, and for a time after
+  /// its entry has disappeared.
+  /// @return Whether this is news.
+  bool MarkLeaving(const BackendServer& server, MonotonicTime now);
+
+  /// @return Number of backend servers that have announced that they leave.
+  std::size_t LeavingCount() const { return m_leaving.size(); }
+
   /// Extends the cold time of a backend server that reports that it is cold.
   void ExtendCold(const BackendServerId& id, MonotonicTime until);
 
@@ -111,13 +120,23 @@
   std::int64_t Revision() const { return m_revision; }
 
  private:
+  /// An incarnation that has announced that it leaves.
+  struct LeavingMark {
+    std::int64_t incarnation = 0;
+    std::string address;
+    /// When it was last known to exist.
+    MonotonicTime last_known;
+  };
+
   bool InLapseGrace(MonotonicTime now) const;
+  bool IsLeaving(const BackendServer& server) const;
 
   std::chrono::milliseconds m_lapse_grace;
   std::unordered_map<BackendServerId, KnownBackendServer> m_servers;
   /// Entries that disappeared around an outage, with the end of their grace
   /// time.
   std::unordered_map<BackendServerId, MonotonicTime> m_lapsing;
+  std::unordered_map<BackendServerId, LeavingMark> m_leaving;
   std::set<FailureDomainId> m_evacuated;
   MonotonicTime m_last_outage;
   bool m_had_outage = false;
--- a/src/wasabiwall/transport/call_codec.h
+++ b/src/wasabiwall/transport/call_codec.h
@@ -49,6 +49,8 @@
   bool not_run = false;
   /// The response came from another backend server than the expected one.
   bool wrong_backend = false;
+  /// The backend server is going to stop and must not get new calls.
+  bool leaving = false;
   std::optional<coordination::ReportedLoad> load;
   /// Remaining time of the backend server's cold start.
   std::optional<std::chrono::milliseconds> cold_left;
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -345,6 +345,14 @@
   const auto reply = m_context->codec.decode_reply(head);
   const state::BackendServerId& id = m_placement->server.id;
   if (reply.load) m_context->loads.OnReport(id, *reply.load, now);
+  // The response of another instance says nothing about the expected one.
+  if (reply.leaving && !reply.wrong_backend &&
+      m_context->registry.MarkLeaving(m_placement->server, now)) {
+    LogInfo("backend_leaving",
+            {{"backend", id.value},
+             {"id", m_call.attempt_id},
+             {"revision", std::to_string(m_context->registry.Revision())}});
+  }
   if (reply.cold_left) {
     m_context->registry.ExtendCold(id, now + *reply.cold_left);
   }
--- a/src/wasabiwall/transport/gateway.cc
+++ b/src/wasabiwall/transport/gateway.cc
@@ -181,6 +181,9 @@
                               static_cast<double>(m_evicted_connections));
   m_context->metrics.SetGauge("wasabiwall_waiting_calls",
                               static_cast<double>(m_context->queue.Size()));
+  m_context->metrics.SetGauge(
+      "wasabiwall_leaving_backend_servers",
+      static_cast<double>(m_context->registry.LeavingCount()));
   m_context->metrics.SetGauge("wasabiwall_backend_servers",
                               static_cast<double>(m_context->registry.Size()));
   m_context->metrics.SetGauge(
--- a/tests/fakes/gateway_fixture.cc
+++ b/tests/fakes/gateway_fixture.cc
@@ -68,6 +68,7 @@
     reply.wrong_backend = head.headers.Find("Wrong-Backend") != nullptr;
     reply.not_run =
         reply.wrong_backend || head.headers.Find("Not-Run") != nullptr;
+    reply.leaving = head.headers.Find("Leaving") != nullptr;
     return reply;
   };
   return codec;
--- a/tests/gateway/registry_test.cc
+++ b/tests/gateway/registry_test.cc
@@ -70,6 +70,52 @@
   CHECK(registry.Find(BackendServerId("a"))->cold_until == kStart + kColdTime);
 }
 
+TEST_CASE("a backend server that announces that it leaves gets no new calls") {
+  BackendRegistry registry(kLapseGrace);
+  registry.Put(Server("a"), kStart, kColdTime, false);
+  const auto is_eligible = [&] {
+    const auto* known = registry.Find(BackendServerId("a"));
+    return known != nullptr && registry.IsEligible(*known);
+  };
+  CHECK(registry.MarkLeaving(Server("a"), kStart));
+  CHECK_FALSE(registry.MarkLeaving(Server("a"), kStart));
+  CHECK_FALSE(is_eligible());
+  CHECK(registry.LeavingCount() == 1);
+
+  SECTION("also when its entry says otherwise") {
+    registry.Put(Server("a"), kStart + seconds(1), kColdTime, true);
+    CHECK_FALSE(is_eligible());
+  }
+  SECTION("also when its entry was lost and returns") {
+    registry.Remove(BackendServerId("a"), kStart);
+    registry.Expire(kStart + seconds(60));
+    registry.Put(Server("a"), kStart + seconds(60), kColdTime, true);
+    CHECK_FALSE(is_eligible());
+  }
+  SECTION("until a new incarnation registers") {
+    registry.Put(Server("a", 2), kStart, kColdTime, true);
+    CHECK(is_eligible());
+    CHECK(registry.LeavingCount() == 0);
+  }
+  SECTION("while its entry exists") {
+    registry.Expire(kStart + std::chrono::hours(5));
+    CHECK_FALSE(is_eligible());
+  }
+  SECTION("and is forgotten long after it has left") {
+    registry.Remove(BackendServerId("a"), kStart);
+    registry.Expire(kStart + std::chrono::hours(5));
+    registry.Put(Server("a"), kStart + std::chrono::hours(5), kColdTime, true);
+    CHECK(is_eligible());
+  }
+}
+
+TEST_CASE("an announcement to leave counts before the entry is known") {
+  BackendRegistry registry(kLapseGrace);
+  CHECK(registry.MarkLeaving(Server("a"), kStart));
+  registry.Put(Server("a"), kStart, kColdTime, true);
+  CHECK_FALSE(registry.IsEligible(*registry.Find(BackendServerId("a"))));
+}
+
 TEST_CASE("a full read removes the entries that it does not contain") {
   BackendRegistry registry(kLapseGrace);
   registry.Put(Server("a"), kStart, kColdTime, false);
