Hold off backend servers that turn calls away with a time to come back

HoldOffTable keeps, for each incarnation, when calls may be sent again. A hold-off is no failure: nothing is ejected, and the mean load is taken over the others. When all that could serve a call are held off past the time that it may wait, it is refused at once with the end of the shortest hold-off.

--- a/src/wasabiwall/coordination/attempt_policy.cc
+++ b/src/wasabiwall/coordination/attempt_policy.cc
@@ -105,6 +105,7 @@
       return ErrorKind::kNoBackendServer;
     case PlacementRefusal::kCold:
       return ErrorKind::kWarmingUp;
+    case PlacementRefusal::kHeldOff:
     case PlacementRefusal::kFull:
       return ErrorKind::kOverloaded;
   }
@@ -117,6 +118,8 @@
       return "no_backend_server";
     case PlacementRefusal::kUnreachable:
       return "all_unreachable";
+    case PlacementRefusal::kHeldOff:
+      return "all_held_off";
     case PlacementRefusal::kCold:
       return "all_cold";
     case PlacementRefusal::kFull:
--- a/src/wasabiwall/coordination/backend_placement.cc
+++ b/src/wasabiwall/coordination/backend_placement.cc
@@ -82,6 +82,13 @@
   for (const auto* known : m_inputs.registry->Of(query.service->id)) {
     const state::BackendServer& server = known->server;
     if (!m_inputs.registry->IsEligible(*known)) continue;
+    if (m_inputs.hold_offs->IsHeldOff(server, now)) {
+      if (*refusal == PlacementRefusal::kNoneEligible ||
+          *refusal == PlacementRefusal::kUnreachable) {
+        *refusal = PlacementRefusal::kHeldOff;
+      }
+      continue;
+    }
     if (std::find(query.tried.begin(), query.tried.end(), server.id) !=
         query.tried.end()) {
       continue;
@@ -165,12 +172,25 @@
   for (const auto* known : m_inputs.registry->Of(service.id)) {
     if (!m_inputs.registry->IsEligible(*known)) continue;
     if (m_inputs.health->IsEjected(known->server.id, now)) continue;
+    if (m_inputs.hold_offs->IsHeldOff(known->server, now)) continue;
     sum += m_inputs.loads->Estimate(known->server.id, now);
     ++count;
   }
   return count == 0 ? 0 : sum / count;
 }
 
+std::chrono::milliseconds BackendPlacement::HoldOffLeft(
+    const state::Service& service, TimePoint now) const {
+  std::optional<std::chrono::milliseconds> least;
+  for (const auto* known : m_inputs.registry->Of(service.id)) {
+    if (!m_inputs.registry->IsEligible(*known)) continue;
+    if (!m_inputs.hold_offs->IsHeldOff(known->server, now)) continue;
+    const auto left = m_inputs.hold_offs->TimeLeft(known->server, now);
+    if (!least || left < *least) least = left;
+  }
+  return least.value_or(std::chrono::milliseconds(0));
+}
+
 bool BackendPlacement::NeedsHolderLookup(const PlacementQuery& query,
                                          TimePoint now) const {
   return query.shared_part != 0 && query.shared_tokens >= kMinFetchTokens &&
--- a/src/wasabiwall/coordination/backend_placement.h
+++ b/src/wasabiwall/coordination/backend_placement.h
@@ -11,6 +11,7 @@
 #include "wasabiwall/coordination/backend_load_table.h"
 #include "wasabiwall/coordination/cold_start_limiter.h"
 #include "wasabiwall/coordination/event_interval_table.h"
+#include "wasabiwall/coordination/hold_off_table.h"
 #include "wasabiwall/coordination/prompt_cache_index.h"
 #include "wasabiwall/state/backend_registry.h"
 #include "wasabiwall/state/service_config.h"
@@ -34,6 +35,8 @@
   kNoneEligible,
   /// The backend servers that accept new calls cannot be reached.
   kUnreachable,
+  /// All that accept new calls have asked for none for a time.
+  kHeldOff,
   /// All are cold and have received all the calls that a cold one sustains.
   kCold,
   /// All are at capacity or at their connection limit.
@@ -64,6 +67,7 @@
     const BackendHealth* health;
     const EventIntervalTable* event_intervals;
     const ColdStartLimiter* cold_starts;
+    const HoldOffTable* hold_offs;
     const PromptCacheIndex* prompt_cache;
     /// @return Whether an existing connection may be used or a new one may be
     /// opened.
@@ -88,6 +92,11 @@
   tl::expected<Placement, PlacementRefusal> Choose(const PlacementQuery& query,
                                                    TimePoint now) const;
 
+  /// @return Time until the first backend server of a service that is held off
+  /// may get calls again; zero if none is held off.
+  std::chrono::milliseconds HoldOffLeft(const state::Service& service,
+                                        TimePoint now) const;
+
   /// @return Whether the prompt is long enough to be copied from another
   /// backend server, but no holder of it is known.
   bool NeedsHolderLookup(const PlacementQuery& query, TimePoint now) const;
--- a/src/wasabiwall/transport/call_codec.h
+++ b/src/wasabiwall/transport/call_codec.h
@@ -51,6 +51,9 @@
   bool wrong_backend = false;
   /// The backend server is going to stop and must not get new calls.
   bool leaving = false;
+  /// Time for which the backend server, turning the call away, asks this
+  /// process for no further calls.
+  std::optional<std::chrono::milliseconds> hold_off;
   std::optional<coordination::ReportedLoad> load;
   /// Remaining time of the backend server's cold start.
   std::optional<std::chrono::milliseconds> cold_left;
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -195,8 +195,11 @@
 }
 
 void Exchange::Enqueue(PlacementRefusal refusal) {
-  const auto wait =
+  auto wait =
       Policy().QueueTimeout(refusal, !m_tried_servers.empty(), TimeLeft());
+  if (refusal == PlacementRefusal::kHeldOff && HoldOffLeft() > wait) {
+    wait = milliseconds(0);
+  }
   m_tried_servers.clear();
   const bool waits =
       wait > milliseconds{0} &&
@@ -224,10 +227,23 @@
 
 void Exchange::RefuseUnplaced(PlacementRefusal refusal) {
   m_waiter_id = 0;
-  Refuse(coordination::ErrorOf(refusal), NameOf(refusal));
+  const bool held_off = refusal == PlacementRefusal::kHeldOff;
+  Refuse(coordination::ErrorOf(refusal), NameOf(refusal),
+         held_off ? HoldOffLeft() : milliseconds(0));
+}
+
+milliseconds Exchange::HoldOffLeft() const {
+  return m_context->placement.HoldOffLeft(*m_service, m_context->loop->Now());
 }
 
-void Exchange::Refuse(ErrorKind kind, const char* detail) {
+void Exchange::Refuse(ErrorKind kind, const char* detail,
+                      milliseconds hold_off) {
+  if (hold_off > milliseconds(0)) {
+    Fail({kind, detail,
+          m_context->retry_after_scheduler.Next(hold_off,
+                                                m_context->loop->Now())});
+    return;
+  }
   const auto longest = coordination::MaxRetryAfter(TimeLeft());
   const auto after = m_context->retry_after_scheduler.Next(
       std::min(coordination::MinRetryAfter(kind), longest),
@@ -263,6 +279,7 @@
   m_context->loads.OnSent(server.id);
   m_context->health.OnSent(server.id, m_context->loop->Now());
   m_context->cold_starts.OnSent(server.id, m_context->loop->Now());
+  m_context->hold_offs.OnSent(server, m_context->loop->Now());
   m_connection =
       m_context->connections.Acquire(server, Policy().MaxConnectionIdle());
   m_placement = std::move(placement);
@@ -346,13 +363,7 @@
   const state::BackendServerId& id = m_placement->server.id;
   if (reply.load) m_context->loads.OnReport(id, *reply.load, now);
   // The response of another instance says nothing about the expected one.
-  if (reply.leaving && !reply.wrong_backend &&
-      m_context->registry.MarkLeaving(m_placement->server, now)) {
-    LogInfo("backend_leaving",
-            {{"backend", id.value},
-             {"id", m_call.attempt_id},
-             {"revision", std::to_string(m_context->registry.Revision())}});
-  }
+  if (!reply.wrong_backend) ApplyRequests(reply);
   if (reply.cold_left) {
     m_context->registry.ExtendCold(id, now + *reply.cold_left);
   }
@@ -367,6 +378,28 @@
   }
 }
 
+void Exchange::ApplyRequests(const ReplyMetadata& reply) {
+  const auto now = m_context->loop->Now();
+  const state::BackendServer& server = m_placement->server;
+  if (reply.leaving && m_context->registry.MarkLeaving(server, now)) {
+    LogInfo("backend_leaving",
+            {{"backend", server.id.value},
+             {"id", m_call.attempt_id},
+             {"revision", std::to_string(m_context->registry.Revision())}});
+  }
+  if (!reply.hold_off) {
+    m_context->hold_offs.OnAnswer(server, now);
+    return;
+  }
+  const auto left =
+      m_context->hold_offs.OnRequest(server, *reply.hold_off, now);
+  LogInfo("backend_held_off",
+          {{"backend", server.id.value},
+           {"id", m_call.attempt_id},
+           {"asked_ms", std::to_string(reply.hold_off->count())},
+           {"left_ms", std::to_string(left.count())}});
+}
+
 bool Exchange::IsEventStream() const {
   return m_route->kind == state::CallKind::kStream &&
          IsSuccess(m_reply.head.status) &&
--- a/src/wasabiwall/transport/gateway.cc
+++ b/src/wasabiwall/transport/gateway.cc
@@ -98,6 +98,7 @@
   }
   m_context->LogSlowEngineChanges();
   m_context->registry.Expire(m_context->loop->Now());
+  m_context->hold_offs.Expire(m_context->loop->Now());
   FinishStopIfDrained();
   m_context->connections.Prune([this](const state::BackendServerId& id) {
     return m_context->registry.Find(id) != nullptr;
@@ -184,6 +185,9 @@
   m_context->metrics.SetGauge(
       "wasabiwall_leaving_backend_servers",
       static_cast<double>(m_context->registry.LeavingCount()));
+  m_context->metrics.SetGauge(
+      "wasabiwall_held_off_backend_servers",
+      m_context->hold_offs.Count(m_context->loop->Now()));
   m_context->metrics.SetGauge("wasabiwall_backend_servers",
                               static_cast<double>(m_context->registry.Size()));
   m_context->metrics.SetGauge(
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -106,6 +106,7 @@
   coordination::BackendHealth health;
   coordination::EventIntervalTable event_intervals;
   coordination::ColdStartLimiter cold_starts;
+  coordination::HoldOffTable hold_offs;
   coordination::PromptCacheIndex prompt_cache;
   DatagramSocket peer_socket;
   coordination::PromptDirectory prompt_directory;
--- a/tests/fakes/gateway_fixture.cc
+++ b/tests/fakes/gateway_fixture.cc
@@ -68,6 +68,8 @@
     reply.wrong_backend = head.headers.Find("Wrong-Backend") != nullptr;
     reply.not_run =
         reply.wrong_backend || head.headers.Find("Not-Run") != nullptr;
+    const std::string hold_off = ValueOf(head.headers, "Hold-Off");
+    if (!hold_off.empty()) reply.hold_off = milliseconds(std::stoi(hold_off));
     reply.leaving = head.headers.Find("Leaving") != nullptr;
     return reply;
   };
--- a/tests/gateway/placement_test.cc
+++ b/tests/gateway/placement_test.cc
@@ -17,6 +17,7 @@
   PlacementFixture()
       : registry(milliseconds(2500)),
         cold_starts(1),
+        hold_offs([] { return 0U; }),
         prompt_cache(1000),
         placement(
             {.registry = &registry,
@@ -24,6 +25,7 @@
              .health = &health,
              .event_intervals = &event_intervals,
              .cold_starts = &cold_starts,
+             .hold_offs = &hold_offs,
              .prompt_cache = &prompt_cache,
              .has_connection = [](const auto&, const auto&) { return true; },
              .processes = [this] { return processes; },
@@ -71,6 +73,7 @@
   BackendHealth health;
   EventIntervalTable event_intervals;
   ColdStartLimiter cold_starts;
+  HoldOffTable hold_offs;
   PromptCacheIndex prompt_cache;
   BackendPlacement placement;
 
@@ -83,6 +86,35 @@
   return state::BackendServerId(id);
 }
 
+TEST_CASE(
+    "a held off backend server gets nothing and does not lower the mean") {
+  PlacementFixture fixture;
+  for (const char* id : {"b0", "b1", "b2"}) fixture.Add(id);
+  const auto asking = *fixture.registry.Find(state::BackendServerId("b0"));
+  const auto& server = asking.server;
+  fixture.hold_offs.OnRequest(server, seconds(5), fixture.now);
+  for (int i = 0; i < 20; ++i) {
+    const auto chosen = fixture.Choose(0);
+    REQUIRE(chosen);
+    CHECK(chosen->server.id != server.id);
+    CHECK(chosen->mean_load == Approx(i / 2.0));
+    fixture.loads.OnSent(chosen->server.id);
+  }
+  CHECK(fixture.placement.HoldOffLeft(fixture.service, fixture.now) ==
+        seconds(5));
+}
+
+TEST_CASE("a call is refused as held off if all backend servers are") {
+  PlacementFixture fixture;
+  for (const char* id : {"b0", "b1"}) fixture.Add(id);
+  for (const auto* known : fixture.registry.Of(fixture.service.id)) {
+    fixture.hold_offs.OnRequest(known->server, seconds(5), fixture.now);
+  }
+  CHECK(fixture.Choose(0).error() == PlacementRefusal::kHeldOff);
+  fixture.now += seconds(6);
+  CHECK(fixture.Choose(0));
+}
+
 TEST_CASE("calls with the same prompt are placed at the same backend server") {
   PlacementFixture fixture;
   for (int i = 0; i < 10; ++i) fixture.Add("b" + std::to_string(i));
