Return refused callers soon after the shortest hold-off

A call that is refused because all backend servers are held off was told to come back after the hold-off plus a random part of up to the hold-off again: 3 s became 3 to 6.5 s. The scheduler takes its jitter from the base that it is given, and was given the hold-off.

The time is now the hold-off plus the usual time for that kind of refusal, which spreads callers by what is being answered.

--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -238,17 +238,11 @@
 
 void Exchange::Refuse(ErrorKind kind, const char* detail,
                       milliseconds hold_off) {
-  if (hold_off > milliseconds(0)) {
-    Fail({kind, detail,
-          m_context->retry_after_scheduler.Next(hold_off,
-                                                m_context->loop->Now())});
-    return;
-  }
   const auto longest = coordination::MaxRetryAfter(TimeLeft());
   const auto after = m_context->retry_after_scheduler.Next(
       std::min(coordination::MinRetryAfter(kind), longest),
       m_context->loop->Now());
-  Fail({kind, detail, std::min(after, longest)});
+  Fail({kind, detail, hold_off + std::min(after, longest)});
 }
 
 coordination::AttemptPolicy Exchange::Policy() const {
@@ -363,7 +357,7 @@
   const state::BackendServerId& id = m_placement->server.id;
   if (reply.load) m_context->loads.OnReport(id, *reply.load, now);
   // The response of another instance says nothing about the expected one.
-  if (!reply.wrong_backend) ApplyRequests(reply);
+  if (!reply.wrong_backend) ApplyServerNotices(reply);
   if (reply.cold_left) {
     m_context->registry.ExtendCold(id, now + *reply.cold_left);
   }
@@ -378,7 +372,7 @@
   }
 }
 
-void Exchange::ApplyRequests(const ReplyMetadata& reply) {
+void Exchange::ApplyServerNotices(const ReplyMetadata& reply) {
   const auto now = m_context->loop->Now();
   const state::BackendServer& server = m_placement->server;
   if (reply.leaving && m_context->registry.MarkLeaving(server, now)) {
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -85,10 +85,13 @@
   bool Place();
   void Enqueue(coordination::PlacementRefusal refusal);
   void RefuseUnplaced(coordination::PlacementRefusal refusal);
+  /// @return Time until a backend server of the service that is held off may
+  /// get calls again.
   std::chrono::milliseconds HoldOffLeft() const;
   /// Answers with an error and a retry-after time that spreads the retries of
   /// refused callers.
-  /// @param hold_off Time before which no backend server takes the call.
+  /// @param hold_off Time until a backend server takes calls again, if all have
+  /// asked for none.
   void Refuse(
       protocol::ErrorKind kind, const char* detail,
       std::chrono::milliseconds hold_off = std::chrono::milliseconds(0));
@@ -99,8 +102,8 @@
   /// Counts the send, starts the idle timer and encodes the request.
   std::string EncodeRequest();
   void OnReplyHead(MessageHead head);
-  /// Takes note of what the backend server asks of this process.
-  void ApplyRequests(const ReplyMetadata& reply);
+  /// Records that the backend server leaves or asks for no calls for a time.
+  void ApplyServerNotices(const ReplyMetadata& reply);
   void OnReplyBody(std::string_view data);
   /// @return Why the stream that has ended is not complete, for logs and
   /// metrics; null if it is complete.
