Count backend servers that get no new calls in the mean of the load bound

What callers saw: nothing wrong in their answers; engines in two failure domains carried the load of three while one workspace sent many times its usual.

Cause: while a failure domain was evacuated (21.6 to 29.6 s), the mean behind the bound was taken over the engines that accept calls, 14 in the log, not over the service, about 9. Ruled out: stale load estimates (over the log's own bound in 5 of 1,801 placements), cold engines (warm again before 25 s).

Backend servers that are evacuated, leave or are held off now count, so that taking some out does not raise the bound for the others; ejected ones still do not. The test of held off backend servers expected the higher mean and now expects the lower one, which is stricter.

--- a/src/wasabiwall/coordination/backend_placement.cc
+++ b/src/wasabiwall/coordination/backend_placement.cc
@@ -170,9 +170,9 @@
   double sum = 0;
   int count = 0;
   for (const auto* known : m_inputs.registry->Of(service.id)) {
-    if (!m_inputs.registry->IsEligible(*known)) continue;
+    // Those that get no new calls count too, so that taking some out does not
+    // raise the bound for the others.
     if (m_inputs.health->IsEjected(known->server.id, now)) continue;
-    if (m_inputs.hold_offs->IsHeldOff(known->server, now)) continue;
     sum += m_inputs.loads->Estimate(known->server.id, now);
     ++count;
   }
--- a/tests/gateway/placement_test.cc
+++ b/tests/gateway/placement_test.cc
@@ -87,7 +87,7 @@
 }
 
 TEST_CASE(
-    "a held off backend server gets nothing and does not lower the mean") {
+    "a held off backend server gets nothing and does not raise the bound") {
   PlacementFixture fixture;
   for (const char* id : {"b0", "b1", "b2"}) fixture.Add(id);
   const auto asking = *fixture.registry.Find(state::BackendServerId("b0"));
@@ -97,13 +97,42 @@
     const auto chosen = fixture.Choose(0);
     REQUIRE(chosen);
     CHECK(chosen->server.id != server.id);
-    CHECK(chosen->mean_load == Approx(i / 2.0));
+    CHECK(chosen->mean_load == Approx(i / 3.0));
     fixture.loads.OnSent(chosen->server.id);
   }
   CHECK(fixture.placement.HoldOffLeft(fixture.service, fixture.now) ==
         seconds(5));
 }
 
+TEST_CASE("an evacuated failure domain does not raise the load bound") {
+  PlacementFixture fixture;
+  constexpr int servers = 18;
+  for (int i = 0; i < servers; ++i) fixture.Add("b" + std::to_string(i));
+  fixture.registry.SetEvacuated(state::FailureDomainId("z1"), true,
+                                fixture.now);
+  constexpr int in_flight = 180;
+  constexpr int arrivals = 2000;
+  constexpr std::uint64_t hot_part = 7;
+  std::mt19937_64 engine(3);
+  std::vector<std::string> running;
+  int above_bound = 0;
+  for (int i = 0; i < in_flight + arrivals; ++i) {
+    if (i >= in_flight) {
+      std::swap(running[engine() % running.size()], running.back());
+      fixture.loads.OnFinished(state::BackendServerId(running.back()));
+      running.pop_back();
+    }
+    running.push_back(
+        fixture.Start(engine() % 4 == 0 ? hot_part : engine() % 1000 + 10));
+    REQUIRE_FALSE(running.back().empty());
+    const double load = fixture.loads.Estimate(
+        state::BackendServerId(running.back()), fixture.now);
+    const double mean = static_cast<double>(running.size()) / servers;
+    if (i >= in_flight && load > 2 * mean + 3) ++above_bound;
+  }
+  CHECK(above_bound * 100 <= arrivals * 3);
+}
+
 TEST_CASE("a call is refused as held off if all backend servers are") {
   PlacementFixture fixture;
   for (const char* id : {"b0", "b1"}) fixture.Add(id);
