Split reading of replies and resolving of calls from Exchange

ReplyReader reads the responses to the attempts of a call and tells whether each is complete; ResolveCall looks up route, workspace, service and deadline.

State that could be derived is gone: whether a reply has started follows from its head. A reply's headers are decoded once after its head, not again at its end. An unfinished event is bounded like a buffered body, 16 MB; it had no bound. The test for a successful status stands once.

--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -4,7 +4,6 @@
 #include <iterator>
 #include <utility>
 
-#include "wasabiwall/state/digest.h"
 #include "wasabiwall/transport/local_reply.h"
 #include "wasabiwall/transport/logging.h"
 
@@ -16,8 +15,6 @@
 using protocol::ErrorKind;
 using std::chrono::milliseconds;
 
-/// Size limit of responses that are buffered in full before they are forwarded.
-constexpr std::size_t kMaxBufferedReplyBytes = 16U << 20U;
 /// Unsent bytes of a stream from which reading from the backend server pauses.
 constexpr std::size_t kMaxQueuedStreamBytes = 256U << 10U;
 
@@ -29,22 +26,8 @@
 /// Header with which a caller resumes a stream.
 constexpr std::string_view kLastEventId = "Last-Event-ID";
 
-constexpr int kFirstSuccess = 200;
-constexpr int kFirstRedirect = 300;
 constexpr int kFirstServerError = 500;
 
-bool IsSuccess(int status) {
-  return status >= kFirstSuccess && status < kFirstRedirect;
-}
-
-/// @return Whether the media type is that of an event stream or not stated.
-bool MayBeEventStream(const HeaderList& headers) {
-  constexpr std::string_view event_stream = "text/event-stream";
-  const std::string* type = headers.Find("Content-Type");
-  if (type == nullptr) return true;
-  return EqualsIgnoringCase(type->substr(0, event_stream.size()), event_stream);
-}
-
 milliseconds ToMilliseconds(std::chrono::microseconds time) {
   return std::chrono::duration_cast<milliseconds>(time);
 }
@@ -62,98 +45,37 @@
 void Exchange::Start() {
   if (m_ended) return;
   const auto self = shared_from_this();
-  m_deadline = m_request.received;
-  if (const auto error = Resolve()) {
+  m_call.deadline = m_request.received;
+  if (const auto error = ResolveCall(*m_context, m_request.head,
+                                     m_request.received, &m_call)) {
     Fail(*error);
     return;
   }
+  const bool resumes = m_request.head.headers.Find(kLastEventId) != nullptr;
+  m_reply.StartCall(m_call.IsStream(), resumes);
   m_deadline_timer.Start(TimeLeft(), [this] { OnDeadline(); });
-  m_context->RetryBudgetFor(m_service->id).OnFirstAttempt();
+  m_context->RetryBudgetFor(m_call.service->id).OnFirstAttempt();
   if (!LookUpCacheHolders()) Place();
 }
 
-std::optional<protocol::Error> Exchange::Resolve() {
-  const HeaderList& headers = m_request.head.headers;
-  m_call = m_context->codec.decode_call(headers);
-  if (m_call.attempt_id.empty()) {
-    return protocol::Error{ErrorKind::kBadRequest, "no attempt identifier", {}};
-  }
-  m_config = m_context->Config();
-  if (!m_config) {
-    return protocol::Error{ErrorKind::kStaleConfiguration, "none yet", {}};
-  }
-  const std::string* host = headers.Find("Host");
-  m_route =
-      m_config->FindRoute(host == nullptr ? "" : *host, m_request.head.target);
-  if (m_route == nullptr) return protocol::Error{ErrorKind::kNotFound, "", {}};
-  if (m_config->requires_key && !m_route->is_public) {
-    if (m_call.key) m_workspace = m_config->FindWorkspace(*m_call.key);
-    if (m_workspace == nullptr) {
-      return protocol::Error{ErrorKind::kUnauthorized, "", {}};
-    }
-  }
-  m_deadline =
-      m_request.received +
-      std::min(m_call.deadline.value_or(m_route->timeout), m_route->timeout);
-  if (m_context->stop_deadline && m_deadline > *m_context->stop_deadline) {
-    return protocol::Error{ErrorKind::kDraining, "stopping",
-                           coordination::MinRetryAfter(ErrorKind::kDraining)};
-  }
-  if (TimeLeft() <= milliseconds{0}) {
-    return protocol::Error{ErrorKind::kDeadlineTooShort, "", {}};
-  }
-  m_service = ChooseService();
-  if (m_service == nullptr) {
-    return protocol::Error{ErrorKind::kNoBackendServer, "no such service", {}};
-  }
-  return std::nullopt;
-}
-
-const state::Service* Exchange::ChooseService() const {
-  double total = 0;
-  for (const auto& share : m_route->services) total += share.weight;
-  // Calls that share a prompt part go to the same service.
-  const std::uint64_t hash =
-      m_route->prefers_cached_prompt && m_call.shared_part != 0
-          ? m_call.shared_part
-          : state::FastHash(m_call.attempt_id);
-  constexpr std::uint64_t steps = 1U << 20U;
-  double point = total * static_cast<double>(hash % steps) / steps;
-  const state::Service* first = nullptr;
-  for (const auto& share : m_route->services) {
-    const state::Service* service = m_config->FindService(share.service);
-    if (service == nullptr || share.weight <= 0) continue;
-    if (first == nullptr) first = service;
-    point -= share.weight;
-    if (point < 0) return service;
-  }
-  return first;
-}
-
 milliseconds Exchange::TimeLeft() const {
-  return ToMilliseconds(m_deadline - m_context->loop->Now());
-}
-
-int Exchange::Priority() const {
-  if (m_workspace != nullptr && m_workspace->priority) {
-    return *m_workspace->priority;
-  }
-  return m_route->priority;
+  return ToMilliseconds(m_call.deadline - m_context->loop->Now());
 }
 
 coordination::PlacementQuery Exchange::Query() const {
-  return {
-      .service = m_service,
-      .shared_part = m_route->prefers_cached_prompt ? m_call.shared_part : 0,
-      .shared_tokens = m_call.shared_tokens,
-      .tried = m_tried_servers};
+  return {.service = m_call.service,
+          .shared_part = m_call.route->prefers_cached_prompt
+                             ? m_call.metadata.shared_part
+                             : 0,
+          .shared_tokens = m_call.metadata.shared_tokens,
+          .tried = m_tried_servers};
 }
 
 bool Exchange::LookUpCacheHolders() {
   const auto now = m_context->loop->Now();
   if (!m_context->placement.NeedsHolderLookup(Query(), now)) return false;
   m_cache_lookup = m_context->prompt_directory.LookUp(
-      m_call.shared_part, now, [weak = weak_from_this()] {
+      m_call.metadata.shared_part, now, [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (self) self->OnCacheLookupDone("answered");
       });
@@ -173,8 +95,8 @@
   const auto now = m_context->loop->Now();
   LogInfo(
       "prompt_holder_lookup",
-      {{"id", m_call.attempt_id},
-       {"part", std::to_string(m_call.shared_part)},
+      {{"id", m_call.metadata.attempt_id},
+       {"part", std::to_string(m_call.metadata.shared_part)},
        {"outcome", outcome},
        {"known", m_context->placement.NeedsHolderLookup(Query(), now) ? "false"
                                                                       : "true"},
@@ -203,8 +125,8 @@
   m_tried_servers.clear();
   const bool waits =
       wait > milliseconds{0} &&
-      m_context->queue.Add({.service = m_service->id,
-                            .priority = Priority(),
+      m_context->queue.Add({.service = m_call.service->id,
+                            .priority = m_call.Priority(),
                             .expires = m_context->loop->Now() + wait,
                             .try_place =
                                 [this] {
@@ -218,9 +140,9 @@
                                 }},
                            &m_waiter_id);
   LogInfo("no_backend_available",
-          {{"id", m_call.attempt_id},
+          {{"id", m_call.metadata.attempt_id},
            {"reason", NameOf(refusal)},
-           {"service", m_service->id.value},
+           {"service", m_call.service->id.value},
            {"waits_ms", std::to_string(waits ? wait.count() : 0)}});
   if (!waits) RefuseUnplaced(refusal);
 }
@@ -233,7 +155,8 @@
 }
 
 milliseconds Exchange::HoldOffLeft() const {
-  return m_context->placement.HoldOffLeft(*m_service, m_context->loop->Now());
+  return m_context->placement.HoldOffLeft(*m_call.service,
+                                          m_context->loop->Now());
 }
 
 void Exchange::Refuse(ErrorKind kind, const char* detail,
@@ -246,27 +169,24 @@
 }
 
 coordination::AttemptPolicy Exchange::Policy() const {
-  return coordination::AttemptPolicy(*m_route);
+  return coordination::AttemptPolicy(*m_call.route);
 }
 
 void Exchange::StartAttempt(coordination::Placement placement) {
   m_waiter_id = 0;
   const state::BackendServer& server = placement.server;
   m_tried_servers.push_back(server.id);
-  m_reply = {};
-  m_reply_started = false;
-  m_framing.reset();
+  m_reply.StartAttempt();
   m_attempt_has_events = false;
-  m_events.DropPartialEvent();
   LogInfo("backend_selected",
-          {{"id", m_call.attempt_id},
+          {{"id", m_call.metadata.attempt_id},
            {"backend", server.id.value},
            {"address", server.address},
            {"load", std::to_string(placement.load)},
            {"mean_load", std::to_string(placement.mean_load)},
            {"rank", std::to_string(placement.rank)},
-           {"part", std::to_string(m_call.shared_part)},
-           {"shared_tokens", std::to_string(m_call.shared_tokens)},
+           {"part", std::to_string(m_call.metadata.shared_part)},
+           {"shared_tokens", std::to_string(m_call.metadata.shared_tokens)},
            {"fetch_from",
             placement.fetch_from ? placement.fetch_from->id.value : "-"},
            {"registry", std::to_string(m_context->registry.Revision())}});
@@ -292,7 +212,7 @@
       {.belongs_to_call =
            [this](const MessageHead& head) {
              const auto reply = m_context->codec.decode_reply(head);
-             return reply.attempt_id == m_call.attempt_id ||
+             return reply.attempt_id == m_call.metadata.attempt_id ||
                     (reply.attempt_id.empty() && !IsSuccess(head.status));
            },
        .on_head =
@@ -318,9 +238,9 @@
   headers.RemoveHopByHop();
   ForwardedCall call{.time_left = std::max(milliseconds{1}, TimeLeft()),
                      .backend_server = m_placement->server.id,
-                     .priority = Priority()};
-  if (m_workspace != nullptr) call.workspace = m_workspace->id;
-  call.last_event_id = m_events.LastId();
+                     .priority = m_call.Priority()};
+  if (m_call.workspace != nullptr) call.workspace = m_call.workspace->id;
+  call.last_event_id = m_reply.LastEventId();
   if (m_placement->fetch_from) {
     call.fetch_from = m_placement->fetch_from->address;
   }
@@ -342,9 +262,9 @@
 
 void Exchange::StartIdleTimer() {
   m_attempt_timer.Stop();
-  const bool is_stream = m_route->kind == state::CallKind::kStream;
+  const bool is_stream = m_call.IsStream();
   if (!is_stream && !Policy().MayRunAgain(m_counts)) return;
-  const auto idle_timeout = Policy().AttemptIdleTimeout(m_reply_started);
+  const auto idle_timeout = Policy().AttemptIdleTimeout(m_reply.HasStarted());
   m_attempt_timer.Start(idle_timeout, [this] {
     const auto self = shared_from_this();
     OnIdleTimeout();
@@ -353,7 +273,9 @@
 
 void Exchange::OnReplyHead(MessageHead head) {
   const auto now = m_context->loop->Now();
-  const auto reply = m_context->codec.decode_reply(head);
+  ReplyMetadata metadata = m_context->codec.decode_reply(head);
+  m_reply.OnHead(std::move(head), std::move(metadata));
+  const ReplyMetadata& reply = m_reply.Metadata();
   const state::BackendServerId& id = m_placement->server.id;
   if (reply.load) m_context->loads.OnReport(id, *reply.load, now);
   // The response of another instance says nothing about the expected one.
@@ -361,15 +283,11 @@
   if (reply.cold_left) {
     m_context->registry.ExtendCold(id, now + *reply.cold_left);
   }
-  m_reply_started = true;
-  m_reply.head = std::move(head);
-  m_framing = m_reply.head.framing;
-  if (IsEventStream()) {
-    if (m_call.shared_part != 0) {
-      m_context->prompt_directory.OnRead(m_call.shared_part, id, now);
-    }
-    StartIdleTimer();
+  if (!m_reply.IsEventStream()) return;
+  if (m_call.metadata.shared_part != 0) {
+    m_context->prompt_directory.OnRead(m_call.metadata.shared_part, id, now);
   }
+  StartIdleTimer();
 }
 
 void Exchange::ApplyServerNotices(const ReplyMetadata& reply) {
@@ -378,7 +296,7 @@
   if (reply.leaving && m_context->registry.MarkLeaving(server, now)) {
     LogInfo("backend_leaving",
             {{"backend", server.id.value},
-             {"id", m_call.attempt_id},
+             {"id", m_call.metadata.attempt_id},
              {"revision", std::to_string(m_context->registry.Revision())}});
   }
   if (!reply.hold_off) {
@@ -389,33 +307,22 @@
       m_context->hold_offs.OnRequest(server, *reply.hold_off, now);
   LogInfo("backend_held_off",
           {{"backend", server.id.value},
-           {"id", m_call.attempt_id},
+           {"id", m_call.metadata.attempt_id},
            {"asked_ms", std::to_string(reply.hold_off->count())},
            {"left_ms", std::to_string(left.count())}});
 }
 
-bool Exchange::IsEventStream() const {
-  return m_route->kind == state::CallKind::kStream &&
-         IsSuccess(m_reply.head.status) &&
-         MayBeEventStream(m_reply.head.headers);
-}
-
 void Exchange::OnReplyBody(std::string_view data) {
-  if (IsEventStream()) {
-    ForwardStream(data);
-    return;
-  }
-  if (m_reply.body.size() + data.size() > kMaxBufferedReplyBytes) {
+  std::string events;
+  if (!m_reply.OnBody(data, &events)) {
     AbortAttempt(HealthSignal::kFailed);
     Fail({ErrorKind::kAnswerCut, "answer too large", {}});
     return;
   }
-  m_reply.body.append(data);
+  if (!events.empty()) ForwardEvents(events);
 }
 
-void Exchange::ForwardStream(std::string_view data) {
-  const std::string events = m_events.Feed(data);
-  if (events.empty()) return;
+void Exchange::ForwardEvents(const std::string& events) {
   const auto now = m_context->loop->Now();
   if (m_attempt_has_events) {
     m_context->event_intervals.OnEvent(m_placement->server.id,
@@ -426,13 +333,12 @@
   }
   if (m_first_byte) {
     m_longest_gap = std::max(m_longest_gap, now - m_last_event);
-    m_context->metrics.ObservePartGap(
-        m_workspace != nullptr ? m_workspace->id.value : "",
-        now - m_last_event);
+    m_context->metrics.ObservePartGap(m_call.WorkspaceName(),
+                                      now - m_last_event);
   }
   m_last_event = now;
   StartIdleTimer();
-  if (!m_head_written) WriteHead(m_reply.head, std::nullopt);
+  if (!m_head_written) WriteHead(m_reply.Head(), std::nullopt);
   m_output.write(EncodeChunk(events));
   if (m_ended || m_output.queued_bytes() < kMaxQueuedStreamBytes) return;
   m_reading_paused = true;
@@ -445,32 +351,14 @@
 }
 
 void Exchange::CountResponse(const char* end) {
-  m_context->metrics.CountBackendResponse(
-      m_framing ? NameOf(*m_framing) : "none", end);
-}
-
-std::vector<LogField> Exchange::ResponseFields() const {
-  return {{"framing", m_framing ? NameOf(*m_framing) : "-"},
-          {"partial_bytes", std::to_string(m_events.Partial().size())}};
-}
-
-const char* Exchange::TruncationReason() const {
-  if (!IsEventStream()) return nullptr;
-  if (m_events.IsInsideEvent()) return "ended_inside_event";
-  // An empty stream is complete only if its framing says so or there may be
-  // nothing left to resume.
-  const bool resumes =
-      m_head_written || m_request.head.headers.Find(kLastEventId) != nullptr;
-  return m_framing == BodyFraming::kConnectionClose && !resumes
-             ? "ended_without_event"
-             : nullptr;
+  m_context->metrics.CountBackendResponse(m_reply.FramingName(), end);
 }
 
 void Exchange::OnReplyComplete() {
-  const char* truncation = TruncationReason();
+  m_reply.OnMessageEnd();
+  const char* truncation = m_reply.TruncationReason();
   CountResponse(truncation != nullptr ? truncation : "complete");
-  const int status = m_reply.head.status;
-  const auto reply = m_context->codec.decode_reply(m_reply.head);
+  const ReplyMetadata& reply = m_reply.Metadata();
   if (reply.not_run) {
     EndAttempt(reply.wrong_backend ? HealthSignal::kReplaced
                                    : HealthSignal::kRefused);
@@ -482,13 +370,12 @@
   }
   if (truncation != nullptr) {
     EndAttempt(HealthSignal::kFailed);
-    m_reply = {};
     RetryOrFail(false, ErrorKind::kAnswerCut, truncation);
     return;
   }
-  const bool failed = status >= kFirstServerError;
+  const bool failed = m_reply.Head().status >= kFirstServerError;
   EndAttempt(failed ? HealthSignal::kFailed : HealthSignal::kAnswered);
-  if (IsEventStream()) {
+  if (m_reply.IsEventStream()) {
     FinishStream();
     return;
   }
@@ -508,11 +395,10 @@
     return;
   }
   // An idle connection may have been dropped by the peer without notice.
-  const bool stale = m_connection->WasUsedBefore() && !m_reply_started;
-  const bool has_started = m_reply_started;
+  const bool has_started = m_reply.HasStarted();
+  const bool stale = m_connection->WasUsedBefore() && !has_started;
   CountResponse("connection_broken");
   EndAttempt(stale ? HealthSignal::kRefused : HealthSignal::kFailed);
-  m_reply = {};
   RetryOrFail(
       false,
       has_started ? ErrorKind::kAnswerCut : ErrorKind::kBackendServerCrashed,
@@ -533,19 +419,18 @@
   const state::BackendServerId id = m_placement->server.id;
   // The duration of plain calls varies too much for one call that times out to
   // indicate a failing backend server.
-  const bool is_ejected = m_route->kind == state::CallKind::kStream &&
-                          m_context->health.OnResponseTimeout(
-                              id, m_sent_at, m_context->loop->Now());
+  const bool is_ejected =
+      m_call.IsStream() && m_context->health.OnResponseTimeout(
+                               id, m_sent_at, m_context->loop->Now());
   LogInfo("attempt_idle_timeout",
-          {{"id", m_call.attempt_id},
+          {{"id", m_call.metadata.attempt_id},
            {"backend", id.value},
-           {"begun", m_reply_started ? "true" : "false"},
+           {"begun", m_reply.HasStarted() ? "true" : "false"},
            {"spared", is_ejected ? "true" : "false"},
            {"repeats", will_retry ? "true" : "false"}});
   if (!will_retry) return;
-  AbortAttempt(m_route->kind == state::CallKind::kStream
-                   ? HealthSignal::kRefused
-                   : HealthSignal::kFailed);
+  AbortAttempt(m_call.IsStream() ? HealthSignal::kRefused
+                                 : HealthSignal::kFailed);
   Place();
 }
 
@@ -558,7 +443,7 @@
   if (m_context->health.OnSignal(id, signal, m_context->loop->Now())) {
     LogWarn("backend_ejected",
             {{"backend", id.value},
-             {"id", m_call.attempt_id},
+             {"id", m_call.metadata.attempt_id},
              {"failure_share",
               std::to_string(m_context->health.FailureShare(id))}});
   }
@@ -572,27 +457,28 @@
 }
 
 bool Exchange::TakeRetryToken() {
-  return m_counts.sends == 0 || m_context->RetryBudgetFor(m_service->id).Take();
+  return m_counts.sends == 0 ||
+         m_context->RetryBudgetFor(m_call.service->id).Take();
 }
 
 void Exchange::RetryOrFail(bool not_run, ErrorKind kind, const char* reason) {
   const bool will_retry =
       Policy().MayRetry(m_counts, not_run, TimeLeft()) && TakeRetryToken();
   std::vector<LogField> fields = {
-      {"id", m_call.attempt_id},
+      {"id", m_call.metadata.attempt_id},
       {"backend", m_placement->server.id.value},
       {"reason", reason},
       {"not_run", not_run ? "true" : "false"},
       {"repeats", will_retry ? "true" : "false"},
       {"left_ms", std::to_string(TimeLeft().count())}};
-  std::ranges::move(ResponseFields(), std::back_inserter(fields));
+  std::ranges::move(m_reply.LogFields(), std::back_inserter(fields));
   LogInfo("attempt_failed", fields);
   if (will_retry) {
     Place();
     return;
   }
-  if (m_reply_started && !not_run && !m_head_written &&
-      m_reply.head.status >= kFirstServerError) {
+  if (m_reply.IsCompletePlain() && !not_run && !m_head_written &&
+      m_reply.Head().status >= kFirstServerError) {
     WriteBufferedReply();
     return;
   }
@@ -603,27 +489,29 @@
                          std::optional<std::size_t> length) {
   m_head_written = true;
   m_first_byte = m_context->loop->Now();
-  m_context->metrics.ObserveFirstByte(
-      m_workspace != nullptr ? m_workspace->id.value : "",
-      *m_first_byte - m_request.received);
+  m_context->metrics.ObserveFirstByte(m_call.WorkspaceName(),
+                                      *m_first_byte - m_request.received);
   m_output.write(EncodeHead(head, length, m_output.closes_connection()));
 }
 
 void Exchange::WriteBufferedReply() {
-  const std::string outcome = "answered_" + std::to_string(m_reply.head.status);
-  WriteHead(m_reply.head, m_reply.body.size());
+  WriteHead(m_reply.Head(), m_reply.Body().size());
   if (m_ended) return;
-  m_output.write(std::move(m_reply.body));
-  Finish(End::kComplete, outcome);
+  m_output.write(m_reply.Body());
+  FinishAnswered();
 }
 
 void Exchange::FinishStream() {
-  const std::string rest = m_events.Partial();
-  if (!m_head_written) WriteHead(m_reply.head, std::nullopt);
+  if (!m_head_written) WriteHead(m_reply.Head(), std::nullopt);
   if (m_ended) return;
+  const std::string& rest = m_reply.Rest();
   std::string bytes = rest.empty() ? "" : EncodeChunk(rest);
   m_output.write(bytes.append(kLastChunk));
-  Finish(End::kComplete, "answered_" + std::to_string(m_reply.head.status));
+  FinishAnswered();
+}
+
+void Exchange::FinishAnswered() {
+  Finish(End::kComplete, "answered_" + std::to_string(m_reply.Head().status));
 }
 
 void Exchange::Fail(protocol::Error error) {
@@ -648,8 +536,8 @@
   if (m_waiter_id != 0) {
     m_context->queue.Remove(std::exchange(m_waiter_id, 0));
   }
-  AbortAttempt(m_reply_started ? HealthSignal::kRefused
-                               : HealthSignal::kFailed);
+  AbortAttempt(m_reply.HasStarted() ? HealthSignal::kRefused
+                                    : HealthSignal::kFailed);
   Fail({m_counts.runs > 0 ? ErrorKind::kDeadlineExceeded
                           : ErrorKind::kDeadlineTooShort,
         "",
@@ -671,8 +559,7 @@
   if (m_cache_lookup) m_context->prompt_directory.Cancel(*m_cache_lookup);
   if (m_waiter_id != 0) m_context->queue.Remove(std::exchange(m_waiter_id, 0));
   const auto now = m_context->loop->Now();
-  const std::string workspace =
-      m_workspace != nullptr ? m_workspace->id.value : "";
+  const std::string workspace = m_call.WorkspaceName();
   const bool answered = outcome.starts_with("answered");
   if (answered) m_context->retry_after_scheduler.OnAnswered(now);
   m_context->metrics.CountCall(workspace, answered ? "" : outcome);
@@ -681,17 +568,17 @@
     return std::to_string(ToMilliseconds(time - m_request.received).count());
   };
   std::vector<LogField> fields = {
-      {"id", m_call.attempt_id},
+      {"id", m_call.metadata.attempt_id},
       {"outcome", outcome},
-      {"route", m_route != nullptr ? m_route->name : "-"},
+      {"route", m_call.route != nullptr ? m_call.route->name : "-"},
       {"workspace", workspace.empty() ? "-" : workspace},
-      {"config", std::to_string(m_config ? m_config->version : 0)},
+      {"config", std::to_string(m_call.config ? m_call.config->version : 0)},
       {"sends", std::to_string(m_counts.sends)},
       {"may_have_run", std::to_string(m_counts.runs)},
       {"first_byte_ms", m_first_byte ? ms(*m_first_byte) : "-"},
       {"longest_gap_ms", std::to_string(ToMilliseconds(m_longest_gap).count())},
       {"total_ms", ms(now)}};
-  std::ranges::move(ResponseFields(), std::back_inserter(fields));
+  std::ranges::move(m_reply.LogFields(), std::back_inserter(fields));
   LogInfo("call", fields);
   m_output.on_end(end);
 }
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -9,9 +9,9 @@
 
 #include "wasabiwall/coordination/attempt_policy.h"
 #include "wasabiwall/protocol/error_kind.h"
-#include "wasabiwall/protocol/event_stream.h"
 #include "wasabiwall/transport/gateway_context.h"
-#include "wasabiwall/transport/logging.h"
+#include "wasabiwall/transport/reply_reader.h"
+#include "wasabiwall/transport/resolved_call.h"
 
 namespace wasabiwall::transport {
 
@@ -63,15 +63,7 @@
   void OnOutputDrained();
 
  private:
-  /// Response of a backend server as far as received.
-  struct Reply {
-    MessageHead head;
-    std::string body;
-  };
-
   // Admission.
-  std::optional<protocol::Error> Resolve();
-  const state::Service* ChooseService() const;
   coordination::PlacementQuery Query() const;
   /// Asks other gateways which backend servers have the prompt cached, if this
   /// one knows none.
@@ -105,9 +97,6 @@
   /// Records that the backend server leaves or asks for no calls for a time.
   void ApplyServerNotices(const ReplyMetadata& reply);
   void OnReplyBody(std::string_view data);
-  /// @return Why the stream that has ended is not complete, for logs and
-  /// metrics; null if it is complete.
-  const char* TruncationReason() const;
   void OnReplyComplete();
   void OnAttemptFailed();
   void OnConnectTimeout();
@@ -115,9 +104,6 @@
   void StartIdleTimer();
   /// Counts a response of a backend server by how it ended.
   void CountResponse(const char* end);
-  /// @return Framing of the last response, and the size of the event inside
-  /// which it has ended, for logs.
-  std::vector<LogField> ResponseFields() const;
   void EndAttempt(coordination::HealthSignal signal);
   void AbortAttempt(coordination::HealthSignal signal);
 
@@ -128,28 +114,21 @@
   bool TakeRetryToken();
 
   // Response to the caller.
-  /// @return Whether the current response is forwarded event by event.
-  bool IsEventStream() const;
-  void ForwardStream(std::string_view data);
+  void ForwardEvents(const std::string& events);
   void WriteHead(const MessageHead& head, std::optional<std::size_t> length);
   void WriteBufferedReply();
   void FinishStream();
+  void FinishAnswered();
   void Fail(protocol::Error error);
   void OnDeadline();
   void Finish(End end, const std::string& outcome);
 
   std::chrono::milliseconds TimeLeft() const;
-  int Priority() const;
 
   GatewayContext* m_context;
   GatewayRequest m_request;
   Output m_output;
-  CallMetadata m_call;
-  std::shared_ptr<const state::ServiceConfig> m_config;
-  const state::Route* m_route = nullptr;
-  const state::Workspace* m_workspace = nullptr;
-  const state::Service* m_service = nullptr;
-  coordination::TimePoint m_deadline;
+  ResolvedCall m_call;
   Timer m_deadline_timer;
   Timer m_attempt_timer;
   coordination::AdmissionQueue::WaiterId m_waiter_id = 0;
@@ -159,12 +138,8 @@
   std::optional<coordination::Placement> m_placement;
   std::vector<state::BackendServerId> m_tried_servers;
   coordination::AttemptCounts m_counts;
-  Reply m_reply;
-  bool m_reply_started = false;
-  /// Framing of the last response that has begun.
-  std::optional<BodyFraming> m_framing;
+  ReplyReader m_reply;
 
-  protocol::EventStreamSplitter m_events;
   /// Whether the head of the response has been written to the caller.
   bool m_head_written = false;
   bool m_reading_paused = false;
--- a/src/wasabiwall/transport/http1_message.cc
+++ b/src/wasabiwall/transport/http1_message.cc
@@ -11,6 +11,10 @@
 namespace wasabiwall::transport {
 namespace {
 
+/// A status is in the class of its first digit.
+constexpr int kStatusClassSize = 100;
+constexpr int kSuccessClass = 2;
+
 constexpr std::array<std::string_view, 10> kHopByHop = {
     "Connection", "Keep-Alive",        "Proxy-Connection",    "TE",
     "Trailer",    "Transfer-Encoding", "Proxy-Authorization", "Upgrade",
@@ -28,6 +32,10 @@
   return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
+bool IsSuccess(int status) {
+  return status / kStatusClassSize == kSuccessClass;
+}
+
 const char* NameOf(BodyFraming framing) {
   switch (framing) {
     case BodyFraming::kLength:
--- a/src/wasabiwall/transport/http1_message.h
+++ b/src/wasabiwall/transport/http1_message.h
@@ -51,6 +51,9 @@
 /// @return Name of a framing for logs and metrics.
 const char* NameOf(BodyFraming framing);
 
+/// @return Whether a status means success.
+bool IsSuccess(int status);
+
 /// Head of a request or response.
 struct MessageHead {
   /// Set in requests.
--- /dev/null
+++ b/src/wasabiwall/transport/reply_reader.cc
@@ -0,0 +1,75 @@
+#include "wasabiwall/transport/reply_reader.h"
+
+#include <utility>
+
+namespace wasabiwall::transport {
+namespace {
+
+/// Size limit of a response, or of one event, that is buffered in full before
+/// it is forwarded.
+constexpr std::size_t kMaxBufferedBytes = 16U << 20U;
+
+/// @return Whether the media type is that of an event stream or not stated.
+bool MayBeEventStream(const HeaderList& headers) {
+  constexpr std::string_view event_stream = "text/event-stream";
+  const std::string* type = headers.Find("Content-Type");
+  if (type == nullptr) return true;
+  return EqualsIgnoringCase(type->substr(0, event_stream.size()), event_stream);
+}
+
+}  // namespace
+
+void ReplyReader::StartCall(bool expects_stream, bool resumes) {
+  m_expects_stream = expects_stream;
+  m_resumes = resumes;
+}
+
+void ReplyReader::StartAttempt() {
+  m_head.reset();
+  m_metadata = {};
+  m_body.clear();
+  m_events.DropPartialEvent();
+  m_ended = false;
+}
+
+void ReplyReader::OnHead(MessageHead head, ReplyMetadata metadata) {
+  m_head = std::move(head);
+  m_metadata = std::move(metadata);
+}
+
+bool ReplyReader::OnBody(std::string_view data, std::string* events) {
+  if (!IsEventStream()) {
+    if (m_body.size() + data.size() > kMaxBufferedBytes) return false;
+    m_body.append(data);
+    return true;
+  }
+  *events = m_events.Feed(data);
+  m_resumes = m_resumes || !events->empty();
+  return m_events.Partial().size() <= kMaxBufferedBytes;
+}
+
+bool ReplyReader::IsEventStream() const {
+  return m_expects_stream && m_head && IsSuccess(m_head->status) &&
+         MayBeEventStream(m_head->headers);
+}
+
+const char* ReplyReader::TruncationReason() const {
+  if (!IsEventStream()) return nullptr;
+  if (m_events.IsInsideEvent()) return "ended_inside_event";
+  // An empty stream is complete only if its framing says so or there may be
+  // nothing left to resume.
+  return m_head->framing == BodyFraming::kConnectionClose && !m_resumes
+             ? "ended_without_event"
+             : nullptr;
+}
+
+const char* ReplyReader::FramingName() const {
+  return m_head ? NameOf(m_head->framing) : "none";
+}
+
+std::vector<LogField> ReplyReader::LogFields() const {
+  return {{"framing", FramingName()},
+          {"partial_bytes", std::to_string(m_events.Partial().size())}};
+}
+
+}  // namespace wasabiwall::transport
--- /dev/null
+++ b/src/wasabiwall/transport/reply_reader.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wasabiwall/protocol/event_stream.h"
+#include "wasabiwall/transport/call_codec.h"
+#include "wasabiwall/transport/logging.h"
+
+namespace wasabiwall::transport {
+
+/// Reads the responses to the attempts of one call and tells whether each is
+/// complete. Event streams are passed on event by event, and a stream that a
+/// later attempt resumes continues after the last one; anything else is
+/// buffered.
+class ReplyReader {
+ public:
+  /// @param expects_stream Whether the call asks for an event stream.
+  /// @param resumes Whether the caller resumes a stream that it has received in
+  /// part.
+  void StartCall(bool expects_stream, bool resumes);
+
+  /// Drops the response of the attempt before; keeps the last event identifier.
+  void StartAttempt();
+
+  void OnHead(MessageHead head, ReplyMetadata metadata);
+
+  /// @param events Receives the events that are complete, if it is an event
+  /// stream.
+  /// @return False if the response is too large to be buffered.
+  bool OnBody(std::string_view data, std::string* events);
+
+  /// Records that the message has ended as its framing says.
+  void OnMessageEnd() { m_ended = true; }
+
+  /// @return Whether the head has arrived.
+  bool HasStarted() const { return m_head.has_value(); }
+
+  /// @return Whether the response is passed on event by event.
+  bool IsEventStream() const;
+
+  /// @return Whether the response arrived in full and is no event stream.
+  bool IsCompletePlain() const { return m_ended && !IsEventStream(); }
+
+  /// @return Why a stream that has ended is not complete, for logs and metrics;
+  /// null if it is complete.
+  const char* TruncationReason() const;
+
+  /// Head and metadata; only after the head has arrived.
+  const MessageHead& Head() const { return *m_head; }
+  const ReplyMetadata& Metadata() const { return m_metadata; }
+
+  /// @return Body of a buffered response.
+  const std::string& Body() const { return m_body; }
+
+  /// @return Bytes after the last complete event.
+  const std::string& Rest() const { return m_events.Partial(); }
+
+  /// @return Identifier of the last event that was passed on.
+  std::optional<std::int64_t> LastEventId() const { return m_events.LastId(); }
+
+  /// @return Name of the framing, or `none` before the head has arrived.
+  const char* FramingName() const;
+
+  /// @return Framing, and size of the event inside which the response ended.
+  std::vector<LogField> LogFields() const;
+
+ private:
+  bool m_expects_stream = false;
+  /// Whether a stream may be complete without further events.
+  bool m_resumes = false;
+  std::optional<MessageHead> m_head;
+  ReplyMetadata m_metadata;
+  std::string m_body;
+  protocol::EventStreamSplitter m_events;
+  bool m_ended = false;
+};
+
+}  // namespace wasabiwall::transport
