Log an unreadable request for quiet once, and name incarnations once

The codec of the platform logged a Retry-After that is no number of seconds each time it decoded the head, at least twice a response, without saying whose it was.

Start time and address, which tell incarnations apart, were compared in three places; they are one type, state::Incarnation.

--- a/src/wasabiwall/coordination/hold_off_table.cc
+++ b/src/wasabiwall/coordination/hold_off_table.cc
@@ -23,8 +23,7 @@
   const auto found = m_entries.find(server.id);
   const bool same_incarnation =
       found != m_entries.end() &&
-      found->second.incarnation == server.incarnation &&
-      found->second.address == server.address;
+      found->second.incarnation == state::IncarnationOf(server);
   return same_incarnation ? &found->second : nullptr;
 }
 
@@ -39,7 +38,7 @@
   const Entry* known = Find(server);
   TimePoint until = now + limited + delay;
   if (known != nullptr) until = std::max(until, known->until);
-  m_entries[server.id] = {server.incarnation, server.address, until, {}};
+  m_entries[server.id] = {state::IncarnationOf(server), until, {}};
   return TimeLeft(server, now);
 }
 
--- a/src/wasabiwall/coordination/hold_off_table.h
+++ b/src/wasabiwall/coordination/hold_off_table.h
@@ -1,10 +1,9 @@
 #pragma once
 
 #include <chrono>
-#include <cstdint>
 #include <optional>
-#include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "wasabiwall/coordination/clock.h"
 #include "wasabiwall/state/backend_registry.h"
@@ -48,8 +47,7 @@
 
  private:
   struct Entry {
-    std::int64_t incarnation = 0;
-    std::string address;
+    state::Incarnation incarnation;
     TimePoint until;
     /// When the first call after the end was sent.
     std::optional<TimePoint> probe_sent;
--- a/src/wasabiwall/state/backend_registry.cc
+++ b/src/wasabiwall/state/backend_registry.cc
@@ -18,8 +18,7 @@
   const auto found = m_servers.find(server.id);
   const bool same_incarnation =
       found != m_servers.end() &&
-      found->second.server.incarnation == server.incarnation &&
-      found->second.server.address == server.address;
+      IncarnationOf(found->second.server) == IncarnationOf(server);
   if (same_incarnation) {
     found->second.server = server;
     found->second.cold_until =
@@ -89,7 +88,7 @@
 bool BackendRegistry::MarkLeaving(const BackendServer& server,
                                   MonotonicTime now) {
   const bool is_news = !IsLeaving(server);
-  m_leaving[server.id] = {server.incarnation, server.address, now};
+  m_leaving[server.id] = {IncarnationOf(server), now};
   if (is_news) ++m_revision;
   return is_news;
 }
@@ -97,8 +96,7 @@
 bool BackendRegistry::IsLeaving(const BackendServer& server) const {
   const auto found = m_leaving.find(server.id);
   return found != m_leaving.end() &&
-         found->second.incarnation == server.incarnation &&
-         found->second.address == server.address;
+         found->second.incarnation == IncarnationOf(server);
 }
 
 void BackendRegistry::ExtendCold(const BackendServerId& id,
--- a/src/wasabiwall/state/backend_registry.h
+++ b/src/wasabiwall/state/backend_registry.h
@@ -33,6 +33,19 @@
   std::chrono::milliseconds cold_left{0};
 };
 
+/// One run of a backend server from its start to its end.
+struct Incarnation {
+  std::int64_t start = 0;
+  std::string address;
+
+  bool operator==(const Incarnation&) const = default;
+};
+
+/// @return The incarnation that an entry describes.
+inline Incarnation IncarnationOf(const BackendServer& server) {
+  return {server.incarnation, server.address};
+}
+
 /// Registry entry of a backend server with the state that this process keeps
 /// about it.
 struct KnownBackendServer {
@@ -122,8 +135,7 @@
  private:
   /// An incarnation that has announced that it leaves.
   struct LeavingMark {
-    std::int64_t incarnation = 0;
-    std::string address;
+    Incarnation incarnation;
     /// When it was last known to exist.
     MonotonicTime last_known;
   };
--- a/src/wasabiwall/transport/call_codec.h
+++ b/src/wasabiwall/transport/call_codec.h
@@ -54,6 +54,8 @@
   /// Time for which the backend server, turning the call away, asks this
   /// process for no further calls.
   std::optional<std::chrono::milliseconds> hold_off;
+  /// Such a request that could not be read, for the log; empty if none.
+  std::string unreadable_hold_off;
   std::optional<coordination::ReportedLoad> load;
   /// Remaining time of the backend server's cold start.
   std::optional<std::chrono::milliseconds> cold_left;
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -299,6 +299,11 @@
              {"id", m_call.metadata.attempt_id},
              {"revision", std::to_string(m_context->registry.Revision())}});
   }
+  if (!reply.unreadable_hold_off.empty()) {
+    LogWarn("retry_after_ignored", {{"backend", server.id.value},
+                                    {"id", m_call.metadata.attempt_id},
+                                    {"value", reply.unreadable_hold_off}});
+  }
   if (!reply.hold_off) {
     m_context->hold_offs.OnAnswer(server, now);
     return;
--- a/tests/platform/call_codec_test.cc
+++ b/tests/platform/call_codec_test.cc
@@ -33,6 +33,8 @@
                                   "Fri, 04 Dec 2026 09:00:00 GMT"}) {
     CAPTURE(value);
     CHECK_FALSE(Decode(503, "Retry-After", value).hold_off);
+    CHECK_FALSE(Decode(503, "Retry-After", value).unreadable_hold_off.empty());
+    CHECK(Decode(200, "Retry-After", value).unreadable_hold_off.empty());
   }
 }
 
