--- a/tests/fakes/gateway_fixture.h
+++ b/tests/fakes/gateway_fixture.h
@@ -23,6 +23,8 @@
 
   void Send(const std::string& bytes) { m_tcp->Write(bytes); }
   void Reset() { m_tcp->Reset(); }
+  /// Closes the connection in order once all bytes are sent.
+  void Close() { m_tcp->CloseAfterWrites(); }
 
   const std::string& Received() const { return m_received; }
   bool Ended() const { return m_ended; }
--- a/tests/gateway/response_framing_test.cc
+++ b/tests/gateway/response_framing_test.cc
@@ -9,6 +9,15 @@
 
 using std::chrono::milliseconds;
 
+/// @return A script that answers each call with the same bytes and closes the
+/// connection in order.
+ScriptedBackend::Script WriteAndClose(const std::string& bytes) {
+  return [bytes](const ScriptedBackend::Received& call) {
+    call.session->Write(bytes);
+    call.session->Close();
+  };
+}
+
 TEST_CASE("a response without a length that ends in a reset is not forwarded") {
   GatewayFixture fixture;
   transport::Timer later(&fixture.loop);
@@ -35,10 +44,8 @@
 
 TEST_CASE("a response without a length that ends in order is forwarded whole") {
   GatewayFixture fixture;
-  fixture.AddBackend("b", [&](const ScriptedBackend::Received& call) {
-    call.session->Write("HTTP/1.1 200 OK\r\nAttempt: a1\r\n\r\nall");
-    call.session->Close();
-  });
+  fixture.AddBackend(
+      "b", WriteAndClose("HTTP/1.1 200 OK\r\nAttempt: a1\r\n\r\nall"));
   TestClient& client = fixture.Call("/once/x", "a1");
   REQUIRE(fixture.RunUntil([&] { return client.Has("all"); }));
   CHECK(client.Status() == 200);
@@ -61,11 +68,9 @@
   for (std::size_t cut = 1; cut < kSecondEvent.size(); ++cut) {
     CAPTURE(cut);
     GatewayFixture fixture;
-    fixture.AddBackend("b", [&](const ScriptedBackend::Received& call) {
-      call.session->Write(UnframedStreamHead("a1") + kFirstEvent +
-                          kSecondEvent.substr(0, cut));
-      call.session->Close();
-    });
+    fixture.AddBackend("b",
+                       WriteAndClose(UnframedStreamHead("a1") + kFirstEvent +
+                                     kSecondEvent.substr(0, cut)));
     TestClient& client = fixture.Call("/talk/x", "a1");
     REQUIRE(fixture.RunUntil(
         [&] { return client.Ended() || client.Has("0\r\n\r\n"); }));
@@ -78,10 +83,8 @@
 
 TEST_CASE("a stream that closes inside its first event is an error") {
   GatewayFixture fixture;
-  fixture.AddBackend("b", [&](const ScriptedBackend::Received& call) {
-    call.session->Write(UnframedStreamHead("a1") + "id: 1\nda");
-    call.session->Close();
-  });
+  fixture.AddBackend("b",
+                     WriteAndClose(UnframedStreamHead("a1") + "id: 1\nda"));
   TestClient& client = fixture.Call("/talk/x", "a1");
   REQUIRE(fixture.RunUntil([&] { return client.Status() != 0; }));
   CHECK(client.Status() == 502);
@@ -89,10 +92,7 @@
 
 TEST_CASE("a stream that closes before its first event is an error") {
   GatewayFixture fixture;
-  fixture.AddBackend("b", [&](const ScriptedBackend::Received& call) {
-    call.session->Write(UnframedStreamHead("a1"));
-    call.session->Close();
-  });
+  fixture.AddBackend("b", WriteAndClose(UnframedStreamHead("a1")));
   TestClient& client = fixture.Call("/talk/x", "a1");
   REQUIRE(fixture.RunUntil([&] { return client.Status() != 0; }));
   CHECK(client.Status() == 502);
@@ -154,11 +154,8 @@
 
 TEST_CASE("a stream that closes after an event is complete") {
   GatewayFixture fixture;
-  fixture.AddBackend("b", [&](const ScriptedBackend::Received& call) {
-    call.session->Write(UnframedStreamHead("a1") + kFirstEvent + kSecondEvent +
-                        ": bye\n");
-    call.session->Close();
-  });
+  fixture.AddBackend("b", WriteAndClose(UnframedStreamHead("a1") + kFirstEvent +
+                                        kSecondEvent + ": bye\n"));
   TestClient& client = fixture.Call("/talk/x", "a1");
   REQUIRE(fixture.RunUntil([&] { return client.Has("0\r\n\r\n"); }));
   CHECK(client.Has(kSecondEvent));
@@ -226,10 +223,7 @@
              transport::EncodeChunk(event);
     counter = R"({end="connection_broken",framing="chunked"} 1)";
   }
-  fixture.AddBackend("b", [&](const ScriptedBackend::Received& call) {
-    call.session->Write(answer);
-    call.session->Close();
-  });
+  fixture.AddBackend("b", WriteAndClose(answer));
   fixture.Call("/talk/x", "a1");
   const auto metrics = [&] { return fixture.context.metrics.Text(); };
   CHECK(fixture.RunUntil([&] {
--- a/tests/gateway/stream_test.cc
+++ b/tests/gateway/stream_test.cc
@@ -3,7 +3,6 @@
 #include <catch2/catch.hpp>
 
 #include "fakes/gateway_fixture.h"
-#include "wasabiwall/protocol/event_stream.h"
 
 namespace wasabiwall::fakes {
 namespace {
@@ -14,62 +13,6 @@
   return *call.head.headers.Find("Attempt");
 }
 
-TEST_CASE(
-    "a stream is split at the ends of events, whatever parts it arrives in") {
-  const std::string stream =
-      "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
-  for (std::size_t size = 1; size <= stream.size(); ++size) {
-    protocol::EventStreamSplitter splitter;
-    std::string passed;
-    for (std::size_t at = 0; at < stream.size(); at += size) {
-      passed += splitter.Feed(stream.substr(at, size));
-    }
-    CHECK(passed == stream);
-    CHECK(splitter.Partial().empty());
-    CHECK(splitter.LastId() == 3);
-  }
-}
-
-TEST_CASE("a stream whose lines end in carriage returns is split into events") {
-  const std::string stream = "id: 1\rdata: a\r\rid: 2\rdata: b\r\r";
-  for (std::size_t size = 1; size <= stream.size(); ++size) {
-    CAPTURE(size);
-    protocol::EventStreamSplitter splitter;
-    std::string passed;
-    for (std::size_t at = 0; at < stream.size(); at += size) {
-      passed += splitter.Feed(stream.substr(at, size));
-    }
-    CHECK(passed == stream);
-    CHECK(splitter.Partial().empty());
-    CHECK(splitter.LastId() == 2);
-  }
-}
-
-TEST_CASE("empty lines and comments after the last event belong to no event") {
-  const std::string event = "id: 1\ndata: a\n\n";
-  for (const std::string rest :
-       {"", "\n", "\r\n", "\r", ": bye\n", ": bye\r\n\n", "\n:\n"}) {
-    CAPTURE(rest);
-    protocol::EventStreamSplitter splitter;
-    splitter.Feed(event + rest);
-    CHECK_FALSE(splitter.IsInsideEvent());
-  }
-  for (const std::string rest : {"i", "data: b", "data: b\n", "\ndata: b\r\n",
-                                 ": bye\nid: 2\n", ": by"}) {
-    CAPTURE(rest);
-    protocol::EventStreamSplitter splitter;
-    splitter.Feed(event + rest);
-    CHECK(splitter.IsInsideEvent());
-  }
-}
-
-TEST_CASE("events that were forwarded before are dropped after a resumption") {
-  protocol::EventStreamSplitter splitter;
-  CHECK(splitter.Feed("id: 1\n\nid: 2\n\nid: 3\nda") == "id: 1\n\nid: 2\n\n");
-  splitter.DropPartialEvent();
-  CHECK(splitter.Feed("id: 2\n\nid: 3\n\n") == "id: 3\n\n");
-}
-
 TEST_CASE(
     "a resumable stream that breaks off resumes after its last complete "
     "event") {
