Look for the end mark whatever a chat answer's media type looks like

The side process looked for `data: [DONE]` only where the engine's media type began with exactly "text/event-stream". An engine that writes it in capitals, or sends none, had its cut answers counted as complete.

Whether a response is an event stream was decided in three places in two ways; it is one function now, which ignores case, and takes a call that asks for a stream at its word where no type is stated. The entry forwards such answers event by event, too. Test: backend_runner_test, two of three checks failed before.

--- a/src/wasabiwall/protocol/event_stream.cc
+++ b/src/wasabiwall/protocol/event_stream.cc
@@ -1,5 +1,7 @@
 #include "wasabiwall/protocol/event_stream.h"
 
+#include <strings.h>
+
 #include <charconv>
 
 namespace wasabiwall::protocol {
@@ -45,6 +47,14 @@
 
 }  // namespace
 
+bool MayBeEventStream(std::string_view media_type) {
+  constexpr std::string_view event_stream = "text/event-stream";
+  if (media_type.empty()) return true;
+  return media_type.size() >= event_stream.size() &&
+         strncasecmp(media_type.data(), event_stream.data(),
+                     event_stream.size()) == 0;
+}
+
 std::size_t CompleteEventsSize(std::string_view data) {
   std::size_t size = 0;
   while (true) {
--- a/src/wasabiwall/protocol/event_stream.h
+++ b/src/wasabiwall/protocol/event_stream.h
@@ -7,6 +7,11 @@
 
 namespace wasabiwall::protocol {
 
+/// @param media_type Value of a Content-Type field; empty if none was sent.
+/// @return Whether the response to a call that asks for an event stream is one:
+/// its media type says so, or says nothing.
+bool MayBeEventStream(std::string_view media_type);
+
 /// @return Size of the complete events at the start of `data`.
 std::size_t CompleteEventsSize(std::string_view data);
 
--- a/src/wasabiwall/transport/backend_runner.cc
+++ b/src/wasabiwall/transport/backend_runner.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "wasabiwall/protocol/event_stream.h"
+#include "wasabiwall/transport/http1_message.h"
 #include "wasabiwall/transport/http_client.h"
 
 namespace wasabiwall::transport {
@@ -36,11 +37,14 @@
 
 /// Why a response that arrived is no answer.
 std::optional<ErrorKind> FaultOf(const HttpResponse& response, bool saw_end,
-                                 bool idempotent) {
+                                 const protocol::gen::SubmitRequest& request) {
   // What a non-idempotent call answered is its outcome, whatever the status.
-  if (!idempotent) return std::nullopt;
+  if (!request.idempotent) return std::nullopt;
   if (response.status >= 500) return ErrorKind::kBackendServerFailed;
-  const bool stream = response.content_type.rfind("text/event-stream", 0) == 0;
+  const bool typed = !response.content_type.empty();
+  const bool stream =
+      protocol::MayBeEventStream(response.content_type) &&
+      (typed || (request.streaming && IsSuccess(response.status)));
   if (stream && !saw_end) return ErrorKind::kAnswerCut;
   return std::nullopt;
 }
@@ -109,8 +113,7 @@
     return;
   }
   const bool saw_end = protocol::EndsWithDoneMark(tail);
-  const std::optional<ErrorKind> fault =
-      FaultOf(*response, saw_end, request.idempotent);
+  const std::optional<ErrorKind> fault = FaultOf(*response, saw_end, request);
   answer->Finish(fault ? RowOf(*fault).name : "", "");
 }
 
--- a/src/wasabiwall/transport/call_driver.cc
+++ b/src/wasabiwall/transport/call_driver.cc
@@ -49,7 +49,9 @@
         m_response(response),
         m_plan(driver->m_entry->MakePlan(call)),
         m_clock(coordination::SteadyClock()),
-        m_started(m_clock()) {}
+        m_started(m_clock()),
+        m_content_type(call.streaming ? "text/event-stream"
+                                      : "application/json") {}
 
   CallOutcome Drive() {
     Step step = m_plan.Start(m_clock());
@@ -211,7 +213,7 @@
   }
 
   bool IsEventStream() const {
-    return m_content_type.starts_with("text/event-stream");
+    return protocol::MayBeEventStream(m_content_type);
   }
 
   void NoteTime() {
@@ -260,7 +262,7 @@
   std::string m_body;
   /// The unfinished event at the end of what a streamed answer has so far.
   std::string m_unwritten;
-  std::string m_content_type = "application/json";
+  std::string m_content_type;
   int m_status = 200;
   bool m_begun = false;
 };
--- a/src/wasabiwall/transport/reply_reader.cc
+++ b/src/wasabiwall/transport/reply_reader.cc
@@ -9,14 +9,6 @@
 /// it is forwarded.
 constexpr std::size_t kMaxBufferedBytes = 16U << 20U;
 
-/// @return Whether the media type is that of an event stream or not stated.
-bool MayBeEventStream(const HeaderList& headers) {
-  constexpr std::string_view event_stream = "text/event-stream";
-  const std::string* type = headers.Find("Content-Type");
-  if (type == nullptr) return true;
-  return EqualsIgnoringCase(type->substr(0, event_stream.size()), event_stream);
-}
-
 }  // namespace
 
 void ReplyReader::StartCall(bool expects_stream, bool resumes) {
@@ -49,8 +41,9 @@
 }
 
 bool ReplyReader::IsEventStream() const {
-  return m_expects_stream && m_head && IsSuccess(m_head->status) &&
-         MayBeEventStream(m_head->headers);
+  if (!m_expects_stream || !m_head || !IsSuccess(m_head->status)) return false;
+  const std::string* type = m_head->headers.Find("Content-Type");
+  return protocol::MayBeEventStream(type != nullptr ? *type : "");
 }
 
 const char* ReplyReader::TruncationReason() const {
--- a/tests/transport/backend_runner_test.cc
+++ b/tests/transport/backend_runner_test.cc
@@ -13,10 +13,11 @@
 
 /// @return Error kind of an attempt at an engine that streams `answer` and then
 /// ends its response; empty for a complete answer.
-std::string ErrorAfter(const std::string& answer, int port) {
+std::string ErrorAfter(const std::string& answer, int port,
+                       const std::string& type = "text/event-stream") {
   HttpServer engine({.address = fakes::TestAddress(port)},
                     [&](const auto&, const auto& response) {
-                      response->Begin(200, "text/event-stream");
+                      response->Begin(200, type);
                       response->Write(answer);
                       response->End();
                     });
@@ -27,6 +28,7 @@
   request.method = "POST";
   request.path = "/v1/chat/completions";
   request.idempotent = true;
+  request.streaming = true;
   request.deadline_ms = kTimeout.count();
   const auto attempt = std::make_shared<state::Attempt>();
   std::promise<void> ended;
@@ -46,5 +48,14 @@
         "answer_cut");
 }
 
+TEST_CASE("a cut chat answer is cut however its media type is written",
+          "[runner]") {
+  const std::string event = "data: {\"text\":\"a\"}\n\n";
+  CHECK(ErrorAfter(event, 12, "Text/Event-Stream; charset=utf-8") ==
+        "answer_cut");
+  CHECK(ErrorAfter(event, 13, "") == "answer_cut");
+  CHECK(ErrorAfter("{}", 14, "application/json").empty());
+}
+
 }  // namespace
 }  // namespace wasabiwall::transport
