Log a fingerprint that all repeats of a request share

The logs could not tell whether two calls were the same request, so the three hypotheses (no memory of what a request did; retries inside one call; a limit that each gateway counts alone) looked alike.

The function is that of the side processes' quarantine, moved to a file of its own and taking any number of parts; its value for (workspace, body) is unchanged.

--- a/src/wasabiwall/coordination/entry_node.cc
+++ b/src/wasabiwall/coordination/entry_node.cc
@@ -7,6 +7,7 @@
 
 #include "wasabiwall/coordination/idempotency_ledger.h"
 #include "wasabiwall/coordination/quarantine.h"
+#include "wasabiwall/coordination/request_fingerprint.h"
 #include "wasabiwall/coordination/routing_policies.h"
 #include "wasabiwall/coordination/shard_ownership.h"
 #include "wasabiwall/protocol/chat_request.h"
@@ -87,7 +88,7 @@
   PlannedCall planned;
   planned.streaming = chat->streaming;
   planned.spec = {.idempotent = true, .deadline = m_hooks.clock() + m_deadline};
-  const std::string fingerprint = FingerprintOf(workspace->value, call.body);
+  const std::string fingerprint = FingerprintOf({workspace->value, call.body});
   if (m_crashes.Count(fingerprint, m_hooks.clock()) >= kQuarantineCrashes) {
     return Fail(ErrorKind::kQuarantined);
   }
@@ -155,8 +156,8 @@
   planned.request.idempotent = declared->idempotent;
   planned.request.idempotency_key = call.idempotency_key;
   if (declared->idempotent) {
-    planned.request.fingerprint = FingerprintOf(
-        workspace->value, planned.request.path + "\n" + call.body);
+    planned.request.fingerprint =
+        FingerprintOf({workspace->value, planned.request.path, call.body});
   }
   planned.request.body_digest = state::Sha256Hex(
       call.method + "\n" + planned.request.path + "\n" + call.body);
--- a/src/wasabiwall/coordination/quarantine.cc
+++ b/src/wasabiwall/coordination/quarantine.cc
@@ -2,12 +2,9 @@
 
 #include <utility>
 
-#include "wasabiwall/state/digest.h"
-
 namespace wasabiwall::coordination {
 namespace {
 
-constexpr std::size_t kFingerprintDigits = 32;
 constexpr std::chrono::milliseconds kCrashCooldown{500};
 
 }  // namespace
@@ -101,10 +98,4 @@
   return m_waiting.size();
 }
 
-std::string FingerprintOf(const std::string& workspace,
-                          const std::string& body) {
-  const std::string digest = state::Sha256Hex(workspace + "\n" + body);
-  return digest.substr(0, kFingerprintDigits);
-}
-
 }  // namespace wasabiwall::coordination
--- a/src/wasabiwall/coordination/quarantine.h
+++ b/src/wasabiwall/coordination/quarantine.h
@@ -87,9 +87,4 @@
   std::unordered_map<std::string, TimePoint> m_crashed_here;
 };
 
-/// @return Fingerprint of a request: the first 32 hex digits of a SHA-256 over
-/// workspace and body.
-std::string FingerprintOf(const std::string& workspace,
-                          const std::string& body);
-
 }  // namespace wasabiwall::coordination
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <utility>
 
+#include "wasabiwall/coordination/request_fingerprint.h"
 #include "wasabiwall/transport/local_reply.h"
 #include "wasabiwall/transport/logging.h"
 
@@ -51,6 +52,7 @@
     Fail(*error);
     return;
   }
+  m_fingerprint = FingerprintOfRequest();
   const bool resumes = m_request.head.headers.Find(kLastEventId) != nullptr;
   m_reply.StartCall(m_call.IsStream(), resumes);
   m_deadline_timer.Start(TimeLeft(), [this] { OnDeadline(); });
@@ -58,6 +60,13 @@
   if (!LookUpCacheHolders()) Place();
 }
 
+std::string Exchange::FingerprintOfRequest() const {
+  const std::string* host = m_request.head.headers.Find("Host");
+  return coordination::FingerprintOf(
+      {m_call.WorkspaceName(), m_request.head.method,
+       host == nullptr ? "" : *host, m_request.head.target, m_request.body});
+}
+
 milliseconds Exchange::TimeLeft() const {
   return ToMilliseconds(m_call.deadline - m_context->loop->Now());
 }
@@ -472,6 +481,7 @@
   std::vector<LogField> fields = {
       {"id", m_call.metadata.attempt_id},
       {"backend", m_placement->server.id.value},
+      {"fingerprint", m_fingerprint},
       {"reason", reason},
       {"not_run", not_run ? "true" : "false"},
       {"repeats", will_retry ? "true" : "false"},
@@ -574,6 +584,7 @@
   };
   std::vector<LogField> fields = {
       {"id", m_call.metadata.attempt_id},
+      {"fingerprint", m_fingerprint.empty() ? "-" : m_fingerprint},
       {"outcome", outcome},
       {"route", m_call.route != nullptr ? m_call.route->name : "-"},
       {"workspace", workspace.empty() ? "-" : workspace},
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -123,12 +123,15 @@
   void OnDeadline();
   void Finish(End end, const std::string& outcome);
 
+  std::string FingerprintOfRequest() const;
   std::chrono::milliseconds TimeLeft() const;
 
   GatewayContext* m_context;
   GatewayRequest m_request;
   Output m_output;
   ResolvedCall m_call;
+  /// Empty until the call has been resolved.
+  std::string m_fingerprint;
   Timer m_deadline_timer;
   Timer m_attempt_timer;
   coordination::AdmissionQueue::WaiterId m_waiter_id = 0;
--- a/tests/coordination/quarantine_test.cc
+++ b/tests/coordination/quarantine_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "fakes/virtual_fleet.h"
+#include "wasabiwall/coordination/request_fingerprint.h"
 
 namespace wasabiwall::coordination {
 
@@ -125,7 +126,7 @@
   CHECK(records.Size() == 1);
   CHECK(records.Count(request_fingerprint, start + milliseconds(1000)) == 0);
   for (int i = 0; i < 100; ++i) {
-    records.Add(FingerprintOf("w", std::to_string(i)), i, start);
+    records.Add(FingerprintOf({"w", std::to_string(i)}), i, start);
   }
   CHECK(records.Size() == 10);
   CHECK(records.TakeForPeers(4, start).size() == 4);
