--- a/src/wasabiwall/transport/async_http_client.cc
+++ b/src/wasabiwall/transport/async_http_client.cc
@@ -13,7 +13,13 @@
 struct AsyncHttpClient::PendingCall {
   explicit PendingCall(EventLoop* loop) : timer(loop) {}
 
-  void Finish(std::optional<HttpReply> result) {
+  void Succeed() { Finish(std::move(reply)); }
+
+  void Fail() {
+    Finish(tl::make_unexpected(HttpCallFailure{reply.body.size()}));
+  }
+
+  void Finish(tl::expected<HttpReply, HttpCallFailure> result) {
     timer.Stop();
     const auto handler = std::exchange(on_reply, nullptr);
     if (handler) handler(std::move(result));
@@ -60,7 +66,7 @@
   bytes.append("\r\n").append(body);
   call->timer.Start(timeout, [call] {
     call->connection->Close();
-    call->Finish(std::nullopt);
+    call->Fail();
   });
   call->connection->Send(
       [bytes = std::move(bytes)] { return bytes; }, true,
@@ -74,9 +80,9 @@
        .on_complete =
            [this, call] {
              m_pool.Release(call->connection);
-             call->Finish(std::move(call->reply));
+             call->Succeed();
            },
-       .on_failed = [call] { call->Finish(std::nullopt); }});
+       .on_failed = [call] { call->Fail(); }});
 }
 
 }  // namespace wasabiwall::transport
--- a/src/wasabiwall/transport/async_http_client.h
+++ b/src/wasabiwall/transport/async_http_client.h
@@ -3,8 +3,8 @@
 #include <chrono>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
+#include <tl/expected.hpp>
 #include <vector>
 
 #include "wasabiwall/transport/backend_pool.h"
@@ -17,12 +17,18 @@
   std::string body;
 };
 
+/// A call of AsyncHttpClient that failed or timed out.
+struct HttpCallFailure {
+  /// Bytes of the body that had arrived by then.
+  std::size_t received_bytes = 0;
+};
+
 /// Sends requests to one HTTP service on an event loop, over pooled
 /// connections.
 class AsyncHttpClient {
  public:
-  /// Receives the response, or nothing if the call failed or timed out.
-  using ReplyHandler = std::function<void(std::optional<HttpReply>)>;
+  using ReplyHandler =
+      std::function<void(tl::expected<HttpReply, HttpCallFailure>)>;
 
   AsyncHttpClient(EventLoop* loop, const std::string& address);
 
--- a/src/wasabiwall/transport/gateway.cc
+++ b/src/wasabiwall/transport/gateway.cc
@@ -194,6 +194,11 @@
       "wasabiwall_config_version",
       static_cast<double>(m_context->Config() ? m_context->Config()->version
                                               : 0));
+  if (m_context->store_confirmed_at) {
+    const std::chrono::duration<double> age =
+        m_context->loop->Now() - *m_context->store_confirmed_at;
+    m_context->metrics.SetGauge("wasabiwall_store_age_seconds", age.count());
+  }
   m_context->metrics.SetGauge(
       "wasabiwall_backend_connections_opened",
       static_cast<double>(m_context->connections.OpenedTotal()));
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -115,6 +115,8 @@
   BackendPool connections;
   coordination::BackendPlacement placement;
   Metrics metrics;
+  /// When the store last answered a read or watch.
+  std::optional<coordination::TimePoint> store_confirmed_at;
   /// Whether the process has been told to stop.
   bool stopping = false;
   /// Set while stopping and out of rotation: latest time at which the process
