Test requests that end backend servers and come again; known red

A request that ends each backend server that runs it comes again from other callers' connections with new attempt identifiers, once through one gateway and once through two in turn. On today's code all six backend servers end, for each of the four kinds of route, and calls of others get 503 afterwards.

--- /dev/null
+++ b/tests/gateway/crashing_request_test.cc
@@ -0,0 +1,103 @@
+// Requests that end the backend servers that run them, and their repeats.
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "fakes/gateway_fixture.h"
+
+namespace wasabiwall::fakes {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kCallers = 8;
+/// What the promises page allows for a request whose copies come one by one.
+constexpr int kMostEnded = 2;
+
+/// Backend servers that end when they run a request for `/…/crash`.
+class CrashingBackends {
+ public:
+  CrashingBackends(GatewayFixture* fleet, int count) : m_fleet(fleet) {
+    for (int i = 0; i < count; ++i) {
+      const std::string id = "b" + std::to_string(i);
+      m_backends[id] = &fleet->AddBackend(
+          id, [this, id](const ScriptedBackend::Received& call) {
+            OnCall(id, call);
+          });
+    }
+  }
+
+  /// Makes the backend servers known to another gateway.
+  void RegisterAt(GatewayFixture* other) const {
+    for (const auto& [id, backend] : m_backends) {
+      other->Register(id, backend->Address());
+    }
+  }
+
+  /// @return Backend servers that have ended.
+  int Ended() const { return m_ended; }
+
+ private:
+  void OnCall(const std::string& id, const ScriptedBackend::Received& call) {
+    if (call.head.target.ends_with("/crash")) {
+      ++m_ended;
+      m_fleet->loop.Post([this, id] { m_backends.at(id)->Crash(); });
+      return;
+    }
+    call.session->Write(
+        PlainAnswer(*call.head.headers.Find("Attempt"), 200, "served"));
+  }
+
+  GatewayFixture* m_fleet;
+  std::map<std::string, ScriptedBackend*> m_backends;
+  int m_ended = 0;
+};
+
+TEST_CASE("repeats of a request that ends backend servers are held off") {
+  for (const std::string route : {"/safe/", "/once/", "/chat/", "/talk/"}) {
+    GatewayFixture fleet;
+    const CrashingBackends backends(&fleet, 6);
+    TestClient* last = nullptr;
+    for (int i = 0; i < kCallers; ++i) {
+      last = &fleet.Call(route + "crash", "a" + std::to_string(i));
+      REQUIRE(fleet.RunUntil([&] { return last->Status() != 0; }));
+    }
+    CHECK(backends.Ended() <= kMostEnded);
+    CHECK(last->Status() == 503);
+    CHECK(last->Has("Retry-After"));
+    TestClient& other = fleet.Call(route + "other", "b");
+    REQUIRE(fleet.RunUntil([&] { return other.Status() != 0; }));
+    CHECK(other.Status() == 200);
+  }
+}
+
+TEST_CASE("repeats through other gateways are held off as well") {
+  GatewayFixture first;
+  GatewayFixture second;
+  const CrashingBackends backends(&first, 6);
+  backends.RegisterAt(&second);
+  for (GatewayFixture* gateway : {&first, &second}) {
+    REQUIRE(gateway->context.peer_socket.Bind({"127.0.0.1", 0}));
+  }
+  for (GatewayFixture* gateway : {&first, &second}) {
+    gateway->context.SetGateways(
+        {{"first", first.context.peer_socket.LocalAddress()},
+         {"second", second.context.peer_socket.LocalAddress()}});
+  }
+  for (int i = 0; i < kCallers; ++i) {
+    GatewayFixture& gateway = i % 2 == 0 ? first : second;
+    TestClient& client = gateway.Call("/once/crash", "a" + std::to_string(i));
+    const auto run_both = [&] {
+      uv_run(second.loop.Handle(), UV_RUN_NOWAIT);
+      return client.Status() != 0;
+    };
+    REQUIRE(first.RunUntil(run_both));
+    // Longer than a datagram takes.
+    constexpr milliseconds pause{20};
+    const auto end = first.loop.Now() + pause;
+    first.RunUntil([&] { return run_both() && first.loop.Now() >= end; });
+  }
+  CHECK(backends.Ended() <= kMostEnded);
+}
+
+}  // namespace
+}  // namespace wasabiwall::fakes
