Test large configurations behind a small link; known red

A watch answers with every version since its revision in full. After a cut, or while versions follow each other quickly, that is several configurations of 0.4 MB, which a VM with 10 Mbit/s reads for seconds while newer versions are confirmed. Calls also end after a fixed time, whether bytes arrive or not.

Both tests fail on today's code: the newest version is not in force after 5 s, and a first read of 1.2 MB never ends.

--- a/tests/platform/store_follower_test.cc
+++ b/tests/platform/store_follower_test.cc
@@ -94,5 +94,111 @@
   CHECK(fleet.context.Config()->version == 1);
 }
 
+/// A store behind a link of 10 Mbit/s.
+class SlowStore {
+ public:
+  using Reply = std::function<std::string(const std::string& target)>;
+
+  /// @param reply Body of the answer to a call; empty to leave it waiting.
+  SlowStore(transport::EventLoop* loop, Reply reply)
+      : m_reply(std::move(reply)),
+        m_timer(loop),
+        m_server(loop, [this](const ScriptedBackend::Received& call) {
+          const std::string body = m_reply(call.head.target);
+          if (body.empty()) return;
+          m_answers.push_back(
+              {call.session, fakes::PlainAnswer("", 200, body)});
+        }) {
+    m_timer.StartRepeating(kStep, [this] { WriteNext(); });
+  }
+
+  std::string Address() const { return m_server.Address(); }
+
+  /// @return Bytes written so far.
+  std::size_t Written() const { return m_written; }
+
+ private:
+  static constexpr milliseconds kStep{10};
+  static constexpr std::size_t kBytesPerStep = 12500;
+
+  struct Answer {
+    std::shared_ptr<ScriptedBackend::Session> session;
+    std::string rest;
+  };
+
+  void WriteNext() {
+    std::erase_if(m_answers, [](const Answer& answer) {
+      return answer.rest.empty() || answer.session->Ended();
+    });
+    if (m_answers.empty()) return;
+    Answer& answer = m_answers.front();
+    const std::string bytes = answer.rest.substr(0, kBytesPerStep);
+    answer.rest.erase(0, bytes.size());
+    answer.session->Write(bytes);
+    m_written += bytes.size();
+  }
+
+  Reply m_reply;
+  std::vector<Answer> m_answers;
+  std::size_t m_written = 0;
+  transport::Timer m_timer;
+  ScriptedBackend m_server;
+};
+
+/// @return A configuration of a size that many routes give it.
+std::string LargeConfig(int version, std::size_t bytes) {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"routes":[],"services":[],"limits":{},"note":")" +
+         std::string(bytes, 'x') + R"("})";
+}
+
+TEST_CASE(
+    "the newest of many large configurations is not late for the others") {
+  constexpr int newest = 40;
+  constexpr std::size_t config_bytes = 200000;
+  GatewayFixture fleet;
+  std::string backlog;
+  for (int version = 2; version <= newest; ++version) {
+    if (!backlog.empty()) backlog += ",";
+    backlog += Item("op/config", LargeConfig(version, config_bytes), version);
+  }
+  bool was_read = false;
+  SlowStore store(&fleet.loop, [&](const std::string& target) -> std::string {
+    if (target.find("range") != std::string::npos) {
+      const int version = std::exchange(was_read, true) ? newest : 1;
+      return R"({"items":[)" +
+             Item("op/config", LargeConfig(version, config_bytes), version) +
+             R"(],"at":)" + std::to_string(version) + "}";
+    }
+    if (target.find("after=1&") == std::string::npos) return "";
+    return R"({"events":[)" + backlog + R"(],"at":)" + std::to_string(newest) +
+           "}";
+  });
+  StoreClient client(&fleet.loop, store.Address());
+  StoreFollower follower(&fleet.context, &client, DecodeConfig, [] {});
+  follower.Start();
+  REQUIRE(fleet.RunUntil(
+      [&] { return fleet.context.Config()->version == newest; }));
+  // Two full reads, and what was under way when the watch was ended.
+  CHECK(store.Written() < 4 * config_bytes * 4 / 3);
+}
+
+TEST_CASE("a first read that takes longer than a call's timeout succeeds") {
+  constexpr std::size_t config_bytes = 1'200'000;
+  GatewayFixture fleet;
+  SlowStore store(&fleet.loop, [&](const std::string& target) -> std::string {
+    if (target.find("range") == std::string::npos) return "";
+    return R"({"items":[)" +
+           Item("op/config", LargeConfig(9, config_bytes), 9) + R"(],"at":9})";
+  });
+  StoreClient client(&fleet.loop, store.Address());
+  bool loaded = false;
+  StoreFollower follower(&fleet.context, &client, DecodeConfig,
+                         [&] { loaded = true; });
+  follower.Start();
+  REQUIRE(fleet.RunUntil([&] { return loaded; }));
+  CHECK(fleet.context.Config()->version == 9);
+}
+
 }  // namespace
 }  // namespace wasabiwall::platform
