--- a/src/wasabiwall/transport/async_http_client.cc
+++ b/src/wasabiwall/transport/async_http_client.cc
@@ -1,5 +1,7 @@
 #include "wasabiwall/transport/async_http_client.h"
 
+#include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace wasabiwall::transport {
@@ -8,15 +10,64 @@
 /// Longest idle time of a connection: longer than the pauses between calls.
 constexpr std::chrono::milliseconds kMaxConnectionIdle{3000};
 
+/// @return The length that a head declares; 0 if it declares none.
+std::size_t DeclaredLength(const MessageHead& head) {
+  std::size_t length = 0;
+  if (const std::string* text = head.headers.Find("Content-Length")) {
+    std::from_chars(text->data(), text->data() + text->size(), length);
+  }
+  return length;
+}
+
 }  // namespace
 
-struct AsyncHttpClient::PendingCall {
-  explicit PendingCall(EventLoop* loop) : timer(loop) {}
+struct AsyncHttpClient::PendingCall
+    : public std::enable_shared_from_this<PendingCall> {
+  PendingCall(EventLoop* event_loop, const HttpCallLimits& call_limits)
+      : loop(event_loop), limits(call_limits), timer(event_loop) {}
+
+  void OnHead(const MessageHead& head) {
+    reply.status = head.status;
+    reply.began_at = loop->Now();
+    if (DeclaredLength(head) > limits.max_body_bytes) {
+      Abort(HttpCallFailure::Reason::kTooLarge);
+      return;
+    }
+    RestartTimer();
+  }
+
+  void OnBody(std::string_view data) {
+    if (reply.body.size() + data.size() > limits.max_body_bytes) {
+      Abort(HttpCallFailure::Reason::kTooLarge);
+      return;
+    }
+    reply.body.append(data);
+    RestartTimer();
+  }
+
+  void StartTimer(std::chrono::milliseconds timeout) {
+    timer.Start(timeout, [call = shared_from_this()] {
+      call->Abort(HttpCallFailure::Reason::kNoReply);
+    });
+  }
+
+  /// Waits for more of the response.
+  void RestartTimer() {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        reply.began_at + limits.transfer_timeout - loop->Now());
+    StartTimer(
+        std::clamp(left, std::chrono::milliseconds(0), limits.idle_timeout));
+  }
+
+  void Abort(HttpCallFailure::Reason reason) {
+    connection->Close();
+    Fail(reason);
+  }
 
   void Succeed() { Finish(std::move(reply)); }
 
-  void Fail() {
-    Finish(tl::make_unexpected(HttpCallFailure{reply.body.size()}));
+  void Fail(HttpCallFailure::Reason reason) {
+    Finish(tl::make_unexpected(HttpCallFailure{reason, reply.body.size()}));
   }
 
   void Finish(tl::expected<HttpReply, HttpCallFailure> result) {
@@ -25,6 +76,8 @@
     if (handler) handler(std::move(result));
   }
 
+  EventLoop* loop;
+  HttpCallLimits limits;
   Timer timer;
   HttpReply reply;
   std::shared_ptr<BackendConnection> connection;
@@ -50,9 +103,9 @@
 
 void AsyncHttpClient::Call(const std::string& method, const std::string& target,
                            const std::string& body,
-                           std::chrono::milliseconds timeout,
+                           const HttpCallLimits& limits,
                            ReplyHandler on_reply) {
-  const auto call = std::make_shared<PendingCall>(m_loop);
+  const auto call = std::make_shared<PendingCall>(m_loop, limits);
   call->on_reply = std::move(on_reply);
   std::erase_if(m_pending, [](const auto& other) { return other.expired(); });
   m_pending.push_back(call);
@@ -64,25 +117,18 @@
     AppendHeader("Content-Length", std::to_string(body.size()), &bytes);
   }
   bytes.append("\r\n").append(body);
-  call->timer.Start(timeout, [call] {
-    call->connection->Close();
-    call->Fail();
-  });
+  call->StartTimer(limits.first_byte_timeout);
   call->connection->Send(
       [bytes = std::move(bytes)] { return bytes; }, true,
       {.belongs_to_call = [](const MessageHead&) { return true; },
-       .on_head =
-           [call](const MessageHead& head) {
-             call->reply.status = head.status;
-           },
-       .on_body =
-           [call](std::string_view data) { call->reply.body.append(data); },
+       .on_head = [call](const MessageHead& head) { call->OnHead(head); },
+       .on_body = [call](std::string_view data) { call->OnBody(data); },
        .on_complete =
            [this, call] {
              m_pool.Release(call->connection);
              call->Succeed();
            },
-       .on_failed = [call] { call->Fail(); }});
+       .on_failed = [call] { call->Fail(HttpCallFailure::Reason::kNoReply); }});
 }
 
 }  // namespace wasabiwall::transport
--- a/src/wasabiwall/transport/async_http_client.h
+++ b/src/wasabiwall/transport/async_http_client.h
@@ -15,10 +15,34 @@
 struct HttpReply {
   int status = 0;
   std::string body;
+  /// When its head arrived.
+  coordination::TimePoint began_at;
 };
 
-/// A call of AsyncHttpClient that failed or timed out.
+/// Limits of a call of AsyncHttpClient. The time that a call takes depends on
+/// the size of its response, so that only a call without progress times out
+/// early.
+struct HttpCallLimits {
+  /// Longest time until the response begins.
+  std::chrono::milliseconds first_byte_timeout{1000};
+  /// Longest time without a byte of the response after that.
+  std::chrono::milliseconds idle_timeout{1000};
+  /// Longest time from the first to the last byte.
+  std::chrono::milliseconds transfer_timeout{5000};
+  /// A response with a larger body is not read.
+  std::size_t max_body_bytes = 8U << 20U;
+};
+
+/// A call of AsyncHttpClient without a response.
 struct HttpCallFailure {
+  enum class Reason {
+    /// The call failed or timed out.
+    kNoReply,
+    /// The body is larger than allowed.
+    kTooLarge,
+  };
+
+  Reason reason = Reason::kNoReply;
   /// Bytes of the body that had arrived by then.
   std::size_t received_bytes = 0;
 };
@@ -39,9 +63,8 @@
 
   /// Sends a request.
   /// @param body Sent as JSON when not empty.
-  /// @param timeout Time after which the call fails.
   void Call(const std::string& method, const std::string& target,
-            const std::string& body, std::chrono::milliseconds timeout,
+            const std::string& body, const HttpCallLimits& limits,
             ReplyHandler on_reply);
 
  private:
