Keep Thrift out of the crash records

The gateway needs the same records and is built without Thrift. CrashRecords takes a struct of its own; crash_record_codec converts at the messages between entries and side processes. No change of behaviour.

--- a/programs/entry_daemon.cc
+++ b/programs/entry_daemon.cc
@@ -3,6 +3,7 @@
 #include <random>
 #include <utility>
 
+#include "wasabiwall/coordination/crash_record_codec.h"
 #include "wasabiwall/transport/logging.h"
 #include "wasabiwall/transport/vm_list_client.h"
 
@@ -212,8 +213,8 @@
   gen::Envelope envelope = MakeEnvelope();
   envelope.loads = m_load_news.Select(receiver, refused,
                                       [this] { return m_node.LoadReports(); });
-  envelope.crashes = m_node.Crashes().TakeForPeers(
-      kCrashesPerMessage, coordination::SteadyClock()());
+  envelope.crashes = coordination::ToThrift(m_node.Crashes().TakeForPeers(
+      kCrashesPerMessage, coordination::SteadyClock()()));
   return envelope;
 }
 
--- a/src/wasabiwall/coordination/crash_records.cc
+++ b/src/wasabiwall/coordination/crash_records.cc
@@ -6,7 +6,6 @@
 namespace wasabiwall::coordination {
 namespace {
 
-using protocol::gen::CrashRecord;
 using std::chrono::milliseconds;
 
 constexpr std::size_t kFingerprintBytes = 32;
@@ -14,11 +13,7 @@
 
 CrashRecord ToMessage(const std::string& fingerprint, std::int64_t crash,
                       std::chrono::microseconds age) {
-  CrashRecord message;
-  message.fingerprint = fingerprint;
-  message.crash = crash;
-  message.age_ms = std::chrono::duration_cast<milliseconds>(age).count();
-  return message;
+  return {fingerprint, crash, std::chrono::duration_cast<milliseconds>(age)};
 }
 
 }  // namespace
@@ -33,11 +28,10 @@
   for (std::size_t i = 0; i < count; ++i) {
     const CrashRecord& record = records[i];
     const bool fits = record.fingerprint.size() == kFingerprintBytes &&
-                      record.age_ms >= 0 &&
-                      record.age_ms < m_options.retention.count();
+                      record.age >= milliseconds(0) &&
+                      record.age < m_options.retention;
     if (!fits) continue;
-    Insert(record.fingerprint,
-           {record.crash, now - milliseconds(record.age_ms), 0}, now);
+    Insert(record.fingerprint, {record.crash, now - record.age, 0}, now);
   }
 }
 
--- a/src/wasabiwall/coordination/crash_records.h
+++ b/src/wasabiwall/coordination/crash_records.h
@@ -10,13 +10,21 @@
 #include <vector>
 
 #include "wasabiwall/coordination/clock.h"
-#include "wasabiwall/protocol/gen/wasabiwall_types.h"
 
 namespace wasabiwall::coordination {
 
 /// Number of crashes after which a fingerprint is quarantined.
 inline constexpr int kQuarantineCrashes = 2;
 
+/// A request that was in flight when a backend server crashed.
+struct CrashRecord {
+  std::string fingerprint;
+  /// Identifier of the crash, the same for all requests in flight.
+  std::int64_t crash = 0;
+  /// Time since the crash.
+  std::chrono::milliseconds age{0};
+};
+
 /// Limits of a CrashRecords table.
 struct CrashRecordsOptions {
   /// Time after which a crash no longer counts.
@@ -35,8 +43,7 @@
   explicit CrashRecords(CrashRecordsOptions options = {});
 
   /// Merges records of another process; malformed ones are ignored.
-  void Observe(const std::vector<protocol::gen::CrashRecord>& records,
-               TimePoint now);
+  void Observe(const std::vector<CrashRecord>& records, TimePoint now);
 
   /// Records that a request was in flight during a crash.
   void Add(const std::string& fingerprint, std::int64_t crash, TimePoint now);
@@ -48,13 +55,12 @@
   int Count(const std::string& fingerprint, TimePoint now) const;
 
   /// @return Records of one fingerprint, for messages about that request.
-  std::vector<protocol::gen::CrashRecord> Of(const std::string& fingerprint,
-                                             TimePoint now) const;
+  std::vector<CrashRecord> Of(const std::string& fingerprint,
+                              TimePoint now) const;
 
   /// Selects records to gossip with any message, least often sent first,
   /// within the limits per call and per second.
-  std::vector<protocol::gen::CrashRecord> TakeForPeers(std::size_t max_records,
-                                                       TimePoint now);
+  std::vector<CrashRecord> TakeForPeers(std::size_t max_records, TimePoint now);
 
   /// @return Number of records held.
   std::size_t Size() const;
--- a/src/wasabiwall/coordination/entry_node.cc
+++ b/src/wasabiwall/coordination/entry_node.cc
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "wasabiwall/coordination/crash_record_codec.h"
 #include "wasabiwall/coordination/idempotency_ledger.h"
 #include "wasabiwall/coordination/quarantine.h"
 #include "wasabiwall/coordination/request_fingerprint.h"
@@ -194,7 +195,7 @@
 
 void EntryNode::ObserveEnvelope(const std::string& address,
                                 const protocol::gen::Envelope& envelope) {
-  m_crashes.Observe(envelope.crashes, m_hooks.clock());
+  m_crashes.Observe(FromThrift(envelope.crashes), m_hooks.clock());
   const auto transit = m_transit_time.OnMessage(address, envelope);
   if (transit) ObserveLoads(envelope.loads, *transit);
 }
--- a/src/wasabiwall/coordination/side_node.cc
+++ b/src/wasabiwall/coordination/side_node.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "wasabiwall/coordination/crash_record_codec.h"
 #include "wasabiwall/protocol/usage_report.h"
 #include "wasabiwall/state/digest.h"
 
@@ -90,9 +91,9 @@
 
 SubmitReply SideNode::Submit(const SubmitRequest& request) {
   ObserveEnvelope(request.envelope);
-  Crashes().Observe(request.crashes, m_hooks.clock());
+  Crashes().Observe(FromThrift(request.crashes), m_hooks.clock());
   SubmitReply reply = Decide(request);
-  reply.crashes = Crashes().Of(request.fingerprint, m_hooks.clock());
+  reply.crashes = ToThrift(Crashes().Of(request.fingerprint, m_hooks.clock()));
   return reply;
 }
 
@@ -143,9 +144,9 @@
   if (reply.error_kind == RowOf(ErrorKind::kBackendServerCrashed).name) {
     // The runner calls OnRunEnded only after this reader has been woken.
     m_quarantine.OnConnectionBroken(state::AttemptId(request.attempt_id));
-    reply.crashes =
+    reply.crashes = ToThrift(
         Crashes().Of(FingerprintOfAttempt(state::AttemptId(request.attempt_id)),
-                     m_hooks.clock());
+                     m_hooks.clock()));
   }
   return reply;
 }
@@ -281,7 +282,7 @@
 }
 
 void SideNode::ObserveEnvelope(const protocol::gen::Envelope& envelope) {
-  Crashes().Observe(envelope.crashes, m_hooks.clock());
+  Crashes().Observe(FromThrift(envelope.crashes), m_hooks.clock());
   const auto transit = m_transit_time.OnMessage(envelope.sender, envelope);
   if (!transit) return;
   const TimePoint sent_at = m_hooks.clock() - *transit;
--- a/src/wasabiwall/transport/call_driver.cc
+++ b/src/wasabiwall/transport/call_driver.cc
@@ -5,6 +5,7 @@
 #include <thread>
 #include <utility>
 
+#include "wasabiwall/coordination/crash_record_codec.h"
 #include "wasabiwall/protocol/event_stream.h"
 #include "wasabiwall/state/digest.h"
 
@@ -102,8 +103,8 @@
     request.attempt_id = step.attempt.value;
     request.request_id = m_call.request.request_id;
     request.deadline_ms = Until(m_call.spec.deadline, m_clock()).count();
-    request.crashes =
-        m_driver->m_entry->Crashes().Of(request.fingerprint, m_clock());
+    request.crashes = coordination::ToThrift(
+        m_driver->m_entry->Crashes().Of(request.fingerprint, m_clock()));
     request.last_resort = step.last_resort;
     m_outcome.backend_server = step.target.value;
     m_outcome.attempt = step.attempt.value;
@@ -114,7 +115,8 @@
       return m_plan.OnSubmitFailed(m_clock(), reply.error());
     }
     Heard(step.target, reply->envelope);
-    m_driver->m_entry->Crashes().Observe(reply->crashes, m_clock());
+    m_driver->m_entry->Crashes().Observe(
+        coordination::FromThrift(reply->crashes), m_clock());
     if (reply->admitted) return m_plan.OnAdmitted(m_clock());
     return m_plan.OnRefused(
         m_clock(),
@@ -136,7 +138,8 @@
       return m_plan.OnPullFailed(m_clock());
     }
     Heard(step.target, reply->envelope);
-    m_driver->m_entry->Crashes().Observe(reply->crashes, m_clock());
+    m_driver->m_entry->Crashes().Observe(
+        coordination::FromThrift(reply->crashes), m_clock());
     // A late or crossed reply is not this attempt's next part.
     if (reply->attempt_id != step.attempt.value ||
         reply->offset != step.offset) {
--- a/tests/coordination/quarantine_test.cc
+++ b/tests/coordination/quarantine_test.cc
@@ -120,9 +120,7 @@
   records.Add(request_fingerprint, 7, start);
   records.Observe(records.Of(request_fingerprint, start), start);
   CHECK(records.Count(request_fingerprint, start) == 1);
-  protocol::gen::CrashRecord forged;
-  forged.fingerprint = "short";
-  records.Observe({forged}, start);
+  records.Observe({{.fingerprint = "short"}}, start);
   CHECK(records.Size() == 1);
   CHECK(records.Count(request_fingerprint, start + milliseconds(1000)) == 0);
   for (int i = 0; i < 100; ++i) {
--- a/tests/fakes/virtual_fleet.cc
+++ b/tests/fakes/virtual_fleet.cc
@@ -1,5 +1,6 @@
 #include "fakes/virtual_fleet.h"
 
+#include "wasabiwall/coordination/crash_record_codec.h"
 #include "wasabiwall/state/digest.h"
 
 namespace wasabiwall::fakes {
@@ -121,10 +122,11 @@
   request.attempt_id = call->step.attempt.value;
   request.deadline_ms = 60'000;
   request.last_resort = call->step.last_resort;
-  request.crashes = known.Of(request.fingerprint, m_now);
+  request.crashes =
+      coordination::ToThrift(known.Of(request.fingerprint, m_now));
   if (gossip) side->Crashes().Observe(known.TakeForPeers(4, m_now), m_now);
   const auto reply = side->Submit(request);
-  known.Observe(reply.crashes, m_now);
+  known.Observe(coordination::FromThrift(reply.crashes), m_now);
   if (gossip) known.Observe(side->Crashes().TakeForPeers(4, m_now), m_now);
   const auto error = ToError(reply.error_kind, reply.retry_after_ms);
   call->step = error ? call->plan->OnRefused(m_now, *error, {})
@@ -136,7 +138,8 @@
   request.attempt_id = call->step.attempt.value;
   request.max_bytes = 1000;
   const auto reply = side->Pull(request);
-  m_entries[call->entry]->Crashes().Observe(reply.crashes, m_now);
+  m_entries[call->entry]->Crashes().Observe(
+      coordination::FromThrift(reply.crashes), m_now);
   if (!reply.ended) return;
   call->step = call->plan->OnEnded(m_now, ToError(reply.error_kind, 0));
   if (call->Answered()) m_entries[call->entry]->OnAnswered(call->planned);
