Hold off requests that end backend servers, at all gateways

Cause: a gateway decided about each attempt alone.

Class: a limit over all gateways and over a caller's repeats that was kept per attempt.

Fix: CrashMonitor checks by a new connection whether a backend server has ended when connections to it break during calls. RequestQuarantine counts crashes by fingerprint, its own and those of other gateways (by datagram), and holds a request off from the second on; the gateway that saw it writes it to the store (QuarantineAnnouncer), from which all learn, those that start later too. Requests that were answered lately are no suspects.

Calls that break at living backend servers stay served.

--- a/src/wasabiwall/coordination/crash_records.cc
+++ b/src/wasabiwall/coordination/crash_records.cc
@@ -52,6 +52,14 @@
   if (found->second.empty()) m_table.erase(found);
 }
 
+void CrashRecords::Forget(const std::string& fingerprint) {
+  const std::lock_guard lock(m_mutex);
+  const auto found = m_table.find(fingerprint);
+  if (found == m_table.end()) return;
+  m_size -= found->second.size();
+  m_table.erase(found);
+}
+
 int CrashRecords::Count(const std::string& fingerprint, TimePoint now) const {
   const std::lock_guard lock(m_mutex);
   const auto found = m_table.find(fingerprint);
--- a/src/wasabiwall/coordination/prompt_directory.cc
+++ b/src/wasabiwall/coordination/prompt_directory.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "wasabiwall/coordination/rendezvous_homes.h"
 #include "wasabiwall/state/digest.h"
 
 namespace wasabiwall::coordination {
@@ -39,19 +40,9 @@
 
 std::vector<std::string> PromptDirectory::RemoteHomes(
     std::uint64_t part) const {
-  std::vector<std::pair<std::uint64_t, const std::string*>> ranked;
-  ranked.reserve(m_members.size());
-  for (const auto& [name, address] : m_members) {
-    ranked.emplace_back(state::FastHash(name, part), &name);
-  }
-  const auto homes = std::min(kHomesPerPart, ranked.size());
-  std::partial_sort(
-      ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(homes),
-      ranked.end(),
-      [](const auto& a, const auto& b) { return a.first > b.first; });
   std::vector<std::string> addresses;
-  for (std::size_t i = 0; i < homes; ++i) {
-    const std::string& name = *ranked[i].second;
+  for (const std::string& name :
+       RendezvousHomes(m_members, part, kHomesPerPart)) {
     if (name != m_own_name) addresses.push_back(m_members.at(name));
   }
   return addresses;
--- /dev/null
+++ b/src/wasabiwall/coordination/rendezvous_homes.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace wasabiwall::coordination {
+
+/// Chooses the processes that keep what the fleet knows of a key, by rendezvous
+/// hashing, so that all processes agree and few keys move when one comes or
+/// goes.
+/// @param members Addresses by name.
+/// @param count Largest number of homes.
+/// @return Names, the first home first.
+std::vector<std::string> RendezvousHomes(
+    const std::map<std::string, std::string>& members, std::uint64_t key,
+    std::size_t count);
+
+}  // namespace wasabiwall::coordination
--- /dev/null
+++ b/src/wasabiwall/coordination/request_quarantine.cc
@@ -0,0 +1,138 @@
+#include "wasabiwall/coordination/request_quarantine.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "wasabiwall/state/digest.h"
+
+namespace wasabiwall::coordination {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Announcements are repeated after this share of the quarantine time while the
+/// request keeps coming.
+constexpr int kAnnouncementsPerQuarantine = 2;
+/// Own crashes kept, to know which gateway announces a quarantine.
+constexpr std::size_t kMaxOwnCrashes = 4096;
+
+}  // namespace
+
+RequestQuarantine::RequestQuarantine(Hooks hooks,
+                                     RequestQuarantineOptions options)
+    : m_hooks(std::move(hooks)),
+      m_options(options),
+      m_records({.retention = options.quarantine_time}) {}
+
+bool RequestQuarantine::WasAnswered(const std::string& fingerprint) const {
+  const std::uint64_t hash = state::FastHash(fingerprint);
+  return m_answered.contains(hash) || m_answered_before.contains(hash);
+}
+
+bool RequestQuarantine::OnCrash(const std::string& fingerprint,
+                                std::int64_t crash, TimePoint now) {
+  if (WasAnswered(fingerprint)) return false;
+  if (m_own_crashes.size() >= kMaxOwnCrashes) m_own_crashes.clear();
+  m_own_crashes[fingerprint] = now;
+  m_records.Add(fingerprint, crash, now);
+  Judge(fingerprint, "crashes", now);
+  return true;
+}
+
+void RequestQuarantine::OnPeerRecords(const std::vector<CrashRecord>& records,
+                                      TimePoint now) {
+  for (const CrashRecord& record : records) {
+    if (WasAnswered(record.fingerprint)) continue;
+    m_records.Observe({record}, now);
+    Judge(record.fingerprint, "peer", now);
+  }
+}
+
+void RequestQuarantine::Judge(const std::string& fingerprint,
+                              const char* source, TimePoint now) {
+  if (m_records.Count(fingerprint, now) < kQuarantineCrashes) return;
+  const bool is_known = TimeLeft(fingerprint, now).has_value();
+  Entry& entry = Insert(fingerprint, source, now);
+  // One that saw no crash of the request leaves it to those that did.
+  if (!is_known && m_own_crashes.contains(fingerprint)) {
+    Announce(fingerprint, &entry, now);
+  }
+}
+
+void RequestQuarantine::OnAnnounced(const std::string& fingerprint,
+                                    TimePoint now) {
+  if (WasAnswered(fingerprint)) return;
+  Insert(fingerprint, "announcement", now).announced_at = now;
+}
+
+RequestQuarantine::Entry& RequestQuarantine::Insert(
+    const std::string& fingerprint, const char* source, TimePoint now) {
+  const bool is_known = TimeLeft(fingerprint, now).has_value();
+  if (!is_known && m_quarantined.size() >= m_options.max_quarantined) {
+    MakeRoom(now);
+  }
+  Entry& entry = m_quarantined[fingerprint];
+  entry.until = now + m_options.quarantine_time;
+  if (!is_known && m_hooks.on_quarantined) {
+    m_hooks.on_quarantined(fingerprint, source);
+  }
+  return entry;
+}
+
+void RequestQuarantine::MakeRoom(TimePoint now) {
+  DropExpired(now);
+  if (m_quarantined.size() < m_options.max_quarantined) return;
+  m_quarantined.erase(std::min_element(m_quarantined.begin(),
+                                       m_quarantined.end(),
+                                       [](const auto& a, const auto& b) {
+                                         return a.second.until < b.second.until;
+                                       }));
+}
+
+void RequestQuarantine::Announce(const std::string& fingerprint, Entry* entry,
+                                 TimePoint now) {
+  entry->announced_at = now;
+  if (m_hooks.announce) m_hooks.announce(fingerprint);
+}
+
+void RequestQuarantine::OnAnswered(const std::string& fingerprint) {
+  if (m_answered.size() >= m_options.min_answered) {
+    m_answered_before = std::exchange(m_answered, {});
+  }
+  m_answered.insert(state::FastHash(fingerprint));
+  m_own_crashes.erase(fingerprint);
+  m_quarantined.erase(fingerprint);
+  m_records.Forget(fingerprint);
+}
+
+void RequestQuarantine::OnRepeated(const std::string& fingerprint,
+                                   TimePoint now) {
+  const auto found = m_quarantined.find(fingerprint);
+  if (found == m_quarantined.end()) return;
+  Entry& entry = found->second;
+  entry.until = now + m_options.quarantine_time;
+  const auto announce_period =
+      m_options.quarantine_time / kAnnouncementsPerQuarantine;
+  if (now - entry.announced_at >= announce_period) {
+    Announce(fingerprint, &entry, now);
+  }
+}
+
+std::optional<milliseconds> RequestQuarantine::TimeLeft(
+    const std::string& fingerprint, TimePoint now) const {
+  const auto found = m_quarantined.find(fingerprint);
+  if (found == m_quarantined.end() || now >= found->second.until) return {};
+  return std::chrono::ceil<milliseconds>(found->second.until - now);
+}
+
+std::size_t RequestQuarantine::Size(TimePoint now) {
+  DropExpired(now);
+  return m_quarantined.size();
+}
+
+void RequestQuarantine::DropExpired(TimePoint now) {
+  std::erase_if(m_quarantined,
+                [now](const auto& entry) { return now >= entry.second.until; });
+}
+
+}  // namespace wasabiwall::coordination
--- /dev/null
+++ b/src/wasabiwall/coordination/request_quarantine.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "wasabiwall/coordination/clock.h"
+#include "wasabiwall/coordination/crash_records.h"
+
+namespace wasabiwall::coordination {
+
+/// Limits of a RequestQuarantine.
+struct RequestQuarantineOptions {
+  /// Time for which a request is quarantined after its last crash or repeat.
+  std::chrono::milliseconds quarantine_time = std::chrono::minutes(10);
+  /// Largest number of quarantined requests; the one that ends first makes
+  /// room.
+  std::size_t max_quarantined = 4096;
+  /// Number of answered requests that are remembered at least.
+  std::size_t min_answered = 8192;
+};
+
+/// Decides which requests a gateway holds off because backend servers ended
+/// while they ran them, however often and through whichever gateway their
+/// callers repeat them.
+///
+/// A request is known by its fingerprint. All requests in flight when a backend
+/// server ends get a record; one with kQuarantineCrashes records and no answer
+/// is quarantined. A request that was answered lately is never a suspect, so
+/// that a popular one that is in flight at every crash keeps running. Does no
+/// I/O. Not safe for concurrent use.
+class RequestQuarantine {
+ public:
+  struct Hooks {
+    /// A request is quarantined from now on.
+    std::function<void(const std::string& fingerprint, const char* source)>
+        on_quarantined;
+    /// All gateways, those that start later too, must learn of the quarantine.
+    std::function<void(const std::string& fingerprint)> announce;
+  };
+
+  explicit RequestQuarantine(Hooks hooks,
+                             RequestQuarantineOptions options = {});
+
+  /// Records that a backend server ended while it ran a request for this
+  /// gateway.
+  /// @param crash Identifies the end of the backend server in the fleet.
+  /// @return Whether the request may be the cause, so that other gateways need
+  /// the record.
+  bool OnCrash(const std::string& fingerprint, std::int64_t crash,
+               TimePoint now);
+
+  /// Merges records of another gateway.
+  void OnPeerRecords(const std::vector<CrashRecord>& records, TimePoint now);
+
+  /// Records that another gateway has announced the quarantine of a request.
+  void OnAnnounced(const std::string& fingerprint, TimePoint now);
+
+  /// Records that a backend server has answered a request in full.
+  void OnAnswered(const std::string& fingerprint);
+
+  /// Records that a quarantined request was repeated, which extends the
+  /// quarantine.
+  void OnRepeated(const std::string& fingerprint, TimePoint now);
+
+  /// @return Time until the request may run again; nothing if it may run now.
+  std::optional<std::chrono::milliseconds> TimeLeft(
+      const std::string& fingerprint, TimePoint now) const;
+
+  /// @return Number of quarantined requests.
+  std::size_t Size(TimePoint now);
+
+ private:
+  struct Entry {
+    TimePoint until;
+    TimePoint announced_at;
+  };
+
+  bool WasAnswered(const std::string& fingerprint) const;
+  /// Quarantines the request if it has enough records.
+  void Judge(const std::string& fingerprint, const char* source, TimePoint now);
+  Entry& Insert(const std::string& fingerprint, const char* source,
+                TimePoint now);
+  void Announce(const std::string& fingerprint, Entry* entry, TimePoint now);
+  void MakeRoom(TimePoint now);
+  void DropExpired(TimePoint now);
+
+  Hooks m_hooks;
+  RequestQuarantineOptions m_options;
+  CrashRecords m_records;
+  /// Last crash that this gateway saw of a request by itself.
+  std::unordered_map<std::string, TimePoint> m_own_crashes;
+  std::unordered_map<std::string, Entry> m_quarantined;
+  /// Hashes of the fingerprints answered lately, and of those before them.
+  std::unordered_set<std::uint64_t> m_answered;
+  std::unordered_set<std::uint64_t> m_answered_before;
+};
+
+}  // namespace wasabiwall::coordination
--- /dev/null
+++ b/src/wasabiwall/protocol/crash_message.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wasabiwall::protocol {
+
+/// Most requests in a CrashMessage, so that it fits into a datagram.
+inline constexpr std::size_t kMaxCrashMessageRequests = 24;
+
+/// Message between gateways: a backend server ended while it ran requests.
+struct CrashMessage {
+  /// Identifies the end of the backend server, the same at all gateways.
+  std::int64_t crash = 0;
+  /// Time since then.
+  std::chrono::milliseconds age{0};
+  /// Fingerprints of the requests.
+  std::vector<std::string> fingerprints;
+};
+
+/// @return The message as CBOR.
+std::string EncodeCrashMessage(const CrashMessage& message);
+
+/// @return The message; nothing if the bytes are malformed or name more
+/// requests than allowed.
+std::optional<CrashMessage> DecodeCrashMessage(std::string_view bytes);
+
+}  // namespace wasabiwall::protocol
--- a/src/wasabiwall/protocol/error_kind.cc
+++ b/src/wasabiwall/protocol/error_kind.cc
@@ -50,6 +50,8 @@
     {ErrorKind::kQuarantined, "quarantined", 422,
      "This request has crashed backend servers and is held off.", true,
      kLongDelay},
+    {ErrorKind::kCrashSuspect, "crash_suspect", 503,
+     "Backend servers ended while they ran this request.", true, kLongDelay},
     {ErrorKind::kKeyReused, "key_reused", 422,
      "The idempotency key was used with another body.", true, kNoRetry},
     {ErrorKind::kKeyExpired, "key_expired", 422,
--- a/src/wasabiwall/protocol/error_kind.h
+++ b/src/wasabiwall/protocol/error_kind.h
@@ -29,6 +29,7 @@
   kDeadlineTooShort,
   kWorkspaceLimit,
   kQuarantined,
+  kCrashSuspect,
   kKeyReused,
   kKeyExpired,
   kNotOwner,
--- /dev/null
+++ b/src/wasabiwall/transport/crash_monitor.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "wasabiwall/coordination/request_quarantine.h"
+#include "wasabiwall/protocol/crash_message.h"
+#include "wasabiwall/state/backend_registry.h"
+#include "wasabiwall/transport/tcp_connection.h"
+
+namespace wasabiwall::transport {
+
+/// Finds out whether a backend server has ended when a connection to it breaks,
+/// and tells the other gateways which requests it ran.
+///
+/// A connection also breaks for other reasons. The backend server has ended if
+/// it accepts no new one. Used on one event loop only.
+class CrashMonitor {
+ public:
+  /// Sends a message to the address of another gateway; it may be lost.
+  using SendHook = std::function<void(const std::string& address,
+                                      const protocol::CrashMessage& message)>;
+
+  CrashMonitor(EventLoop* loop, coordination::RequestQuarantine* quarantine,
+               std::string own_name, SendHook send);
+  ~CrashMonitor();
+  CrashMonitor(const CrashMonitor&) = delete;
+  CrashMonitor& operator=(const CrashMonitor&) = delete;
+
+  /// Sets the gateways of the fleet.
+  /// @param members Addresses by name; those without an address get no
+  /// messages.
+  void SetMembers(const std::map<std::string, std::string>& members);
+
+  /// Records that the connection to a backend server broke while it may have
+  /// run a request.
+  void OnConnectionBroken(const state::BackendServer& server,
+                          const std::string& fingerprint);
+
+  /// Handles a message of another gateway.
+  void OnMessage(const protocol::CrashMessage& message);
+
+ private:
+  struct Check;
+
+  void OnChecked(const state::BackendServerId& id, bool has_ended);
+  void RecordCrash(const Check& check);
+  void Tell(const protocol::CrashMessage& crash);
+
+  EventLoop* m_loop;
+  coordination::RequestQuarantine* m_quarantine;
+  std::string m_own_name;
+  SendHook m_send;
+  std::map<std::string, std::string> m_members;
+  std::unordered_map<state::BackendServerId, std::unique_ptr<Check>> m_checks;
+};
+
+}  // namespace wasabiwall::transport
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -114,7 +114,19 @@
   Place();
 }
 
+bool Exchange::RefuseIfQuarantined() {
+  const auto now = m_context->loop->Now();
+  const auto left = m_context->quarantine.TimeLeft(m_fingerprint, now);
+  if (!left) return false;
+  m_context->quarantine.OnRepeated(m_fingerprint, now);
+  Fail({m_counts.runs > 0 ? ErrorKind::kBackendServerCrashed
+                          : ErrorKind::kCrashSuspect,
+        "", left});
+  return true;
+}
+
 bool Exchange::Place() {
+  if (RefuseIfQuarantined()) return true;
   const auto placement =
       m_context->placement.Choose(Query(), m_context->loop->Now());
   if (!placement) {
@@ -364,6 +376,11 @@
   if (m_connection) m_connection->ResumeReading();
 }
 
+void Exchange::ReportBrokenRun() {
+  m_context->crash_monitor.OnConnectionBroken(m_placement->server,
+                                              m_fingerprint);
+}
+
 void Exchange::CountResponse(const char* end) {
   m_context->metrics.CountBackendResponse(m_reply.FramingName(), end);
 }
@@ -383,10 +400,12 @@
     return;
   }
   if (truncation != nullptr) {
+    ReportBrokenRun();
     EndAttempt(HealthSignal::kFailed);
     RetryOrFail(false, ErrorKind::kAnswerCut, truncation);
     return;
   }
+  m_context->quarantine.OnAnswered(m_fingerprint);
   const bool failed = m_reply.Head().status >= kFirstServerError;
   EndAttempt(failed ? HealthSignal::kFailed : HealthSignal::kAnswered);
   if (m_reply.IsEventStream()) {
@@ -412,6 +431,7 @@
   const bool has_started = m_reply.HasStarted();
   const bool stale = m_connection->WasUsedBefore() && !has_started;
   CountResponse("connection_broken");
+  ReportBrokenRun();
   EndAttempt(stale ? HealthSignal::kRefused : HealthSignal::kFailed);
   RetryOrFail(
       false,
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -73,8 +73,10 @@
   void OnCacheLookupDone(const char* outcome);
   /// Chooses a backend server and starts an attempt there. If there is none,
   /// queues or refuses the call, unless it is queued already.
-  /// @return Whether an attempt was started.
+  /// @return Whether an attempt was started or the call has ended.
   bool Place();
+  /// Ends the call if its request is quarantined.
+  bool RefuseIfQuarantined();
   void Enqueue(coordination::PlacementRefusal refusal);
   void RefuseUnplaced(coordination::PlacementRefusal refusal);
   /// @return Time until a backend server of the service that is held off may
@@ -102,6 +104,8 @@
   void OnConnectTimeout();
   void OnIdleTimeout();
   void StartIdleTimer();
+  /// Reports that the connection broke while the call may have run.
+  void ReportBrokenRun();
   /// Counts a response of a backend server by how it ended.
   void CountResponse(const char* end);
   void EndAttempt(coordination::HealthSignal signal);
--- a/src/wasabiwall/transport/gateway.cc
+++ b/src/wasabiwall/transport/gateway.cc
@@ -188,6 +188,9 @@
   m_context->metrics.SetGauge(
       "wasabiwall_held_off_backend_servers",
       m_context->hold_offs.Count(m_context->loop->Now()));
+  m_context->metrics.SetGauge(
+      "wasabiwall_quarantined_requests",
+      static_cast<double>(m_context->quarantine.Size(m_context->loop->Now())));
   m_context->metrics.SetGauge("wasabiwall_backend_servers",
                               static_cast<double>(m_context->registry.Size()));
   m_context->metrics.SetGauge(
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -56,6 +56,22 @@
                              to,
                              protocol::EncodePromptDirectoryMessage(message));
                        }),
+      quarantine(
+          {.on_quarantined =
+               [this](const std::string& fingerprint, const char* source) {
+                 OnQuarantined(fingerprint, source);
+               },
+           .announce =
+               [this](const std::string& fingerprint) {
+                 if (announce_quarantine) {
+                   announce_quarantine(fingerprint);
+                 }
+               }}),
+      crash_monitor(
+          event_loop, &quarantine, options.name,
+          [this](const std::string& to, const protocol::CrashMessage& message) {
+            peer_socket.Send(to, protocol::EncodeCrashMessage(message));
+          }),
       queue(kMaxQueuedCalls),
       retry_after_scheduler(SeededRandom()),
       connections(event_loop),
@@ -98,6 +114,7 @@
 void GatewayContext::SetGateways(
     const std::map<std::string, std::string>& addresses) {
   prompt_directory.SetMembers(addresses);
+  crash_monitor.SetMembers(addresses);
   const auto now = loop->Now();
   const int count = static_cast<int>(addresses.size());
   if (count >= m_peak_process_count || now >= m_peak_until) {
@@ -113,13 +130,22 @@
 
 void GatewayContext::OnPeerMessage(const std::string& from,
                                    std::string_view data) {
-  const auto message = protocol::DecodePromptDirectoryMessage(data);
-  if (!message) {
-    LogWarn("peer_message_ignored",
-            {{"from", from}, {"bytes", std::to_string(data.size())}});
+  if (const auto message = protocol::DecodePromptDirectoryMessage(data)) {
+    prompt_directory.OnMessage(from, *message, loop->Now());
     return;
   }
-  prompt_directory.OnMessage(from, *message, loop->Now());
+  if (const auto crash = protocol::DecodeCrashMessage(data)) {
+    crash_monitor.OnMessage(*crash);
+    return;
+  }
+  LogWarn("peer_message_ignored",
+          {{"from", from}, {"bytes", std::to_string(data.size())}});
+}
+
+void GatewayContext::OnQuarantined(const std::string& fingerprint,
+                                   const char* source) {
+  LogWarn("request_quarantined",
+          {{"fingerprint", fingerprint}, {"source", source}});
 }
 
 int GatewayContext::ProcessCount() const {
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -16,12 +16,14 @@
 #include "wasabiwall/coordination/event_interval_table.h"
 #include "wasabiwall/coordination/prompt_cache_index.h"
 #include "wasabiwall/coordination/prompt_directory.h"
+#include "wasabiwall/coordination/request_quarantine.h"
 #include "wasabiwall/coordination/retry_after_scheduler.h"
 #include "wasabiwall/coordination/retry_budget.h"
 #include "wasabiwall/state/backend_registry.h"
 #include "wasabiwall/state/service_config.h"
 #include "wasabiwall/transport/backend_pool.h"
 #include "wasabiwall/transport/call_codec.h"
+#include "wasabiwall/transport/crash_monitor.h"
 #include "wasabiwall/transport/datagram_socket.h"
 #include "wasabiwall/transport/event_loop.h"
 #include "wasabiwall/transport/metrics.h"
@@ -110,6 +112,11 @@
   coordination::PromptCacheIndex prompt_cache;
   DatagramSocket peer_socket;
   coordination::PromptDirectory prompt_directory;
+  coordination::RequestQuarantine quarantine;
+  CrashMonitor crash_monitor;
+  /// Announces to all gateways, those that start later too, that a request is
+  /// quarantined.
+  std::function<void(const std::string& fingerprint)> announce_quarantine;
   coordination::AdmissionQueue queue;
   coordination::RetryAfterScheduler retry_after_scheduler;
   BackendPool connections;
@@ -125,6 +132,7 @@
 
  private:
   void UpdateRetryBursts();
+  void OnQuarantined(const std::string& fingerprint, const char* source);
   void OnPeerMessage(const std::string& from, std::string_view data);
   std::size_t BackendConnectionLimit() const;
 
--- a/tests/gateway/crashing_request_test.cc
+++ b/tests/gateway/crashing_request_test.cc
@@ -43,8 +43,14 @@
       m_fleet->loop.Post([this, id] { m_backends.at(id)->Crash(); });
       return;
     }
-    call.session->Write(
-        PlainAnswer(*call.head.headers.Find("Attempt"), 200, "served"));
+    const std::string& attempt = *call.head.headers.Find("Attempt");
+    const std::string& target = call.head.target;
+    const bool is_stream =
+        target.starts_with("/chat/") || target.starts_with("/talk/");
+    call.session->Write(is_stream
+                            ? StreamHead(attempt) + EventChunk(1, "served") +
+                                  std::string(transport::kLastChunk)
+                            : PlainAnswer(attempt, 200, "served"));
   }
 
   GatewayFixture* m_fleet;
@@ -99,5 +105,51 @@
   CHECK(backends.Ended() <= kMostEnded);
 }
 
+TEST_CASE("calls at backend servers that live on are no suspects") {
+  constexpr int resets = 6;
+  GatewayFixture fleet;
+  int calls = 0;
+  for (const std::string id : {"b0", "b1", "b2"}) {
+    fleet.AddBackend(id, [&](const ScriptedBackend::Received& call) {
+      if (++calls <= resets) {
+        call.session->Reset();
+        return;
+      }
+      call.session->Write(
+          PlainAnswer(*call.head.headers.Find("Attempt"), 200, "served"));
+    });
+  }
+  TestClient* last = nullptr;
+  for (int i = 0; i <= resets; ++i) {
+    last = &fleet.Call("/once/x", "a" + std::to_string(i));
+    REQUIRE(fleet.RunUntil([&] { return last->Status() != 0; }));
+  }
+  CHECK(last->Status() == 200);
+}
+
+TEST_CASE("a stream that breaks off as its backend server ends is a suspect") {
+  GatewayFixture fleet;
+  std::map<std::string, ScriptedBackend*> backends;
+  int ended = 0;
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = "b" + std::to_string(i);
+    backends[id] =
+        &fleet.AddBackend(id, [&, id](const ScriptedBackend::Received& call) {
+          ++ended;
+          call.session->Write(
+              "HTTP/1.1 200 OK\r\nAttempt: " +
+              *call.head.headers.Find("Attempt") +
+              "\r\nContent-Type: text/event-stream\r\n\r\ndata: pa");
+          call.session->Close();
+          fleet.loop.Post([&, id] { backends.at(id)->Crash(); });
+        });
+  }
+  for (int i = 0; i < kCallers; ++i) {
+    TestClient& client = fleet.Call("/talk/x", "a" + std::to_string(i));
+    REQUIRE(fleet.RunUntil([&] { return client.Status() != 0; }));
+  }
+  CHECK(ended <= kMostEnded);
+}
+
 }  // namespace
 }  // namespace wasabiwall::fakes
--- a/tests/platform/store_follower_test.cc
+++ b/tests/platform/store_follower_test.cc
@@ -94,6 +94,21 @@
   CHECK(fleet.context.Config()->version == 1);
 }
 
+TEST_CASE("a gateway that starts holds off what others have quarantined") {
+  const std::string fingerprint(32, 'a');
+  GatewayFixture fleet;
+  ScriptedBackend store(
+      &fleet.loop,
+      StoreWith(Item("wasabiwall/quarantine/" + fingerprint, "g1", 3)));
+  StoreClient client(&fleet.loop, store.Address());
+  bool loaded = false;
+  StoreFollower follower(&fleet.context, &client, DecodeConfig,
+                         [&] { loaded = true; });
+  follower.Start();
+  REQUIRE(fleet.RunUntil([&] { return loaded; }));
+  CHECK(fleet.context.quarantine.TimeLeft(fingerprint, fleet.loop.Now()));
+}
+
 /// A store behind a link of 10 Mbit/s.
 class SlowStore {
  public:
--- /dev/null
+++ b/tests/protocol/crash_message_test.cc
@@ -0,0 +1,57 @@
+#include "wasabiwall/protocol/crash_message.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "wasabiwall/protocol/prompt_directory_message.h"
+
+namespace wasabiwall::protocol {
+namespace {
+
+CrashMessage MakeMessage(std::size_t requests) {
+  CrashMessage message{.crash = -7, .age = std::chrono::milliseconds(12)};
+  message.fingerprints.assign(requests, std::string(32, 'f'));
+  return message;
+}
+
+TEST_CASE("a crash message survives its encoding and fits into a datagram",
+          "[crash_message]") {
+  constexpr std::size_t datagram_bytes = 1400;
+  const CrashMessage message = MakeMessage(kMaxCrashMessageRequests);
+  const std::string bytes = EncodeCrashMessage(message);
+  CHECK(bytes.size() <= datagram_bytes);
+  const auto decoded = DecodeCrashMessage(bytes);
+  REQUIRE(decoded);
+  CHECK(decoded->crash == message.crash);
+  CHECK(decoded->age == message.age);
+  CHECK(decoded->fingerprints == message.fingerprints);
+}
+
+TEST_CASE("malformed crash messages are rejected", "[crash_message]") {
+  const std::string good = EncodeCrashMessage(MakeMessage(2));
+  for (std::size_t size = 0; size < good.size(); ++size) {
+    CHECK_FALSE(DecodeCrashMessage(good.substr(0, size)));
+  }
+  CHECK_FALSE(DecodeCrashMessage("HTTP/1.1 200 OK"));
+  CHECK_FALSE(DecodeCrashMessage(
+      EncodeCrashMessage(MakeMessage(kMaxCrashMessageRequests + 1))));
+  CrashMessage future = MakeMessage(1);
+  future.age = std::chrono::milliseconds(-1);
+  CHECK_FALSE(DecodeCrashMessage(EncodeCrashMessage(future)));
+  std::mt19937 random(20261204);
+  for (int i = 0; i < 20000; ++i) {
+    std::string bytes = good;
+    bytes[random() % bytes.size()] = static_cast<char>(random());
+    DecodeCrashMessage(bytes);
+  }
+}
+
+TEST_CASE("the two messages between gateways are told apart",
+          "[crash_message]") {
+  CHECK_FALSE(DecodePromptDirectoryMessage(EncodeCrashMessage(MakeMessage(1))));
+  CHECK_FALSE(DecodeCrashMessage(
+      EncodePromptDirectoryMessage({.part = 7, .holders = {}})));
+}
+
+}  // namespace
+}  // namespace wasabiwall::protocol
