Search only the new bytes of an event stream for the end of an event

Each arrival searched the whole unfinished event again, so that the time grew with the square of its size: an event of 1 MB in chunks of one byte kept the event loop of a gateway busy for over 5 s, and with it all calls.

--- a/src/wasabiwall/protocol/event_stream.cc
+++ b/src/wasabiwall/protocol/event_stream.cc
@@ -2,7 +2,9 @@
 
 #include <strings.h>
 
+#include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace wasabiwall::protocol {
 namespace {
@@ -11,9 +13,14 @@
 /// First character of a comment line.
 constexpr char kCommentMark = ':';
 
+/// Bytes at the end of the data that have to be looked at again with the next
+/// ones, since the end of an event may begin there.
+constexpr std::size_t kEventEndOverlap = 2;
+
+/// @param from Offset before which no event ends.
 /// @return Offset after the empty line that ends the first event, or npos.
-std::size_t FindEventEnd(std::string_view data) {
-  for (std::size_t i = 0; i + 1 < data.size(); ++i) {
+std::size_t FindEventEnd(std::string_view data, std::size_t from = 0) {
+  for (std::size_t i = from; i + 1 < data.size(); ++i) {
     if (data[i] != '\n' && data[i] != '\r') continue;
     if (data[i + 1] == data[i]) return i + 2;
     if (data[i] == '\r') continue;
@@ -86,11 +93,15 @@
 }
 
 std::string EventStreamSplitter::Feed(std::string_view data) {
+  // Only the new bytes are searched, so that the time does not grow with the
+  // square of an event's size.
+  std::size_t from =
+      m_partial.size() - std::min(m_partial.size(), kEventEndOverlap);
   m_partial.append(data);
   std::string complete;
   std::string_view rest = m_partial;
   while (true) {
-    const std::size_t end = FindEventEnd(rest);
+    const std::size_t end = FindEventEnd(rest, std::exchange(from, 0));
     if (end == std::string_view::npos) break;
     const std::string_view event = rest.substr(0, end);
     rest.remove_prefix(end);
