Bound what is read and kept of bytes without end

Now a connection fails after 256 KB without a byte of the call's body (interim responses, responses to other calls, chunk framing, trailers), an event is limited to 1 MB, and the buffered responses of all calls to 32 MB. The limit of one event in reply_reader_test follows (1 MB instead of 16, stricter).

--- a/src/wasabiwall/transport/backend_connection.cc
+++ b/src/wasabiwall/transport/backend_connection.cc
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
+/// Bytes that may come without a byte of the call's response body: heads,
+/// chunk framing, and responses to calls that were abandoned.
+constexpr std::size_t kMaxBytesWithoutBody = 256U << 10U;
 
 /// @return Seconds of `timeout=N` in a Keep-Alive field.
 std::optional<std::chrono::seconds> ParseIdleTimeout(
@@ -55,6 +58,7 @@
   m_call = std::make_shared<CallHandlers>(std::move(handlers));
   m_response_has_body = response_has_body;
   m_request_sent = m_head_received = m_discarding = m_response_complete = false;
+  m_bytes_without_body = 0;
   if (m_tcp->IsConnected()) SendNow();
 }
 
@@ -84,8 +88,12 @@
 void BackendConnection::OnData(std::string_view data) {
   const auto self = shared_from_this();
   std::size_t consumed = 0;
+  m_bytes_without_body += data.size();
   const auto status = m_parser.Feed(data, &consumed);
-  if (status != Http1Parser::Status::kOk) m_unusable = true;
+  if (status != Http1Parser::Status::kOk ||
+      m_bytes_without_body > kMaxBytesWithoutBody) {
+    m_unusable = true;
+  }
   if (m_response_complete) {
     Complete();
     return;
@@ -133,6 +141,7 @@
 
 void BackendConnection::OnBody(std::string_view data) {
   if (m_discarding || !m_call) return;
+  m_bytes_without_body = 0;
   const auto call = m_call;
   call->on_body(data);
 }
--- a/src/wasabiwall/transport/backend_connection.h
+++ b/src/wasabiwall/transport/backend_connection.h
@@ -94,6 +94,8 @@
   bool m_keep_alive = true;
   bool m_unusable = false;
   bool m_ended = false;
+  /// Bytes received since the last byte of a body of the call.
+  std::size_t m_bytes_without_body = 0;
   int m_completed_calls = 0;
   std::optional<std::chrono::seconds> m_idle_timeout;
   coordination::TimePoint m_idle_since;
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -41,7 +41,8 @@
       m_request(std::move(request)),
       m_output(std::move(output)),
       m_deadline_timer(context->loop),
-      m_attempt_timer(context->loop) {}
+      m_attempt_timer(context->loop),
+      m_reply(&context->response_buffers) {}
 
 void Exchange::Start() {
   if (m_ended) return;
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -11,6 +11,9 @@
 
 /// Capacity of the prompt cache index; an entry takes about 200 bytes.
 constexpr std::size_t kMaxPromptCacheEntries = 20000;
+/// Limit of all buffered responses. Buffers may be twice as large as what they
+/// hold; the smallest VMs have 160 MB.
+constexpr std::size_t kMaxBufferedResponseBytes = 32U << 20U;
 /// Calls that may be queued for a backend server.
 constexpr std::size_t kMaxQueuedCalls = 2000;
 /// Process count assumed before the first one is known, so that shares are
@@ -74,6 +77,7 @@
           }),
       queue(kMaxQueuedCalls),
       retry_after_scheduler(SeededRandom()),
+      response_buffers(kMaxBufferedResponseBytes),
       connections(event_loop),
       placement({.registry = &registry,
                  .loads = &loads,
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -22,6 +22,7 @@
 #include "wasabiwall/state/backend_registry.h"
 #include "wasabiwall/state/service_config.h"
 #include "wasabiwall/transport/backend_pool.h"
+#include "wasabiwall/transport/byte_budget.h"
 #include "wasabiwall/transport/call_codec.h"
 #include "wasabiwall/transport/crash_monitor.h"
 #include "wasabiwall/transport/datagram_socket.h"
@@ -119,6 +120,8 @@
   std::function<void(const std::string& fingerprint)> announce_quarantine;
   coordination::AdmissionQueue queue;
   coordination::RetryAfterScheduler retry_after_scheduler;
+  /// Responses that are buffered until they are complete.
+  ByteBudget response_buffers;
   BackendPool connections;
   coordination::BackendPlacement placement;
   Metrics metrics;
--- a/src/wasabiwall/transport/reply_reader.cc
+++ b/src/wasabiwall/transport/reply_reader.cc
@@ -5,9 +5,10 @@
 namespace wasabiwall::transport {
 namespace {
 
-/// Size limit of a response, or of one event, that is buffered in full before
-/// it is forwarded.
+/// Size limit of a response that is buffered in full before it is forwarded.
 constexpr std::size_t kMaxBufferedBytes = 16U << 20U;
+/// Size limit of one event of a stream, which holds a few tokens.
+constexpr std::size_t kMaxEventBytes = 1U << 20U;
 
 }  // namespace
 
@@ -21,6 +22,7 @@
   m_metadata = {};
   m_body.clear();
   m_events.DropPartialEvent();
+  m_buffered.Resize(0);
   m_ended = false;
 }
 
@@ -33,11 +35,12 @@
   if (!IsEventStream()) {
     if (m_body.size() + data.size() > kMaxBufferedBytes) return false;
     m_body.append(data);
-    return true;
+    return m_buffered.Resize(m_body.size());
   }
   *events = m_events.Feed(data);
   m_resumes = m_resumes || !events->empty();
-  return m_events.Partial().size() <= kMaxBufferedBytes;
+  const std::size_t partial = m_events.Partial().size();
+  return m_buffered.Resize(partial) && partial <= kMaxEventBytes;
 }
 
 bool ReplyReader::IsEventStream() const {
--- a/src/wasabiwall/transport/reply_reader.h
+++ b/src/wasabiwall/transport/reply_reader.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "wasabiwall/protocol/event_stream.h"
+#include "wasabiwall/transport/byte_budget.h"
 #include "wasabiwall/transport/call_codec.h"
 #include "wasabiwall/transport/logging.h"
 
@@ -18,6 +19,9 @@
 /// buffered.
 class ReplyReader {
  public:
+  /// @param buffers Limits what all calls buffer together.
+  explicit ReplyReader(ByteBudget* buffers) : m_buffered(buffers) {}
+
   /// @param expects_stream Whether the call asks for an event stream.
   /// @param resumes Whether the caller resumes a stream that it has received in
   /// part.
@@ -30,7 +34,8 @@
 
   /// @param events Receives the events that are complete, if it is an event
   /// stream.
-  /// @return False if the response is too large to be buffered.
+  /// @return False if the response is too large to be buffered, by itself or
+  /// beside those of other calls.
   bool OnBody(std::string_view data, std::string* events);
 
   /// Records that the message has ended as its framing says.
@@ -76,6 +81,7 @@
   ReplyMetadata m_metadata;
   std::string m_body;
   protocol::EventStreamSplitter m_events;
+  ByteBudget::Share m_buffered;
   bool m_ended = false;
 };
 
--- /dev/null
+++ b/tests/gateway/endless_response_test.cc
@@ -0,0 +1,144 @@
+// Backend servers that send bytes without end instead of a response.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <csignal>
+
+#include "fakes/gateway_fixture.h"
+
+namespace wasabiwall::fakes {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A backend server whose responses begin with some bytes and go on with others
+/// until the connection is closed.
+class EndlessBackend {
+ public:
+  EndlessBackend(GatewayFixture* fleet, const std::string& id,
+                 std::string begin, const std::string& unit)
+      : m_begin(std::move(begin)), m_timer(&fleet->loop) {
+    // Writing to a connection that the gateway has just closed raises it.
+    std::signal(SIGPIPE, SIG_IGN);
+    while (m_block.size() < kBlockBytes) m_block += unit;
+    fleet->AddBackend(id, [this](const ScriptedBackend::Received& call) {
+      const std::string& attempt = *call.head.headers.Find("Attempt");
+      if (call.head.target.ends_with("/good")) {
+        call.session->Write(PlainAnswer(attempt, 200, "served"));
+        return;
+      }
+      std::string begin = m_begin;
+      const auto at = begin.find("ATTEMPT");
+      if (at != std::string::npos) begin.replace(at, 7, attempt);
+      call.session->Write(begin);
+      m_sessions.push_back(call.session);
+    });
+    m_timer.StartRepeating(milliseconds(1), [this] { WriteMore(); });
+  }
+
+  /// @return Bytes sent so far.
+  std::size_t Sent() const { return m_sent; }
+
+  /// @return Whether all connections with such a response have been closed.
+  bool AllClosed() const { return m_sessions.empty(); }
+
+ private:
+  static constexpr std::size_t kBlockBytes = 64U << 10U;
+
+  void WriteMore() {
+    std::erase_if(m_sessions, [](const auto& s) { return s->Ended(); });
+    for (const auto& session : m_sessions) {
+      session->Write(m_block);
+      m_sent += m_block.size();
+    }
+  }
+
+  std::string m_begin;
+  std::string m_block;
+  std::vector<std::shared_ptr<ScriptedBackend::Session>> m_sessions;
+  std::size_t m_sent = 0;
+  transport::Timer m_timer;
+};
+
+struct EndlessCase {
+  const char* name;
+  std::string begin;
+  std::string unit;
+  /// Bytes that may be read of it at one attempt.
+  std::size_t max_bytes;
+};
+
+constexpr std::size_t kMaxStray = 2U << 20U;
+constexpr std::size_t kMaxBody = 20U << 20U;
+
+std::vector<EndlessCase> EndlessCases() {
+  const std::string head = "HTTP/1.1 200 OK\r\nAttempt: ATTEMPT\r\n";
+  const std::string stream = head + "Content-Type: text/event-stream\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  return {
+      {"no HTTP at all", "", "x", kMaxStray},
+      {"the reason phrase", "HTTP/1.1 200 ", "x", kMaxStray},
+      {"a header's name", head, "x", kMaxStray},
+      {"a header's value", head + "X-Long: ", "x", kMaxStray},
+      {"headers", head, "X-More: x\r\n", kMaxStray},
+      {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n", kMaxStray},
+      {"responses to other calls", "",
+       "HTTP/1.1 200 OK\r\nAttempt: other\r\nContent-Length: 1\r\n\r\nx",
+       kMaxStray},
+      {"a response to another call",
+       "HTTP/1.1 200 OK\r\nAttempt: other\r\n\r\n", "x", kMaxStray},
+      {"a chunk's size", head + chunked, "0", kMaxStray},
+      {"a chunk's extension", head + chunked + "1;", "x", kMaxStray},
+      {"trailers", head + chunked + "0\r\n", "X-More: x\r\n", kMaxStray},
+      {"a plain body that ends with its connection", head + "\r\n", "x",
+       kMaxBody},
+      {"a plain body in chunks", head + chunked, "1\r\nx\r\n", kMaxBody * 6},
+      {"a plain body with a length",
+       head + "Content-Length: 99999999999\r\n\r\n", "x", kMaxBody},
+      {"an event of a stream", stream + "\r\n", "x", kMaxBody},
+      {"an event of a stream in chunks", stream + chunked, "4\r\nxxxx\r\n",
+       kMaxBody * 3},
+  };
+}
+
+TEST_CASE("bytes without end that are no response are not read for long") {
+  const EndlessCase item = GENERATE(from_range(EndlessCases()));
+  for (const std::string route : {"/safe/", "/once/", "/talk/"}) {
+    GatewayFixture fleet;
+    const EndlessBackend backend(&fleet, "b", item.begin, item.unit);
+    TestClient& client = fleet.Call(route + "x", "a1");
+    INFO(item.name << " on " << route);
+    REQUIRE(fleet.RunUntil([&] { return client.Status() != 0; }));
+    CHECK(client.Status() >= 500);
+    REQUIRE(fleet.RunUntil([&] { return backend.AllClosed(); }));
+    const std::size_t attempts = route == "/safe/" ? 2 : 1;
+    CHECK(backend.Sent() <= attempts * item.max_bytes);
+    TestClient& other = fleet.Call("/safe/good", "a2");
+    REQUIRE(fleet.RunUntil([&] { return other.Status() != 0; }));
+    CHECK(other.Status() == 200);
+  }
+}
+
+TEST_CASE("many responses without end do not fill the memory") {
+  constexpr int calls = 12;
+  constexpr std::size_t most = 40U << 20U;
+  GatewayFixture fleet;
+  const EndlessBackend backend(
+      &fleet, "b", "HTTP/1.1 200 OK\r\nAttempt: ATTEMPT\r\n\r\n", "x");
+  std::vector<TestClient*> clients;
+  clients.reserve(calls);
+  for (int i = 0; i < calls; ++i) {
+    clients.push_back(&fleet.Call("/once/x", "a" + std::to_string(i)));
+  }
+  std::size_t peak = 0;
+  REQUIRE(fleet.RunUntil([&] {
+    peak = std::max(peak, fleet.context.response_buffers.Used());
+    return std::ranges::all_of(
+        clients, [](const TestClient* c) { return c->Status() != 0; });
+  }));
+  CHECK(peak <= most);
+  for (const TestClient* client : clients) CHECK(client->Status() == 502);
+  CHECK(fleet.context.response_buffers.Used() == 0);
+}
+
+}  // namespace
+}  // namespace wasabiwall::fakes
--- a/tests/gateway/reply_reader_test.cc
+++ b/tests/gateway/reply_reader_test.cc
@@ -5,6 +5,8 @@
 namespace wasabiwall::transport {
 namespace {
 
+constexpr std::size_t kBufferLimit = 32U << 20U;
+
 MessageHead Head(int status, BodyFraming framing, const std::string& type) {
   MessageHead head;
   head.status = status;
@@ -16,7 +18,8 @@
 /// @return Why a stream with this framing and body is truncated, or empty.
 std::string Truncation(BodyFraming framing, const std::string& body,
                        bool resumes = false) {
-  ReplyReader reply;
+  ByteBudget buffers(kBufferLimit);
+  ReplyReader reply(&buffers);
   reply.StartCall(true, resumes);
   reply.OnHead(Head(200, framing, "text/event-stream"), {});
   std::string events;
@@ -54,7 +57,8 @@
       {false, 200, "text/event-stream", false},
   }));
   CAPTURE(row.status, row.type);
-  ReplyReader reply;
+  ByteBudget buffers(kBufferLimit);
+  ReplyReader reply(&buffers);
   reply.StartCall(row.expects_stream, false);
   CHECK_FALSE(reply.HasStarted());
   reply.OnHead(Head(row.status, BodyFraming::kChunked, row.type), {});
@@ -67,18 +71,38 @@
 
 TEST_CASE("neither a body nor an unfinished event is buffered without bound") {
   const bool is_stream = GENERATE(true, false);
-  ReplyReader reply;
+  ByteBudget buffers(kBufferLimit);
+  ReplyReader reply(&buffers);
   reply.StartCall(is_stream, false);
   reply.OnHead(Head(200, BodyFraming::kChunked, ""), {});
   const std::string part(1U << 20U, 'x');
   std::string events;
   int parts = 0;
   while (parts < 100 && reply.OnBody(part, &events)) ++parts;
-  CHECK(parts == 16);
+  CHECK(parts == (is_stream ? 1 : 16));
+}
+
+TEST_CASE("the buffers of all calls have a common limit") {
+  ByteBudget buffers(1000);
+  std::string events;
+  {
+    ReplyReader first(&buffers);
+    ReplyReader second(&buffers);
+    for (ReplyReader* reply : {&first, &second}) {
+      reply->StartCall(false, false);
+      reply->OnHead(Head(200, BodyFraming::kChunked, ""), {});
+    }
+    CHECK(first.OnBody(std::string(600, 'x'), &events));
+    CHECK_FALSE(second.OnBody(std::string(600, 'x'), &events));
+    first.StartAttempt();
+    CHECK(buffers.Used() == 600);
+  }
+  CHECK(buffers.Used() == 0);
 }
 
 TEST_CASE("a new attempt starts after the last event that was passed on") {
-  ReplyReader reply;
+  ByteBudget buffers(kBufferLimit);
+  ReplyReader reply(&buffers);
   reply.StartCall(true, false);
   std::string events;
   reply.OnHead(Head(200, BodyFraming::kChunked, ""), {});
