--- a/src/wasabiwall/transport/async_http_client.cc
+++ b/src/wasabiwall/transport/async_http_client.cc
@@ -96,7 +96,6 @@
     if (!call) continue;
     call->connection->Close();
     // The timer's callback holds a reference to the call.
-    call->timer.Start(std::chrono::milliseconds(0), nullptr);
     call->timer.Stop();
   }
 }
--- a/src/wasabiwall/transport/event_loop.cc
+++ b/src/wasabiwall/transport/event_loop.cc
@@ -121,7 +121,11 @@
       static_cast<std::uint64_t>(period.count()));
 }
 
-void Timer::Stop() { uv_timer_stop(&m_state->handle); }
+void Timer::Stop() {
+  uv_timer_stop(&m_state->handle);
+  // Released last, since what the callback holds may own this timer.
+  const auto released = std::exchange(m_state->callback, nullptr);
+}
 
 struct SignalWatcher::State {
   uv_signal_t handle;
--- a/src/wasabiwall/transport/event_loop.h
+++ b/src/wasabiwall/transport/event_loop.h
@@ -66,6 +66,7 @@
   void StartRepeating(std::chrono::milliseconds period,
                       std::function<void()> callback);
 
+  /// Stops the timer and releases its callback.
   void Stop();
 
  private:
