Quarantine: replaced backend servers, requests answered elsewhere, large fleets

Calls whose connections broke are kept for ten seconds, and a new incarnation or a 421 counts as the crash. - A gateway that has just started knows of no answers, so that two crashes made it hold off a popular request. Gateways that answered it lately say so. - With more than 32 gateways, two that saw one crash each knew nothing of each other, and the homes that knew of both left the announcement to them.

--- a/src/wasabiwall/coordination/request_quarantine.cc
+++ b/src/wasabiwall/coordination/request_quarantine.cc
@@ -39,13 +39,18 @@
   return true;
 }
 
-void RequestQuarantine::OnPeerRecords(const std::vector<CrashRecord>& records,
-                                      TimePoint now) {
+std::vector<std::string> RequestQuarantine::OnPeerRecords(
+    const std::vector<CrashRecord>& records, TimePoint now) {
+  std::vector<std::string> answered;
   for (const CrashRecord& record : records) {
-    if (WasAnswered(record.fingerprint)) continue;
+    if (WasAnswered(record.fingerprint)) {
+      answered.push_back(record.fingerprint);
+      continue;
+    }
     m_records.Observe({record}, now);
     Judge(record.fingerprint, "peer", now);
   }
+  return answered;
 }
 
 void RequestQuarantine::Judge(const std::string& fingerprint,
@@ -53,12 +58,17 @@
   if (m_records.Count(fingerprint, now) < kQuarantineCrashes) return;
   const bool is_known = TimeLeft(fingerprint, now).has_value();
   Entry& entry = Insert(fingerprint, source, now);
-  // One that saw no crash of the request leaves it to those that did.
-  if (!is_known && m_own_crashes.contains(fingerprint)) {
+  if (!is_known && MayAnnounce(fingerprint)) {
     Announce(fingerprint, &entry, now);
   }
 }
 
+bool RequestQuarantine::MayAnnounce(const std::string& fingerprint) const {
+  // Of two gateways that saw one crash each, neither may know of the other.
+  return m_own_crashes.contains(fingerprint) ||
+         (m_hooks.is_announcer && m_hooks.is_announcer(fingerprint));
+}
+
 void RequestQuarantine::OnAnnounced(const std::string& fingerprint,
                                     TimePoint now) {
   if (WasAnswered(fingerprint)) return;
--- a/src/wasabiwall/coordination/request_quarantine.h
+++ b/src/wasabiwall/coordination/request_quarantine.h
@@ -43,6 +43,9 @@
         on_quarantined;
     /// All gateways, those that start later too, must learn of the quarantine.
     std::function<void(const std::string& fingerprint)> announce;
+    /// @return Whether this gateway is one of the few that announce the
+    /// quarantine of the request although they saw none of its crashes.
+    std::function<bool(const std::string& fingerprint)> is_announcer;
   };
 
   explicit RequestQuarantine(Hooks hooks,
@@ -57,7 +60,10 @@
                TimePoint now);
 
   /// Merges records of another gateway.
-  void OnPeerRecords(const std::vector<CrashRecord>& records, TimePoint now);
+  /// @return Fingerprints of requests that were answered lately, so that they
+  /// are not the cause.
+  std::vector<std::string> OnPeerRecords(
+      const std::vector<CrashRecord>& records, TimePoint now);
 
   /// Records that another gateway has announced the quarantine of a request.
   void OnAnnounced(const std::string& fingerprint, TimePoint now);
@@ -83,6 +89,8 @@
   };
 
   bool WasAnswered(const std::string& fingerprint) const;
+  /// @return Whether it is up to this gateway to announce the quarantine.
+  bool MayAnnounce(const std::string& fingerprint) const;
   /// Quarantines the request if it has enough records.
   void Judge(const std::string& fingerprint, const char* source, TimePoint now);
   Entry& Insert(const std::string& fingerprint, const char* source,
--- a/src/wasabiwall/protocol/crash_message.cc
+++ b/src/wasabiwall/protocol/crash_message.cc
@@ -7,15 +7,17 @@
 
 using nlohmann::json;
 
-/// First field of the message; those of other messages between gateways are
-/// numbers.
-constexpr const char* kType = "crash";
+// First field of the message; those of other messages between gateways are
+// numbers.
+constexpr const char* kCrashType = "crash";
+constexpr const char* kAnsweredType = "answered";
 
 }  // namespace
 
 std::string EncodeCrashMessage(const CrashMessage& message) {
-  const json fields = {kType, message.crash, message.age.count(),
-                       message.fingerprints};
+  const bool is_crash = message.kind == CrashMessage::Kind::kCrash;
+  const json fields = {is_crash ? kCrashType : kAnsweredType, message.crash,
+                       message.age.count(), message.fingerprints};
   std::string bytes;
   json::to_cbor(fields, bytes);
   return bytes;
@@ -24,8 +26,10 @@
 std::optional<CrashMessage> DecodeCrashMessage(std::string_view bytes) {
   try {
     const json fields = json::from_cbor(bytes);
-    if (fields.at(0) != kType) return std::nullopt;
+    const bool is_crash = fields.at(0) == kCrashType;
+    if (!is_crash && fields.at(0) != kAnsweredType) return std::nullopt;
     CrashMessage message;
+    if (!is_crash) message.kind = CrashMessage::Kind::kAnswered;
     message.crash = fields.at(1).get<std::int64_t>();
     message.age = std::chrono::milliseconds(fields.at(2).get<std::int64_t>());
     message.fingerprints = fields.at(3).get<std::vector<std::string>>();
--- a/src/wasabiwall/protocol/crash_message.h
+++ b/src/wasabiwall/protocol/crash_message.h
@@ -13,8 +13,18 @@
 /// Most requests in a CrashMessage, so that it fits into a datagram.
 inline constexpr std::size_t kMaxCrashMessageRequests = 24;
 
-/// Message between gateways: a backend server ended while it ran requests.
+/// Message between gateways about requests that were running when a backend
+/// server ended.
 struct CrashMessage {
+  enum class Kind {
+    /// Names the requests.
+    kCrash,
+    /// Answers it with those of them that were answered lately, so that they
+    /// are not the cause.
+    kAnswered,
+  };
+
+  Kind kind = Kind::kCrash;
   /// Identifies the end of the backend server, the same at all gateways.
   std::int64_t crash = 0;
   /// Time since then.
--- a/src/wasabiwall/transport/crash_monitor.cc
+++ b/src/wasabiwall/transport/crash_monitor.cc
@@ -1,5 +1,7 @@
 #include "wasabiwall/transport/crash_monitor.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "wasabiwall/coordination/rendezvous_homes.h"
@@ -17,6 +19,15 @@
 /// Gateways that are told of a crash. With as many, some can be reached from
 /// each failure domain while domains are cut off from each other.
 constexpr std::size_t kHomes = 32;
+/// Homes that announce a quarantine; more than one, since messages are lost and
+/// gateways restart.
+constexpr std::size_t kAnnouncingHomes = 3;
+
+/// Time within which a new incarnation shows that the one before has ended: a
+/// restart, and the time until the registry tells of it.
+constexpr std::chrono::seconds kReplacementTime{10};
+/// Broken calls that are kept for one backend server.
+constexpr std::ptrdiff_t kMaxKeptCalls = 256;
 
 /// @return Identifier of the end of a backend server.
 std::int64_t CrashIdOf(const state::BackendServer& server) {
@@ -31,9 +42,7 @@
 struct CrashMonitor::Check {
   explicit Check(EventLoop* loop) : timer(loop) {}
 
-  state::BackendServer server;
-  std::vector<std::string> fingerprints;
-  coordination::TimePoint began_at;
+  BrokenCalls calls;
   Timer timer;
   std::unique_ptr<TcpConnection> connection;
 };
@@ -55,11 +64,17 @@
                 [](const auto& member) { return member.second.empty(); });
 }
 
+bool CrashMonitor::IsFirstHome(const std::string& fingerprint) const {
+  const auto homes = coordination::RendezvousHomes(
+      m_members, state::FastHash(fingerprint), kAnnouncingHomes);
+  return std::ranges::find(homes, m_own_name) != homes.end();
+}
+
 void CrashMonitor::OnConnectionBroken(const state::BackendServer& server,
                                       const std::string& fingerprint) {
   auto& check = m_checks[server.id];
   if (check) {
-    check->fingerprints.push_back(fingerprint);
+    check->calls.fingerprints.push_back(fingerprint);
     return;
   }
   const auto address = ParseAddress(server.address);
@@ -68,9 +83,7 @@
     return;
   }
   check = std::make_unique<Check>(m_loop);
-  check->server = server;
-  check->fingerprints.push_back(fingerprint);
-  check->began_at = m_loop->Now();
+  check->calls = {server, {fingerprint}, m_loop->Now()};
   const state::BackendServerId id = server.id;
   check->timer.Start(kCheckTimeout, [this, id] { OnChecked(id, true); });
   check->connection = std::make_unique<TcpConnection>(
@@ -87,24 +100,51 @@
   if (found == m_checks.end()) return;
   const std::unique_ptr<Check> check = std::move(found->second);
   m_checks.erase(found);
-  if (has_ended) RecordCrash(*check);
+  if (has_ended) {
+    RecordCrash(check->calls);
+  } else {
+    KeepForReplacement(std::move(check->calls));
+  }
+}
+
+void CrashMonitor::KeepForReplacement(BrokenCalls calls) {
+  std::erase_if(m_survived, [now = m_loop->Now()](const auto& entry) {
+    return now - entry.second.broken_at > kReplacementTime;
+  });
+  BrokenCalls& kept = m_survived[calls.server.id];
+  kept.server = std::move(calls.server);
+  kept.broken_at = calls.broken_at;
+  std::ranges::move(calls.fingerprints, std::back_inserter(kept.fingerprints));
+  if (kept.fingerprints.size() > kMaxKeptCalls) {
+    kept.fingerprints.erase(kept.fingerprints.begin(),
+                            kept.fingerprints.end() - kMaxKeptCalls);
+  }
+}
+
+void CrashMonitor::OnGone(const state::BackendServerId& id) {
+  const auto found = m_survived.find(id);
+  if (found == m_survived.end()) return;
+  const BrokenCalls calls = std::move(found->second);
+  m_survived.erase(found);
+  if (m_loop->Now() - calls.broken_at > kReplacementTime) return;
+  RecordCrash(calls);
 }
 
-void CrashMonitor::RecordCrash(const Check& check) {
+void CrashMonitor::RecordCrash(const BrokenCalls& calls) {
   const auto now = m_loop->Now();
   protocol::CrashMessage crash{
-      .crash = CrashIdOf(check.server),
-      .age = std::chrono::duration_cast<milliseconds>(now - check.began_at)};
-  for (const std::string& fingerprint : check.fingerprints) {
+      .crash = CrashIdOf(calls.server),
+      .age = std::chrono::duration_cast<milliseconds>(now - calls.broken_at)};
+  for (const std::string& fingerprint : calls.fingerprints) {
     if (m_quarantine->OnCrash(fingerprint, crash.crash, now)) {
       crash.fingerprints.push_back(fingerprint);
     }
   }
   LogWarn("backend_crashed",
-          {{"backend", check.server.id.value},
-           {"requests", std::to_string(check.fingerprints.size())},
+          {{"backend", calls.server.id.value},
+           {"requests", std::to_string(calls.fingerprints.size())},
            {"suspects", std::to_string(crash.fingerprints.size())},
-           {"check_ms", std::to_string(crash.age.count())}});
+           {"known_after_ms", std::to_string(crash.age.count())}});
   Tell(crash);
 }
 
@@ -131,13 +171,24 @@
   }
 }
 
-void CrashMonitor::OnMessage(const protocol::CrashMessage& message) {
+void CrashMonitor::OnMessage(const std::string& from,
+                             const protocol::CrashMessage& message) {
+  if (message.kind == protocol::CrashMessage::Kind::kAnswered) {
+    for (const std::string& fingerprint : message.fingerprints) {
+      m_quarantine->OnAnswered(fingerprint);
+    }
+    return;
+  }
   std::vector<coordination::CrashRecord> records;
   records.reserve(message.fingerprints.size());
   for (const std::string& fingerprint : message.fingerprints) {
     records.push_back({fingerprint, message.crash, message.age});
   }
-  m_quarantine->OnPeerRecords(records, m_loop->Now());
+  auto answered = m_quarantine->OnPeerRecords(records, m_loop->Now());
+  if (answered.empty()) return;
+  m_send(from, {.kind = protocol::CrashMessage::Kind::kAnswered,
+                .crash = message.crash,
+                .fingerprints = std::move(answered)});
 }
 
 }  // namespace wasabiwall::transport
--- a/src/wasabiwall/transport/crash_monitor.h
+++ b/src/wasabiwall/transport/crash_monitor.h
@@ -19,7 +19,8 @@
 /// and tells the other gateways which requests it ran.
 ///
 /// A connection also breaks for other reasons. The backend server has ended if
-/// it accepts no new one. Used on one event loop only.
+/// it accepts no new one, or if another incarnation follows soon. Used on one
+/// event loop only.
 class CrashMonitor {
  public:
   /// Sends a message to the address of another gateway; it may be lost.
@@ -37,19 +38,38 @@
   /// messages.
   void SetMembers(const std::map<std::string, std::string>& members);
 
+  /// @return Whether this gateway is one of the first homes of the request.
+  bool IsFirstHome(const std::string& fingerprint) const;
+
   /// Records that the connection to a backend server broke while it may have
   /// run a request.
   void OnConnectionBroken(const state::BackendServer& server,
                           const std::string& fingerprint);
 
+  /// Records that an incarnation of a backend server has ended or been
+  /// replaced.
+  void OnGone(const state::BackendServerId& id);
+
   /// Handles a message of another gateway.
-  void OnMessage(const protocol::CrashMessage& message);
+  /// @param from Address of the sender.
+  void OnMessage(const std::string& from,
+                 const protocol::CrashMessage& message);
 
  private:
   struct Check;
 
+  /// Calls whose connections to one backend server broke.
+  struct BrokenCalls {
+    state::BackendServer server;
+    std::vector<std::string> fingerprints;
+    coordination::TimePoint broken_at;
+  };
+
   void OnChecked(const state::BackendServerId& id, bool has_ended);
-  void RecordCrash(const Check& check);
+  /// Keeps the calls for a time in which the backend server may turn out to
+  /// have been replaced.
+  void KeepForReplacement(BrokenCalls calls);
+  void RecordCrash(const BrokenCalls& calls);
   void Tell(const protocol::CrashMessage& crash);
 
   EventLoop* m_loop;
@@ -58,6 +78,8 @@
   SendHook m_send;
   std::map<std::string, std::string> m_members;
   std::unordered_map<state::BackendServerId, std::unique_ptr<Check>> m_checks;
+  /// Calls of backend servers that accepted a new connection.
+  std::unordered_map<state::BackendServerId, BrokenCalls> m_survived;
 };
 
 }  // namespace wasabiwall::transport
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -391,6 +391,9 @@
   const char* truncation = m_reply.TruncationReason();
   CountResponse(truncation != nullptr ? truncation : "complete");
   const ReplyMetadata& reply = m_reply.Metadata();
+  if (reply.wrong_backend) {
+    m_context->crash_monitor.OnGone(m_placement->server.id);
+  }
   if (reply.not_run) {
     EndAttempt(reply.wrong_backend ? HealthSignal::kReplaced
                                    : HealthSignal::kRefused);
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -66,9 +66,11 @@
                },
            .announce =
                [this](const std::string& fingerprint) {
-                 if (announce_quarantine) {
-                   announce_quarantine(fingerprint);
-                 }
+                 if (announce_quarantine) announce_quarantine(fingerprint);
+               },
+           .is_announcer =
+               [this](const std::string& fingerprint) {
+                 return crash_monitor.IsFirstHome(fingerprint);
                }}),
       crash_monitor(
           event_loop, &quarantine, options.name,
@@ -139,7 +141,7 @@
     return;
   }
   if (const auto crash = protocol::DecodeCrashMessage(data)) {
-    crash_monitor.OnMessage(*crash);
+    crash_monitor.OnMessage(from, *crash);
     return;
   }
   LogWarn("peer_message_ignored",
@@ -194,6 +196,7 @@
   event_intervals.Forget(id);
   m_slow_engines.erase(id);
   cold_starts.Forget(id);
+  crash_monitor.OnGone(id);
 }
 
 void GatewayContext::LogSlowEngineChanges() {
--- a/tests/coordination/request_quarantine_test.cc
+++ b/tests/coordination/request_quarantine_test.cc
@@ -59,6 +59,18 @@
   CHECK(quarantine.TimeLeft(kRequest, kStart));
 }
 
+TEST_CASE("a first home announces what ended backend servers elsewhere") {
+  int announced = 0;
+  RequestQuarantine quarantine(
+      {.announce = [&](const std::string&) { ++announced; },
+       .is_announcer = [](const std::string&) { return true; }});
+  // Each crash was seen by another gateway, neither of which knows the other's.
+  quarantine.OnPeerRecords({{kRequest, 1}}, kStart);
+  CHECK(announced == 0);
+  quarantine.OnPeerRecords({{kRequest, 2}}, kStart);
+  CHECK(announced == 1);
+}
+
 TEST_CASE("an answer shows that a request is not the cause") {
   RequestQuarantine quarantine({});
   quarantine.OnCrash(kRequest, 1, kStart);
@@ -162,10 +174,16 @@
   }
 
   void Restart(const std::string& name) {
-    m_gateways[name] = std::make_unique<RequestQuarantine>(
-        RequestQuarantine::Hooks{.announce = [this](const std::string&) {
-          m_announced_at.push_back(m_now);
-        }});
+    m_gateways[name] =
+        std::make_unique<RequestQuarantine>(RequestQuarantine::Hooks{
+            .announce =
+                [this](const std::string&) { m_announced_at.push_back(m_now); },
+            .is_announcer =
+                [this, name](const std::string&) {
+                  constexpr std::size_t announcers = 3;
+                  const auto homes = RendezvousHomes(m_members, 7, announcers);
+                  return std::ranges::find(homes, name) != homes.end();
+                }});
     if (m_is_in_store) m_gateways[name]->OnAnnounced(kRequest, m_now);
   }
 
--- a/tests/gateway/crashing_request_test.cc
+++ b/tests/gateway/crashing_request_test.cc
@@ -3,6 +3,7 @@
 #include <map>
 
 #include "fakes/gateway_fixture.h"
+#include "wasabiwall/coordination/request_fingerprint.h"
 
 namespace wasabiwall::fakes {
 namespace {
@@ -151,5 +152,72 @@
   CHECK(ended <= kMostEnded);
 }
 
+TEST_CASE("a backend server that is back at once has ended all the same") {
+  GatewayFixture fleet;
+  int runs = 0;
+  std::vector<std::string> ids;
+  // Each crash only resets the connection; the new incarnation accepts the next
+  // one and is registered a moment later.
+  for (int i = 0; i < 3; ++i) {
+    const std::string id = "b" + std::to_string(i);
+    ScriptedBackend& backend =
+        fleet.AddBackend(id, [&, id](const ScriptedBackend::Received& call) {
+          ++runs;
+          call.session->Reset();
+          ids.push_back(id);
+        });
+    CHECK(backend.Requests().empty());
+  }
+  for (int i = 0; i < kCallers; ++i) {
+    TestClient& client = fleet.Call("/once/x", "a" + std::to_string(i));
+    REQUIRE(fleet.RunUntil([&] { return client.Status() != 0; }));
+    // Longer than a new connection takes.
+    fleet.RunFor(milliseconds(10));
+    for (const std::string& id : std::exchange(ids, {})) {
+      fleet.context.ForgetBackendServer(state::BackendServerId(id));
+    }
+  }
+  CHECK(runs <= kMostEnded);
+}
+
+TEST_CASE(
+    "a gateway that has answered a request lately tells those that suspect "
+    "it") {
+  GatewayFixture first;
+  GatewayFixture second;
+  first.AddBackend("b0", [](const ScriptedBackend::Received& call) {
+    call.session->Write(
+        PlainAnswer(*call.head.headers.Find("Attempt"), 200, "served"));
+  });
+  TestClient& answered = first.Call("/once/x", "a0");
+  REQUIRE(first.RunUntil([&] { return answered.Status() == 200; }));
+  // The second gateway has just started and sees two backend servers end.
+  const CrashingBackends backends(&second, 2);
+  for (GatewayFixture* gateway : {&first, &second}) {
+    REQUIRE(gateway->context.peer_socket.Bind({"127.0.0.1", 0}));
+  }
+  for (GatewayFixture* gateway : {&first, &second}) {
+    gateway->context.SetGateways(
+        {{"other", first.context.peer_socket.LocalAddress()},
+         {"test", second.context.peer_socket.LocalAddress()}});
+  }
+  const std::string fingerprint =
+      coordination::FingerprintOf({"", "GET", "host", "/once/x", ""});
+  const state::BackendServer b0{.id = state::BackendServerId("b0"),
+                                .address = "127.0.0.1:1"};
+  second.context.crash_monitor.OnConnectionBroken(b0, fingerprint);
+  const auto end = second.loop.Now() + milliseconds(50);
+  second.RunUntil([&] {
+    uv_run(first.loop.Handle(), UV_RUN_NOWAIT);
+    return second.loop.Now() >= end;
+  });
+  const state::BackendServer b1{.id = state::BackendServerId("b1"),
+                                .address = "127.0.0.1:1"};
+  second.context.crash_monitor.OnConnectionBroken(b1, fingerprint);
+  second.RunFor(milliseconds(50));
+  CHECK_FALSE(
+      second.context.quarantine.TimeLeft(fingerprint, second.loop.Now()));
+}
+
 }  // namespace
 }  // namespace wasabiwall::fakes
--- a/tests/protocol/crash_message_test.cc
+++ b/tests/protocol/crash_message_test.cc
@@ -17,11 +17,14 @@
 TEST_CASE("a crash message survives its encoding and fits into a datagram",
           "[crash_message]") {
   constexpr std::size_t datagram_bytes = 1400;
-  const CrashMessage message = MakeMessage(kMaxCrashMessageRequests);
+  CrashMessage message = MakeMessage(kMaxCrashMessageRequests);
+  message.kind =
+      GENERATE(CrashMessage::Kind::kCrash, CrashMessage::Kind::kAnswered);
   const std::string bytes = EncodeCrashMessage(message);
   CHECK(bytes.size() <= datagram_bytes);
   const auto decoded = DecodeCrashMessage(bytes);
   REQUIRE(decoded);
+  CHECK(decoded->kind == message.kind);
   CHECK(decoded->crash == message.crash);
   CHECK(decoded->age == message.age);
   CHECK(decoded->fingerprints == message.fingerprints);
