Test: a replaced backend server comes back as another incarnation

Cause: the test let the gateway forget a backend server without registering the incarnation that follows. The store's entries carry the time of birth, so the gateway is right to tell incarnations by it. The test now puts the next incarnation into the registry, as the follower of the store does; the bound stays.

--- a/tests/gateway/crashing_request_test.cc
+++ b/tests/gateway/crashing_request_test.cc
@@ -174,7 +174,12 @@
     // Longer than a new connection takes.
     fleet.RunFor(milliseconds(10));
     for (const std::string& id : std::exchange(ids, {})) {
-      fleet.context.ForgetBackendServer(state::BackendServerId(id));
+      state::BackendServer next =
+          fleet.context.registry.Find(state::BackendServerId(id))->server;
+      ++next.incarnation;
+      REQUIRE(fleet.context.registry.Put(next, fleet.loop.Now(),
+                                         milliseconds(0), false));
+      fleet.context.ForgetBackendServer(next.id);
     }
   }
   CHECK(runs <= kMostEnded);
