Crash monitor: a backend server that is replaced during its check has ended

After a broken connection the monitor opens a new one. If the registry told of the next incarnation before that connection was open, OnGone found nothing to do, and the check then reached the new incarnation and took it for the old one: the crash was never counted, so that a request could end one backend server more for each such race.

Now OnGone ends a check that is under way as a crash. The new test failed before the change and passes after it; 130 tests of the gateway pass.

--- a/src/wasabiwall/transport/crash_monitor.cc
+++ b/src/wasabiwall/transport/crash_monitor.cc
@@ -122,6 +122,8 @@
 }
 
 void CrashMonitor::OnGone(const state::BackendServerId& id) {
+  // The connection that is being opened would reach the next incarnation.
+  OnChecked(id, true);
   const auto found = m_survived.find(id);
   if (found == m_survived.end()) return;
   const BrokenCalls calls = std::move(found->second);
--- a/tests/gateway/crashing_request_test.cc
+++ b/tests/gateway/crashing_request_test.cc
@@ -185,6 +185,22 @@
   CHECK(runs <= kMostEnded);
 }
 
+TEST_CASE("a backend server that is replaced while it is checked has ended") {
+  GatewayFixture fleet;
+  const std::string fingerprint(32, 'a');
+  for (const std::string id : {"b0", "b1"}) {
+    // Stands for the new incarnation, which accepts the check's connection.
+    const ScriptedBackend& backend =
+        fleet.AddBackend(id, [](const ScriptedBackend::Received&) {});
+    const state::BackendServer server{.id = state::BackendServerId(id),
+                                      .address = backend.Address()};
+    fleet.context.crash_monitor.OnConnectionBroken(server, fingerprint);
+    fleet.context.ForgetBackendServer(server.id);
+    fleet.RunFor(milliseconds(20));
+  }
+  CHECK(fleet.context.quarantine.TimeLeft(fingerprint, fleet.loop.Now()));
+}
+
 TEST_CASE(
     "a gateway that has answered a request lately tells those that suspect "
     "it") {
