Quarantine: one probe in the fleet tells an innocent request from the cause

Cause: a quarantine had no way back but silence. All requests in flight at two crashes look the same; only a run can tell them apart, and nobody was allowed to run one. An answer that arrived later released the request at one gateway only.

Fix: two seconds after the quarantine a repeat may run as a half-open probe. The gateway at which it arrives claims it with a write of the request's entry in the store that names the revision it replaces, so that one gateway of the fleet wins. An answer, of the probe or of a copy that was in flight, is written to the entry, which releases the request everywhere and for gateways that start later. A probe that certainly did not run is left to the next repeat. At most three probes, ten and twenty minutes apart: a request that is the cause ends five backend servers over any time, where the users' bound is three more after the third. Callers are told to come back when the next probe or its outcome is due.

Why it works: the probe asks the only question that matters, and linearizable writes make it one question for the whole fleet; without the store there is no probe, which is safe. Ruled out: probes by the first homes of a request (a repeat may never arrive there), release without the store (gateways that start would hold the request off again), counting crashes by others in flight (needs a verdict on those first).

--- a/src/wasabiwall/coordination/request_quarantine.cc
+++ b/src/wasabiwall/coordination/request_quarantine.cc
@@ -13,6 +13,10 @@
 /// Announcements are repeated after this share of the quarantine time while the
 /// request keeps coming.
 constexpr int kAnnouncementsPerQuarantine = 2;
+/// Time in which the claim of a probe is decided.
+constexpr milliseconds kClaimTime{2000};
+/// Time in which the outcome of most probes is known to all gateways.
+constexpr milliseconds kOutcomeTime{5000};
 /// Own crashes kept, to know which gateway announces a quarantine.
 constexpr std::size_t kMaxOwnCrashes = 4096;
 
@@ -69,10 +73,20 @@
          (m_hooks.is_announcer && m_hooks.is_announcer(fingerprint));
 }
 
-void RequestQuarantine::OnAnnounced(const std::string& fingerprint,
+void RequestQuarantine::OnAnnounced(const std::string& fingerprint, int probes,
                                     TimePoint now) {
-  if (WasAnswered(fingerprint)) return;
-  Insert(fingerprint, "announcement", now).announced_at = now;
+  if (WasAnswered(fingerprint)) {
+    // Few gateways reply, since all that have answered it get here.
+    const bool replies =
+        m_hooks.is_announcer && m_hooks.is_announcer(fingerprint);
+    if (replies && m_hooks.announce_answered) {
+      m_hooks.announce_answered(fingerprint);
+    }
+    return;
+  }
+  Entry& entry = Insert(fingerprint, "announcement", now);
+  entry.announced_at = now;
+  CountProbes(&entry, probes, now);
 }
 
 RequestQuarantine::Entry& RequestQuarantine::Insert(
@@ -82,6 +96,7 @@
     MakeRoom(now);
   }
   Entry& entry = m_quarantined[fingerprint];
+  if (!is_known) entry = {.probe_at = now + m_options.first_probe_delay};
   entry.until = now + m_options.quarantine_time;
   if (!is_known && m_hooks.on_quarantined) {
     m_hooks.on_quarantined(fingerprint, source);
@@ -106,13 +121,75 @@
 }
 
 void RequestQuarantine::OnAnswered(const std::string& fingerprint) {
+  const bool was_quarantined = Release(fingerprint);
+  if (was_quarantined && m_hooks.announce_answered) {
+    m_hooks.announce_answered(fingerprint);
+  }
+}
+
+void RequestQuarantine::OnPeerAnswered(const std::string& fingerprint) {
+  const bool announces = MayAnnounce(fingerprint);
+  const bool was_quarantined = Release(fingerprint);
+  if (was_quarantined && announces && m_hooks.announce_answered) {
+    m_hooks.announce_answered(fingerprint);
+  }
+}
+
+void RequestQuarantine::OnAnsweredAnnounced(const std::string& fingerprint) {
+  Release(fingerprint);
+}
+
+bool RequestQuarantine::Release(const std::string& fingerprint) {
   if (m_answered.size() >= m_options.min_answered) {
     m_answered_before = std::exchange(m_answered, {});
   }
   m_answered.insert(state::FastHash(fingerprint));
   m_own_crashes.erase(fingerprint);
-  m_quarantined.erase(fingerprint);
   m_records.Forget(fingerprint);
+  const bool was_quarantined = m_quarantined.erase(fingerprint) > 0;
+  if (was_quarantined && m_hooks.on_released) m_hooks.on_released(fingerprint);
+  return was_quarantined;
+}
+
+bool RequestQuarantine::StartProbeClaim(const std::string& fingerprint,
+                                        TimePoint now) {
+  const auto found = m_quarantined.find(fingerprint);
+  if (found == m_quarantined.end()) return false;
+  Entry& entry = found->second;
+  if (entry.probes >= m_options.max_probes || now < entry.probe_at) {
+    return false;
+  }
+  entry.probe_at = now + kClaimTime;
+  return true;
+}
+
+void RequestQuarantine::OnProbeClaimed(const std::string& fingerprint,
+                                       int probes, TimePoint now) {
+  const auto found = m_quarantined.find(fingerprint);
+  if (found == m_quarantined.end()) return;
+  CountProbes(&found->second, probes, now);
+  found->second.has_probe = true;
+}
+
+void RequestQuarantine::CountProbes(Entry* entry, int probes,
+                                    TimePoint now) const {
+  if (probes <= entry->probes) return;
+  entry->probes = probes;
+  entry->outcome_at = now + kOutcomeTime;
+  constexpr int most_doublings = 10;
+  const int doublings = std::min(probes - 1, most_doublings);
+  entry->probe_at = now + m_options.probe_interval * (1 << doublings);
+}
+
+bool RequestQuarantine::TakeProbe(const std::string& fingerprint) {
+  const auto found = m_quarantined.find(fingerprint);
+  return found != m_quarantined.end() &&
+         std::exchange(found->second.has_probe, false);
+}
+
+void RequestQuarantine::ReturnProbe(const std::string& fingerprint) {
+  const auto found = m_quarantined.find(fingerprint);
+  if (found != m_quarantined.end()) found->second.has_probe = true;
 }
 
 void RequestQuarantine::OnRepeated(const std::string& fingerprint,
@@ -135,6 +212,21 @@
   return std::chrono::ceil<milliseconds>(found->second.until - now);
 }
 
+milliseconds RequestQuarantine::RetryAfter(const std::string& fingerprint,
+                                           TimePoint now) const {
+  const auto found = m_quarantined.find(fingerprint);
+  if (found == m_quarantined.end()) return milliseconds(0);
+  const Entry& entry = found->second;
+  TimePoint retry_at = entry.until;
+  if (entry.probes < m_options.max_probes) {
+    retry_at = std::min(retry_at, entry.probe_at);
+  }
+  if (now < entry.outcome_at) retry_at = std::min(retry_at, entry.outcome_at);
+  // A claim that is being decided has left the time of the probe behind.
+  constexpr milliseconds shortest{1};
+  return std::max(shortest, std::chrono::ceil<milliseconds>(retry_at - now));
+}
+
 std::size_t RequestQuarantine::Size(TimePoint now) {
   DropExpired(now);
   return m_quarantined.size();
--- a/src/wasabiwall/coordination/request_quarantine.h
+++ b/src/wasabiwall/coordination/request_quarantine.h
@@ -24,6 +24,14 @@
   std::size_t max_quarantined = 4096;
   /// Number of answered requests that are remembered at least.
   std::size_t min_answered = 8192;
+  /// Time until the first probe: longer than the answers of copies that were in
+  /// flight, and the records of the same crashes, usually take.
+  std::chrono::milliseconds first_probe_delay = std::chrono::seconds(2);
+  /// Time from the first probe to the second one; doubles with each probe.
+  std::chrono::milliseconds probe_interval = std::chrono::minutes(10);
+  /// Probes of one quarantine in the whole fleet. With the crashes before them,
+  /// a request that is the cause ends at most five backend servers.
+  int max_probes = 3;
 };
 
 /// Decides which requests a gateway holds off because backend servers ended
@@ -33,16 +41,24 @@
 /// A request is known by its fingerprint. All requests in flight when a backend
 /// server ends get a record; one with kQuarantineCrashes records and no answer
 /// is quarantined. A request that was answered lately is never a suspect, so
-/// that a popular one that is in flight at every crash keeps running. Does no
-/// I/O. Not safe for concurrent use.
+/// that a popular one that is in flight at every crash keeps running.
+///
+/// A request that was only in flight when others ended backend servers is told
+/// from the cause by a half-open probe: one repeat at a time, which one gateway
+/// of the fleet claims, runs. An answer releases the request at all gateways.
+/// Does no I/O. Not safe for concurrent use.
 class RequestQuarantine {
  public:
   struct Hooks {
     /// A request is quarantined from now on.
     std::function<void(const std::string& fingerprint, const char* source)>
         on_quarantined;
+    /// A quarantined request may run again, since it has been answered.
+    std::function<void(const std::string& fingerprint)> on_released;
     /// All gateways, those that start later too, must learn of the quarantine.
     std::function<void(const std::string& fingerprint)> announce;
+    /// All gateways must learn that a quarantined request has been answered.
+    std::function<void(const std::string& fingerprint)> announce_answered;
     /// @return Whether this gateway is one of the few that announce the
     /// quarantine of the request although they saw none of its crashes.
     std::function<bool(const std::string& fingerprint)> is_announcer;
@@ -66,19 +82,47 @@
       const std::vector<CrashRecord>& records, TimePoint now);
 
   /// Records that another gateway has announced the quarantine of a request.
-  void OnAnnounced(const std::string& fingerprint, TimePoint now);
+  /// @param probes Probes that gateways have claimed so far.
+  void OnAnnounced(const std::string& fingerprint, int probes, TimePoint now);
 
   /// Records that a backend server has answered a request in full.
   void OnAnswered(const std::string& fingerprint);
 
+  /// Records that another gateway knows of an answer.
+  void OnPeerAnswered(const std::string& fingerprint);
+
+  /// Records that it was announced that a request has been answered.
+  void OnAnsweredAnnounced(const std::string& fingerprint);
+
   /// Records that a quarantined request was repeated, which extends the
   /// quarantine.
   void OnRepeated(const std::string& fingerprint, TimePoint now);
 
-  /// @return Time until the request may run again; nothing if it may run now.
+  /// Decides whether this gateway should claim the next probe in the fleet.
+  /// After a yes, the answer is no for a time in which the claim is decided.
+  bool StartProbeClaim(const std::string& fingerprint, TimePoint now);
+
+  /// Records that this gateway has claimed a probe.
+  /// @param probes Probes claimed in the fleet, this one included.
+  void OnProbeClaimed(const std::string& fingerprint, int probes,
+                      TimePoint now);
+
+  /// Takes the probe that this gateway has claimed.
+  /// @return Whether the request may run once although it is quarantined.
+  bool TakeProbe(const std::string& fingerprint);
+
+  /// Gives back a probe that certainly did not run, for the next repeat.
+  void ReturnProbe(const std::string& fingerprint);
+
+  /// @return Time until the quarantine ends if the request is not repeated;
+  /// nothing if it is not quarantined.
   std::optional<std::chrono::milliseconds> TimeLeft(
       const std::string& fingerprint, TimePoint now) const;
 
+  /// @return Time after which a caller should repeat a quarantined request.
+  std::chrono::milliseconds RetryAfter(const std::string& fingerprint,
+                                       TimePoint now) const;
+
   /// @return Number of quarantined requests.
   std::size_t Size(TimePoint now);
 
@@ -86,6 +130,13 @@
   struct Entry {
     TimePoint until;
     TimePoint announced_at;
+    /// When the next probe may be claimed, if any are left.
+    TimePoint probe_at;
+    /// When the outcome of a probe that is under way should be known.
+    TimePoint outcome_at;
+    int probes = 0;
+    /// Whether this gateway has claimed a probe that has not run yet.
+    bool has_probe = false;
   };
 
   bool WasAnswered(const std::string& fingerprint) const;
@@ -96,6 +147,10 @@
   Entry& Insert(const std::string& fingerprint, const char* source,
                 TimePoint now);
   void Announce(const std::string& fingerprint, Entry* entry, TimePoint now);
+  /// Takes over the number of probes claimed in the fleet if it has risen.
+  void CountProbes(Entry* entry, int probes, TimePoint now) const;
+  /// @return Whether the request was quarantined.
+  bool Release(const std::string& fingerprint);
   void MakeRoom(TimePoint now);
   void DropExpired(TimePoint now);
 
--- a/src/wasabiwall/transport/crash_monitor.cc
+++ b/src/wasabiwall/transport/crash_monitor.cc
@@ -177,7 +177,7 @@
                              const protocol::CrashMessage& message) {
   if (message.kind == protocol::CrashMessage::Kind::kAnswered) {
     for (const std::string& fingerprint : message.fingerprints) {
-      m_quarantine->OnAnswered(fingerprint);
+      m_quarantine->OnPeerAnswered(fingerprint);
     }
     return;
   }
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -5,8 +5,10 @@
 #include <utility>
 
 #include "wasabiwall/coordination/request_fingerprint.h"
+#include "wasabiwall/transport/forwarded_request.h"
 #include "wasabiwall/transport/local_reply.h"
 #include "wasabiwall/transport/logging.h"
+#include "wasabiwall/transport/server_notices.h"
 
 namespace wasabiwall::transport {
 namespace {
@@ -42,6 +44,7 @@
       m_output(std::move(output)),
       m_deadline_timer(context->loop),
       m_attempt_timer(context->loop),
+      m_quarantine(context),
       m_reply(&context->response_buffers) {}
 
 void Exchange::Start() {
@@ -53,7 +56,7 @@
     Fail(*error);
     return;
   }
-  m_fingerprint = FingerprintOfRequest();
+  m_quarantine.Start(FingerprintOfRequest(), m_call.metadata.attempt_id);
   const bool resumes = m_request.head.headers.Find(kLastEventId) != nullptr;
   m_reply.StartCall(m_call.IsStream(), resumes);
   m_deadline_timer.Start(TimeLeft(), [this] { OnDeadline(); });
@@ -116,13 +119,21 @@
 }
 
 bool Exchange::RefuseIfQuarantined() {
-  const auto now = m_context->loop->Now();
-  const auto left = m_context->quarantine.TimeLeft(m_fingerprint, now);
-  if (!left) return false;
-  m_context->quarantine.OnRepeated(m_fingerprint, now);
-  Fail({m_counts.runs > 0 ? ErrorKind::kBackendServerCrashed
-                          : ErrorKind::kCrashSuspect,
-        "", left});
+  const bool has_run = m_counts.runs > 0;
+  switch (m_quarantine.Check(has_run, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && !self->m_ended) self->Place();
+  })) {
+    case QuarantineGuard::Verdict::kRun:
+      return false;
+    case QuarantineGuard::Verdict::kUndecided:
+      m_waiter_id = 0;
+      return true;
+    case QuarantineGuard::Verdict::kRefuse:
+      break;
+  }
+  Fail({has_run ? ErrorKind::kBackendServerCrashed : ErrorKind::kCrashSuspect,
+        "", m_quarantine.RetryAfter()});
   return true;
 }
 
@@ -256,8 +267,6 @@
   ++m_counts.runs;
   m_sent_at = m_context->loop->Now();
   StartIdleTimer();
-  HeaderList headers = m_request.head.headers;
-  headers.RemoveHopByHop();
   ForwardedCall call{.time_left = std::max(milliseconds{1}, TimeLeft()),
                      .backend_server = m_placement->server.id,
                      .priority = m_call.Priority()};
@@ -266,20 +275,8 @@
   if (m_placement->fetch_from) {
     call.fetch_from = m_placement->fetch_from->address;
   }
-  m_context->codec.encode_call(call, &headers);
-  std::string bytes =
-      m_request.head.method + " " + m_request.head.target + " HTTP/1.1\r\n";
-  for (const Header& field : headers.Fields()) {
-    AppendHeader(field.name, field.value, &bytes);
-  }
-  const bool has_body =
-      !m_request.body.empty() ||
-      (m_request.head.method != "GET" && m_request.head.method != "HEAD");
-  if (has_body) {
-    AppendHeader("Content-Length", std::to_string(m_request.body.size()),
-                 &bytes);
-  }
-  return bytes.append("\r\n").append(m_request.body);
+  return EncodeForwardedRequest(m_request.head, m_request.body, call,
+                                m_context->codec);
 }
 
 void Exchange::StartIdleTimer() {
@@ -301,7 +298,10 @@
   const state::BackendServerId& id = m_placement->server.id;
   if (reply.load) m_context->loads.OnReport(id, *reply.load, now);
   // The response of another instance says nothing about the expected one.
-  if (!reply.wrong_backend) ApplyServerNotices(reply);
+  if (!reply.wrong_backend) {
+    ApplyServerNotices(m_placement->server, reply, m_call.metadata.attempt_id,
+                       m_context);
+  }
   if (reply.cold_left) {
     m_context->registry.ExtendCold(id, now + *reply.cold_left);
   }
@@ -312,33 +312,6 @@
   StartIdleTimer();
 }
 
-void Exchange::ApplyServerNotices(const ReplyMetadata& reply) {
-  const auto now = m_context->loop->Now();
-  const state::BackendServer& server = m_placement->server;
-  if (reply.leaving && m_context->registry.MarkLeaving(server, now)) {
-    LogInfo("backend_leaving",
-            {{"backend", server.id.value},
-             {"id", m_call.metadata.attempt_id},
-             {"revision", std::to_string(m_context->registry.Revision())}});
-  }
-  if (!reply.unreadable_hold_off.empty()) {
-    LogWarn("retry_after_ignored", {{"backend", server.id.value},
-                                    {"id", m_call.metadata.attempt_id},
-                                    {"value", reply.unreadable_hold_off}});
-  }
-  if (!reply.hold_off) {
-    m_context->hold_offs.OnAnswer(server, now);
-    return;
-  }
-  const auto left =
-      m_context->hold_offs.OnRequest(server, *reply.hold_off, now);
-  LogInfo("backend_held_off",
-          {{"backend", server.id.value},
-           {"id", m_call.metadata.attempt_id},
-           {"asked_ms", std::to_string(reply.hold_off->count())},
-           {"left_ms", std::to_string(left.count())}});
-}
-
 void Exchange::OnReplyBody(std::string_view data) {
   std::string events;
   if (!m_reply.OnBody(data, &events)) {
@@ -377,11 +350,6 @@
   if (m_connection) m_connection->ResumeReading();
 }
 
-void Exchange::ReportBrokenRun() {
-  m_context->crash_monitor.OnConnectionBroken(m_placement->server,
-                                              m_fingerprint);
-}
-
 void Exchange::CountResponse(const char* end) {
   m_context->metrics.CountBackendResponse(m_reply.FramingName(), end);
 }
@@ -404,12 +372,12 @@
     return;
   }
   if (truncation != nullptr) {
-    ReportBrokenRun();
+    m_quarantine.OnBroken(m_placement->server);
     EndAttempt(HealthSignal::kFailed);
     RetryOrFail(false, ErrorKind::kAnswerCut, truncation);
     return;
   }
-  m_context->quarantine.OnAnswered(m_fingerprint);
+  m_quarantine.OnAnswered();
   const bool failed = m_reply.Head().status >= kFirstServerError;
   EndAttempt(failed ? HealthSignal::kFailed : HealthSignal::kAnswered);
   if (m_reply.IsEventStream()) {
@@ -435,7 +403,7 @@
   const bool has_started = m_reply.HasStarted();
   const bool stale = m_connection->WasUsedBefore() && !has_started;
   CountResponse("connection_broken");
-  ReportBrokenRun();
+  m_quarantine.OnBroken(m_placement->server);
   EndAttempt(stale ? HealthSignal::kRefused : HealthSignal::kFailed);
   RetryOrFail(
       false,
@@ -505,7 +473,7 @@
   std::vector<LogField> fields = {
       {"id", m_call.metadata.attempt_id},
       {"backend", m_placement->server.id.value},
-      {"fingerprint", m_fingerprint},
+      {"fingerprint", m_quarantine.Fingerprint()},
       {"reason", reason},
       {"not_run", not_run ? "true" : "false"},
       {"repeats", will_retry ? "true" : "false"},
@@ -595,6 +563,7 @@
   if (std::exchange(m_ended, true)) return;
   m_deadline_timer.Stop();
   m_attempt_timer.Stop();
+  m_quarantine.OnEnded(m_counts.runs > 0);
   if (m_cache_lookup) m_context->prompt_directory.Cancel(*m_cache_lookup);
   if (m_waiter_id != 0) m_context->queue.Remove(std::exchange(m_waiter_id, 0));
   const auto now = m_context->loop->Now();
@@ -608,7 +577,8 @@
   };
   std::vector<LogField> fields = {
       {"id", m_call.metadata.attempt_id},
-      {"fingerprint", m_fingerprint.empty() ? "-" : m_fingerprint},
+      {"fingerprint",
+       m_quarantine.Fingerprint().empty() ? "-" : m_quarantine.Fingerprint()},
       {"outcome", outcome},
       {"route", m_call.route != nullptr ? m_call.route->name : "-"},
       {"workspace", workspace.empty() ? "-" : workspace},
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -10,6 +10,7 @@
 #include "wasabiwall/coordination/attempt_policy.h"
 #include "wasabiwall/protocol/error_kind.h"
 #include "wasabiwall/transport/gateway_context.h"
+#include "wasabiwall/transport/quarantine_guard.h"
 #include "wasabiwall/transport/reply_reader.h"
 #include "wasabiwall/transport/resolved_call.h"
 
@@ -75,7 +76,9 @@
   /// queues or refuses the call, unless it is queued already.
   /// @return Whether an attempt was started or the call has ended.
   bool Place();
-  /// Ends the call if its request is quarantined.
+  /// Refuses the call if its request is quarantined, unless it may run as a
+  /// probe.
+  /// @return Whether the call must not be placed now.
   bool RefuseIfQuarantined();
   void Enqueue(coordination::PlacementRefusal refusal);
   void RefuseUnplaced(coordination::PlacementRefusal refusal);
@@ -96,16 +99,12 @@
   /// Counts the send, starts the idle timer and encodes the request.
   std::string EncodeRequest();
   void OnReplyHead(MessageHead head);
-  /// Records that the backend server leaves or asks for no calls for a time.
-  void ApplyServerNotices(const ReplyMetadata& reply);
   void OnReplyBody(std::string_view data);
   void OnReplyComplete();
   void OnAttemptFailed();
   void OnConnectTimeout();
   void OnIdleTimeout();
   void StartIdleTimer();
-  /// Reports that the connection broke while the call may have run.
-  void ReportBrokenRun();
   /// Counts a response of a backend server by how it ended.
   void CountResponse(const char* end);
   void EndAttempt(coordination::HealthSignal signal);
@@ -134,10 +133,9 @@
   GatewayRequest m_request;
   Output m_output;
   ResolvedCall m_call;
-  /// Empty until the call has been resolved.
-  std::string m_fingerprint;
   Timer m_deadline_timer;
   Timer m_attempt_timer;
+  QuarantineGuard m_quarantine;
   coordination::AdmissionQueue::WaiterId m_waiter_id = 0;
   std::optional<coordination::PromptDirectory::LookupId> m_cache_lookup;
 
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -64,9 +64,19 @@
                [this](const std::string& fingerprint, const char* source) {
                  OnQuarantined(fingerprint, source);
                },
+           .on_released =
+               [](const std::string& fingerprint) {
+                 LogInfo("request_released", {{"fingerprint", fingerprint}});
+               },
            .announce =
                [this](const std::string& fingerprint) {
-                 if (announce_quarantine) announce_quarantine(fingerprint);
+                 if (!quarantine_sharing.announce) return;
+                 quarantine_sharing.announce(fingerprint);
+               },
+           .announce_answered =
+               [this](const std::string& fingerprint) {
+                 if (!quarantine_sharing.announce_answered) return;
+                 quarantine_sharing.announce_answered(fingerprint);
                },
            .is_announcer =
                [this](const std::string& fingerprint) {
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -57,6 +57,21 @@
   int max_descriptors = 4096;
 };
 
+/// Makes the quarantine of requests known to all gateways, those that start
+/// later too. Functions that are not set do nothing.
+struct QuarantineSharing {
+  /// Announces that a request is quarantined.
+  std::function<void(const std::string& fingerprint)> announce;
+  /// Announces that a quarantined request has been answered.
+  std::function<void(const std::string& fingerprint)> announce_answered;
+  /// Claims the next probe of a request for this gateway.
+  /// @param on_done Called once the quarantine knows the outcome.
+  /// @return Whether the outcome will come.
+  std::function<bool(const std::string& fingerprint,
+                     std::function<void()> on_done)>
+      claim_probe;
+};
+
 /// State shared by the calls of one gateway process. Used on one event loop
 /// only.
 class GatewayContext {
@@ -115,9 +130,7 @@
   coordination::PromptDirectory prompt_directory;
   coordination::RequestQuarantine quarantine;
   CrashMonitor crash_monitor;
-  /// Announces to all gateways, those that start later too, that a request is
-  /// quarantined.
-  std::function<void(const std::string& fingerprint)> announce_quarantine;
+  QuarantineSharing quarantine_sharing;
   coordination::AdmissionQueue queue;
   coordination::RetryAfterScheduler retry_after_scheduler;
   /// Responses that are buffered until they are complete.
--- a/tests/gateway/crashing_request_test.cc
+++ b/tests/gateway/crashing_request_test.cc
@@ -1,6 +1,7 @@
 // Requests that end the backend servers that run them, and their repeats.
 #include <catch2/catch.hpp>
 #include <map>
+#include <memory>
 
 #include "fakes/gateway_fixture.h"
 #include "wasabiwall/coordination/request_fingerprint.h"
@@ -240,5 +241,92 @@
       second.context.quarantine.TimeLeft(fingerprint, second.loop.Now()));
 }
 
+/// Gets "/once/x" quarantined long enough before for a probe.
+void QuarantineEarlier(GatewayFixture* fleet) {
+  const std::string fingerprint =
+      coordination::FingerprintOf({"", "GET", "host", "/once/x", ""});
+  const auto earlier = fleet->loop.Now() - std::chrono::seconds(3);
+  fleet->context.quarantine.OnCrash(fingerprint, 1, earlier);
+  fleet->context.quarantine.OnCrash(fingerprint, 2, earlier);
+}
+
+/// Answers claims of probes a moment later.
+/// @return Number of claims.
+std::shared_ptr<int> AnswerClaims(GatewayFixture* fleet, bool grants) {
+  auto claims = std::make_shared<int>(0);
+  fleet->context.quarantine_sharing.claim_probe =
+      [=](const std::string& fingerprint,
+          const std::function<void()>& on_done) {
+        ++*claims;
+        fleet->loop.Post([=] {
+          if (grants) {
+            fleet->context.quarantine.OnProbeClaimed(fingerprint, *claims,
+                                                     fleet->loop.Now());
+          }
+          on_done();
+        });
+        return true;
+      };
+  return claims;
+}
+
+TEST_CASE("one repeat of a quarantined request runs as a probe") {
+  GatewayFixture fleet;
+  fleet.AddBackend("b0", [](const ScriptedBackend::Received& call) {
+    call.session->Write(
+        PlainAnswer(*call.head.headers.Find("Attempt"), 200, "served"));
+  });
+  QuarantineEarlier(&fleet);
+  const auto claims = AnswerClaims(&fleet, true);
+  int answered = 0;
+  fleet.context.quarantine_sharing.announce_answered = [&](const std::string&) {
+    ++answered;
+  };
+  for (const std::string id : {"a0", "a1"}) {
+    TestClient& client = fleet.Call("/once/x", id);
+    REQUIRE(fleet.RunUntil([&] { return client.Status() != 0; }));
+    CHECK(client.Status() == 200);
+  }
+  CHECK(*claims == 1);
+  CHECK(answered == 1);
+}
+
+TEST_CASE("a quarantined request does not run without a claim") {
+  GatewayFixture fleet;
+  const ScriptedBackend& backend =
+      fleet.AddBackend("b0", [](const ScriptedBackend::Received&) {});
+  QuarantineEarlier(&fleet);
+  const auto claims = AnswerClaims(&fleet, false);
+  for (const std::string id : {"a0", "a1"}) {
+    TestClient& client = fleet.Call("/once/x", id);
+    REQUIRE(fleet.RunUntil([&] { return client.Status() != 0; }));
+    CHECK(client.Status() == 503);
+    CHECK(client.Has("crash_suspect"));
+  }
+  CHECK(*claims == 1);
+  CHECK(backend.Requests().empty());
+}
+
+TEST_CASE("a probe that ends its backend server runs once") {
+  GatewayFixture fleet;
+  for (const std::string route : {"/safe/", "/once/"}) {
+    const CrashingBackends backends(&fleet, 3);
+    const std::string path = route + "crash";
+    const std::string fingerprint =
+        coordination::FingerprintOf({"", "GET", "host", path, ""});
+    const auto earlier = fleet.loop.Now() - std::chrono::seconds(3);
+    fleet.context.quarantine.OnCrash(fingerprint, 1, earlier);
+    fleet.context.quarantine.OnCrash(fingerprint, 2, earlier);
+    const auto claims = AnswerClaims(&fleet, true);
+    for (int i = 0; i < kCallers; ++i) {
+      TestClient& client = fleet.Call(path, route + std::to_string(i));
+      REQUIRE(fleet.RunUntil([&] { return client.Status() != 0; }));
+      CHECK(client.Has(i == 0 ? "backend_server_crashed" : "crash_suspect"));
+    }
+    CHECK(*claims == 1);
+    CHECK(backends.Ended() == 1);
+  }
+}
+
 }  // namespace
 }  // namespace wasabiwall::fakes
--- /dev/null
+++ b/tests/platform/quarantine_entries_test.cc
@@ -0,0 +1,155 @@
+#include "quarantine_entries.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+
+#include "fakes/gateway_fixture.h"
+#include "platform_documents.h"
+#include "soak/store_emulator.h"
+#include "store_follower.h"
+
+namespace wasabiwall::platform {
+namespace {
+
+using fakes::GatewayFixture;
+using soak::StoreMode;
+using std::chrono::milliseconds;
+
+const std::string kRequest(32, 'a');
+const std::string kKey = "wasabiwall/quarantine/" + kRequest;
+
+/// A gateway's part in the quarantine, up to the store.
+class Member {
+ public:
+  Member(GatewayFixture* fleet, const std::string& store,
+         const std::string& name)
+      : quarantine(
+            {.announce = [this](const std::string& f) { entries.Announce(f); },
+             .announce_answered =
+                 [this](const std::string& f) { entries.AnnounceAnswered(f); }},
+            {.first_probe_delay = milliseconds(0)}),
+        client(&fleet->loop, store),
+        entries(&fleet->loop, &client, &quarantine, name),
+        follower(
+            &fleet->context, &client, DecodeConfig, [] {},
+            [this](const StoreItem& item) { entries.OnItem(item); }),
+        m_loop(&fleet->loop) {
+    follower.Start();
+  }
+
+  bool IsQuarantined() const {
+    return quarantine.TimeLeft(kRequest, m_loop->Now()).has_value();
+  }
+
+  void SeeCrashes() {
+    quarantine.OnCrash(kRequest, 1, m_loop->Now());
+    quarantine.OnCrash(kRequest, 2, m_loop->Now());
+  }
+
+  coordination::RequestQuarantine quarantine;
+  StoreClient client;
+  QuarantineEntries entries;
+  StoreFollower follower;
+
+ private:
+  transport::EventLoop* m_loop;
+};
+
+class Members {
+ public:
+  Members() {
+    store.Put("op/config",
+              R"({"version":1,"routes":[],"services":[],"limits":{}})");
+    for (const std::string name : {"g0", "g1", "g2"}) {
+      members.push_back(
+          std::make_unique<Member>(&fleet, store.Address(), name));
+    }
+  }
+
+  bool RunUntilAll(bool quarantined) {
+    return fleet.RunUntil([&] {
+      return std::ranges::all_of(members, [&](const auto& member) {
+        return member->IsQuarantined() == quarantined;
+      });
+    });
+  }
+
+  GatewayFixture fleet;
+  soak::StoreEmulator store{&fleet.loop, 1};
+  std::vector<std::unique_ptr<Member>> members;
+};
+
+TEST_CASE("one gateway claims a probe and its answer releases the request") {
+  Members all;
+  all.members[0]->SeeCrashes();
+  REQUIRE(all.RunUntilAll(true));
+  int done = 0;
+  for (const auto& member : all.members) {
+    CHECK(member->entries.ClaimProbe(kRequest, [&] { ++done; }));
+  }
+  REQUIRE(all.fleet.RunUntil([&] { return done == 3; }));
+  int probes = 0;
+  for (const auto& member : all.members) {
+    if (!member->quarantine.TakeProbe(kRequest)) continue;
+    ++probes;
+    member->quarantine.OnAnswered(kRequest);
+  }
+  CHECK(probes == 1);
+  REQUIRE(all.RunUntilAll(false));
+  // A gateway that starts later.
+  Member late(&all.fleet, all.store.Address(), "g3");
+  all.fleet.RunFor(milliseconds(100));
+  late.SeeCrashes();
+  CHECK_FALSE(late.IsQuarantined());
+}
+
+TEST_CASE("a quarantine is announced once the store takes it") {
+  Members all;
+  all.fleet.RunFor(milliseconds(100));
+  all.store.SetMode(StoreMode::kBusy);
+  all.members[0]->SeeCrashes();
+  all.fleet.RunFor(milliseconds(100));
+  CHECK_FALSE(all.members[1]->IsQuarantined());
+  all.store.SetMode(StoreMode::kUp);
+  CHECK(all.RunUntilAll(true));
+}
+
+TEST_CASE("an answer is announced although another gateway announces anew") {
+  Members all;
+  all.members[0]->SeeCrashes();
+  REQUIRE(all.RunUntilAll(true));
+  // Both before either has seen the other's change.
+  all.members[1]->entries.Announce(kRequest);
+  all.members[2]->quarantine.OnAnswered(kRequest);
+  REQUIRE(all.RunUntilAll(false));
+}
+
+TEST_CASE("no probe is claimed while the store is away") {
+  Members all;
+  all.members[0]->SeeCrashes();
+  REQUIRE(all.RunUntilAll(true));
+  all.store.SetMode(StoreMode::kReset);
+  bool done = false;
+  Member& member = *all.members[1];
+  CHECK(member.entries.ClaimProbe(kRequest, [&] { done = true; }));
+  REQUIRE(all.fleet.RunUntil([&] { return done; }));
+  CHECK_FALSE(member.quarantine.TakeProbe(kRequest));
+  CHECK_FALSE(member.entries.ClaimProbe(kRequest, [] {}));
+  all.store.SetMode(StoreMode::kUp);
+  bool claims = false;
+  bool has_probe = false;
+  CHECK(all.fleet.RunUntil([&] {
+    claims = claims || member.entries.ClaimProbe(kRequest, [] {});
+    has_probe = has_probe || member.quarantine.TakeProbe(kRequest);
+    return has_probe;
+  }));
+}
+
+TEST_CASE("an entry that cannot be read holds the request off") {
+  Members all;
+  all.store.Put(kKey, "g9");
+  CHECK(all.RunUntilAll(true));
+}
+
+}  // namespace
+}  // namespace wasabiwall::platform
