Retry budget: a process that starts does not begin with a full burst

SIGHUP took over retry_burst, but not retry_share.

A process that starts now has the part that others leave unused (a fifth), so that one restart of each process within a window stays within the limit. A fleet of 21 may retry after five calls. The limits are one value type now, divided in one place and taken over as a whole on reload.

--- a/src/wasabiwall/coordination/retry_budget.cc
+++ b/src/wasabiwall/coordination/retry_budget.cc
@@ -13,8 +13,20 @@
 
 }  // namespace
 
+RetryLimits RetryLimitsOfProcess(double share, double burst, double used_share,
+                                 int processes) {
+  return {.share = share * used_share,
+          .burst = burst * used_share / processes,
+          .at_start = burst * (1.0 - used_share) / processes};
+}
+
 RetryBudget::RetryBudget(double share, double burst)
-    : m_share(share), m_burst(burst), m_tokens(burst) {}
+    : RetryBudget({.share = share, .burst = burst, .at_start = burst}) {}
+
+RetryBudget::RetryBudget(const RetryLimits& limits)
+    : m_share(limits.share),
+      m_burst(limits.burst),
+      m_tokens(std::min(limits.burst, limits.at_start)) {}
 
 void RetryBudget::OnFirstAttempt() {
   const std::lock_guard lock(m_mutex);
@@ -26,10 +38,11 @@
   m_tokens = std::min(m_burst, m_tokens + earned);
 }
 
-void RetryBudget::SetBurst(double burst) {
+void RetryBudget::SetLimits(const RetryLimits& limits) {
   const std::lock_guard lock(m_mutex);
-  m_burst = burst;
-  m_tokens = std::min(m_tokens, burst);
+  m_share = limits.share;
+  m_burst = limits.burst;
+  m_tokens = std::min(m_tokens, limits.burst);
 }
 
 bool RetryBudget::Take() {
--- a/src/wasabiwall/coordination/retry_budget.h
+++ b/src/wasabiwall/coordination/retry_budget.h
@@ -10,15 +10,35 @@
 
 namespace wasabiwall::coordination {
 
+/// Limits of a RetryBudget.
+struct RetryLimits {
+  /// Retries allowed per first attempt, such as 0.1.
+  double share = 0;
+  /// Largest number of retries that can be saved up.
+  double burst = 0;
+  /// Retries saved up at the start.
+  double at_start = 0;
+};
+
+/// Divides limits that hold for all processes together.
+/// @param used_share Part of the limits that is used in steady state. The rest
+/// is for processes that start: those before them may have used up their part
+/// just now.
+RetryLimits RetryLimitsOfProcess(double share, double burst, double used_share,
+                                 int processes);
+
 /// Token bucket that limits retries to a share of the first attempts, so that a
 /// failing pool receives at most a bounded multiple of its traffic. Safe for
 /// concurrent use.
 class RetryBudget {
  public:
   /// @param share Retries allowed per first attempt, such as 0.1.
-  /// @param burst Largest number of retries that can be saved up.
+  /// @param burst Largest number of retries that can be saved up; all are at
+  /// the start.
   RetryBudget(double share, double burst);
 
+  explicit RetryBudget(const RetryLimits& limits);
+
   /// Records a first attempt.
   void OnFirstAttempt();
 
@@ -26,8 +46,8 @@
   /// @param earned Further submits that it allows.
   void OnAnswered(double earned);
 
-  /// Sets how many retries can be saved up; those beyond it are dropped.
-  void SetBurst(double burst);
+  /// Changes the limits; saved retries beyond the burst are dropped.
+  void SetLimits(const RetryLimits& limits);
 
   /// Takes one retry from the budget.
   /// @return False if the budget is exhausted.
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -141,7 +141,7 @@
   LogInfo("processes_counted", {{"count", std::to_string(count)},
                                 {"before", std::to_string(m_process_count)}});
   m_process_count = count;
-  UpdateRetryBursts();
+  UpdateRetryBudgets();
 }
 
 void GatewayContext::OnPeerMessage(const std::string& from,
@@ -173,16 +173,20 @@
     const state::ServiceId& service) {
   auto& budget = m_retry_budgets[service];
   if (!budget) {
-    budget = std::make_unique<coordination::RetryBudget>(
-        options.retry_share * kSharedLimitMargin,
-        options.retry_burst * kSharedLimitMargin / ProcessCount());
+    budget = std::make_unique<coordination::RetryBudget>(RetryLimits());
   }
   return *budget;
 }
 
-void GatewayContext::UpdateRetryBursts() {
+coordination::RetryLimits GatewayContext::RetryLimits() const {
+  return coordination::RetryLimitsOfProcess(options.retry_share,
+                                            options.retry_burst,
+                                            kSharedLimitMargin, ProcessCount());
+}
+
+void GatewayContext::UpdateRetryBudgets() {
   for (auto& [service, budget] : m_retry_budgets) {
-    budget->SetBurst(options.retry_burst * kSharedLimitMargin / ProcessCount());
+    budget->SetLimits(RetryLimits());
   }
 }
 
@@ -240,9 +244,10 @@
 void GatewayContext::ApplyOptions(const GatewayOptions& changed) {
   options.stop_timeout = changed.stop_timeout;
   options.load_factor = changed.load_factor;
+  options.retry_share = changed.retry_share;
   options.retry_burst = changed.retry_burst;
   placement.SetLoadFactor(changed.load_factor);
-  UpdateRetryBursts();
+  UpdateRetryBudgets();
 }
 
 }  // namespace wasabiwall::transport
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -147,7 +147,8 @@
   std::optional<coordination::TimePoint> stop_deadline;
 
  private:
-  void UpdateRetryBursts();
+  coordination::RetryLimits RetryLimits() const;
+  void UpdateRetryBudgets();
   void OnQuarantined(const std::string& fingerprint, const char* source);
   void OnPeerMessage(const std::string& from, std::string_view data);
   std::size_t BackendConnectionLimit() const;
--- a/tests/coordination/retry_budget_test.cc
+++ b/tests/coordination/retry_budget_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
+#include <memory>
 
 #include "fakes/virtual_fleet.h"
 
@@ -76,6 +77,57 @@
   });
 }
 
+TEST_CASE("retries of processes that restart stay within the limits of all",
+          "[retry_budget][fuzz]") {
+  rc::prop("each process restarts once, retries whenever it may", [] {
+    constexpr double share = 0.2;
+    constexpr double burst = 52;
+    constexpr double used_share = 0.8;
+    const int processes = *rc::gen::inRange(1, 30);
+    const RetryLimits limits =
+        RetryLimitsOfProcess(share, burst, used_share, processes);
+    int firsts = 0;
+    int retries = 0;
+    for (int i = 0; i < processes; ++i) {
+      // Has run for long before the window of time that counts.
+      auto budget = std::make_unique<RetryBudget>(
+          RetryLimits{limits.share, limits.burst, limits.burst});
+      const auto run = [&](int calls) {
+        for (int call = 0; call < calls; ++call) {
+          budget->OnFirstAttempt();
+          ++firsts;
+          while (budget->Take()) ++retries;
+        }
+      };
+      run(*rc::gen::inRange(1, 100));
+      budget = std::make_unique<RetryBudget>(limits);
+      run(*rc::gen::inRange(0, 100));
+    }
+    RC_ASSERT(retries <= share * firsts + burst + 1e-6);
+  });
+}
+
+TEST_CASE("a process that starts may retry soon", "[retry_budget]") {
+  constexpr int processes = 21;
+  RetryBudget budget(RetryLimitsOfProcess(0.2, 52, 0.8, processes));
+  int calls = 0;
+  do {
+    budget.OnFirstAttempt();
+    ++calls;
+  } while (!budget.Take());
+  CHECK(calls <= 5);
+}
+
+TEST_CASE("a budget takes over changed limits", "[retry_budget]") {
+  RetryBudget budget(0, 10);
+  budget.SetLimits({.share = 1, .burst = 2});
+  CHECK(budget.Take());
+  CHECK(budget.Take());
+  CHECK_FALSE(budget.Take());
+  budget.OnFirstAttempt();
+  CHECK(budget.Take());
+}
+
 TEST_CASE("a batch of refused calls returns at the rate of answers",
           "[retry_after_scheduler]") {
   TimePoint now{std::chrono::seconds(1)};
--- a/tests/gateway/queue_test.cc
+++ b/tests/gateway/queue_test.cc
@@ -100,7 +100,7 @@
 
 TEST_CASE("a smaller burst drops saved retries") {
   RetryBudget budget(0, 10);
-  budget.SetBurst(2);
+  budget.SetLimits({.share = 0, .burst = 2});
   CHECK(budget.Take());
   CHECK(budget.Take());
   CHECK_FALSE(budget.Take());
