--- a/src/wasabiwall/coordination/entry_node.cc
+++ b/src/wasabiwall/coordination/entry_node.cc
@@ -135,8 +135,15 @@
   planned.spec = {.idempotent = declared->idempotent,
                   .keyed = keyed,
                   .deadline = m_hooks.clock() + m_deadline};
+  planned.request.path = "/" + service_name + "/" + call_name + call.query;
+  // Calls with a key run at the owner of the key's shard, whatever it saw.
+  if (!keyed) {
+    planned.request.fingerprint =
+        FingerprintOf({workspace->value, planned.request.path, call.body});
+  }
+  // Repeats are routed to the backend servers that hold their crash records.
   const std::string routing_key =
-      keyed ? call.idempotency_key : RandomHex(m_hooks.random);
+      keyed ? call.idempotency_key : planned.request.fingerprint;
   RoutingQuery query{.workspace = *workspace,
                      .chat = state::ChatId(routing_key),
                      .cost_units = kServiceCostUnits};
@@ -150,16 +157,11 @@
   }
   planned.request.workspace = workspace->value;
   planned.request.pool = pool->second.id.value;
-  planned.request.path = "/" + service_name + "/" + call_name + call.query;
   planned.request.method = call.method;
   planned.request.body = call.body;
   planned.request.cost_units = kServiceCostUnits;
   planned.request.idempotent = declared->idempotent;
   planned.request.idempotency_key = call.idempotency_key;
-  if (declared->idempotent) {
-    planned.request.fingerprint =
-        FingerprintOf({workspace->value, planned.request.path, call.body});
-  }
   planned.request.body_digest = state::Sha256Hex(
       call.method + "\n" + planned.request.path + "\n" + call.body);
   return planned;
--- a/tests/coordination/quarantine_test.cc
+++ b/tests/coordination/quarantine_test.cc
@@ -88,6 +88,21 @@
   }
 }
 
+TEST_CASE("a call of a plain service that crashes it is quarantined too",
+          "[quarantine]") {
+  VirtualFleet fleet(kEntries, 8);
+  for (std::size_t i = 0; i < 9; ++i) {
+    fleet.SendToService(i % kEntries, "CRASH");
+    fleet.RunToCompletion();
+    fleet.AdvanceClock(std::chrono::seconds(1));
+  }
+  CHECK(fleet.crashes <= 2);
+  CHECK(fleet.Calls().back()->step.error.kind == ErrorKind::kQuarantined);
+  fleet.SendToService(0, "harmless");
+  fleet.RunToCompletion();
+  CHECK(fleet.Calls().back()->Answered());
+}
+
 TEST_CASE("a crashing request causes at most two crashes, others are answered",
           "[quarantine][fuzz]") {
   rc::prop("retried through any entry, with gossip on or off", [] {
--- a/tests/fakes/virtual_fleet.cc
+++ b/tests/fakes/virtual_fleet.cc
@@ -53,7 +53,14 @@
          {"load_floor_units", kAmpleUnits},
          {"load_ceiling_units", kAmpleUnits},
          {"warmup_units", kAmpleUnits},
-         {"warmup_calls", kAmpleUnits}}}});
+         {"warmup_calls", kAmpleUnits}}},
+       {ItemKind::kService,
+        "bookings",
+        1,
+        1,
+        false,
+        {{"pool", "chat"},
+         {"calls", {{{"name", "book"}, {"idempotent", false}}}}}}});
   const auto clock = [this] { return m_now; };
   const auto random = [this] { return ++m_random * 0x9e3779b97f4a7c15U; };
   for (std::size_t i = 0; i < engines; ++i) {
@@ -83,13 +90,27 @@
 
 VirtualFleet::Call* VirtualFleet::Send(std::size_t entry,
                                        const std::string& text) {
-  auto call = std::make_unique<Call>();
-  call->entry = entry;
   coordination::CallerRequest caller;
   caller.token = kToken;
   caller.body =
       R"({"model":"m","messages":[{"role":"user","content":")" + text + "\"}]}";
-  auto planned = m_entries[entry]->PlanChat(caller);
+  return Start(entry, m_entries[entry]->PlanChat(caller));
+}
+
+VirtualFleet::Call* VirtualFleet::SendToService(std::size_t entry,
+                                                const std::string& body) {
+  coordination::CallerRequest caller;
+  caller.method = "POST";
+  caller.token = kToken;
+  caller.body = body;
+  return Start(entry,
+               m_entries[entry]->PlanService("bookings", "book", caller));
+}
+
+VirtualFleet::Call* VirtualFleet::Start(
+    std::size_t entry, protocol::Result<coordination::PlannedCall> planned) {
+  auto call = std::make_unique<Call>();
+  call->entry = entry;
   if (planned) {
     if (!records) planned->request.fingerprint.clear();
     call->planned = *planned;
--- a/tests/fakes/virtual_fleet.h
+++ b/tests/fakes/virtual_fleet.h
@@ -30,6 +30,9 @@
   /// Plans and starts a chat; a call that the entry refuses has ended.
   Call* Send(std::size_t entry, const std::string& text);
 
+  /// Plans and starts a call of a plain service that is not idempotent.
+  Call* SendToService(std::size_t entry, const std::string& body);
+
   /// Carries out the next step of a call.
   void Advance(Call* call);
 
@@ -59,6 +62,8 @@
   using Run =
       std::pair<protocol::gen::SubmitRequest, std::shared_ptr<state::Attempt>>;
 
+  Call* Start(std::size_t entry,
+              protocol::Result<coordination::PlannedCall> planned);
   void Submit(Call* call, coordination::SideNode* side);
   void Pull(Call* call, coordination::SideNode* side);
 
