Quarantine: gateways claim a probe at different times

Found by reading: a repeat at each of 1,000 gateways makes each of them claim the probe that falls due at all of them, before the first claim is known about 1.5 s later: 1,000 writes for one request, where the store bears 400 a second for all.

A gateway's probe is now due up to 20 ms later for each gateway of the fleet, at most 10 s. On virtual time, 1,000 gateways and a repeat each millisecond: at most 200 claims in vain (the new test; the spread of 10 s gives 150 within 1.5 s). A fleet of 21 waits 0.4 s longer at most.

--- a/src/wasabiwall/coordination/request_quarantine.cc
+++ b/src/wasabiwall/coordination/request_quarantine.cc
@@ -96,7 +96,9 @@
     MakeRoom(now);
   }
   Entry& entry = m_quarantined[fingerprint];
-  if (!is_known) entry = {.probe_at = now + m_options.first_probe_delay};
+  if (!is_known) {
+    entry = {.probe_at = now + m_options.first_probe_delay + ProbeJitter()};
+  }
   entry.until = now + m_options.quarantine_time;
   if (!is_known && m_hooks.on_quarantined) {
     m_hooks.on_quarantined(fingerprint, source);
@@ -178,7 +180,12 @@
   entry->outcome_at = now + kOutcomeTime;
   constexpr int most_doublings = 10;
   const int doublings = std::min(probes - 1, most_doublings);
-  entry->probe_at = now + m_options.probe_interval * (1 << doublings);
+  entry->probe_at =
+      now + m_options.probe_interval * (1 << doublings) + ProbeJitter();
+}
+
+milliseconds RequestQuarantine::ProbeJitter() const {
+  return m_hooks.probe_jitter ? m_hooks.probe_jitter() : milliseconds(0);
 }
 
 bool RequestQuarantine::TakeProbe(const std::string& fingerprint) {
--- a/src/wasabiwall/coordination/request_quarantine.h
+++ b/src/wasabiwall/coordination/request_quarantine.h
@@ -62,6 +62,9 @@
     /// @return Whether this gateway is one of the few that announce the
     /// quarantine of the request although they saw none of its crashes.
     std::function<bool(const std::string& fingerprint)> is_announcer;
+    /// @return Further delay of a probe at this gateway, so that few gateways
+    /// claim the same one.
+    std::function<std::chrono::milliseconds()> probe_jitter;
   };
 
   explicit RequestQuarantine(Hooks hooks,
@@ -149,6 +152,7 @@
   void Announce(const std::string& fingerprint, Entry* entry, TimePoint now);
   /// Takes over the number of probes claimed in the fleet if it has risen.
   void CountProbes(Entry* entry, int probes, TimePoint now) const;
+  std::chrono::milliseconds ProbeJitter() const;
   /// @return Whether the request was quarantined.
   bool Release(const std::string& fingerprint);
   void MakeRoom(TimePoint now);
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -9,6 +9,8 @@
 namespace wasabiwall::transport {
 namespace {
 
+using std::chrono::milliseconds;
+
 /// Capacity of the prompt cache index; an entry takes about 200 bytes.
 constexpr std::size_t kMaxPromptCacheEntries = 20000;
 /// Limit of all buffered responses. Buffers may be twice as large as what they
@@ -31,6 +33,11 @@
 /// not yet counted.
 constexpr double kSharedLimitMargin = 0.8;
 
+/// Spread of the claims of a probe. Another gateway's claim is known after
+/// about 1.5 s, so that at most 75 gateways make one in vain, or 150 of 1,000.
+constexpr milliseconds kProbeJitterPerProcess{20};
+constexpr milliseconds kMaxProbeJitter{10000};
+
 coordination::RandomHook SeededRandom() {
   auto engine = std::make_shared<std::mt19937_64>(std::random_device{}());
   return [engine] { return (*engine)(); };
@@ -81,6 +88,12 @@
            .is_announcer =
                [this](const std::string& fingerprint) {
                  return crash_monitor.IsFirstHome(fingerprint);
+               },
+           .probe_jitter =
+               [this, random = SeededRandom()] {
+                 const auto longest = std::min(
+                     kProbeJitterPerProcess * ProcessCount(), kMaxProbeJitter);
+                 return milliseconds(random() % (longest.count() + 1));
                }}),
       crash_monitor(
           event_loop, &quarantine, options.name,
--- a/tests/coordination/request_quarantine_test.cc
+++ b/tests/coordination/request_quarantine_test.cc
@@ -163,6 +163,18 @@
   CHECK(quarantine.TimeLeft(kRequest, due));
 }
 
+TEST_CASE("probes are due at other times at each gateway") {
+  RequestQuarantine quarantine({.probe_jitter = [] { return seconds(1); }});
+  Quarantine(&quarantine);
+  CHECK_FALSE(quarantine.StartProbeClaim(kRequest, kStart + seconds(2)));
+  CHECK(quarantine.StartProbeClaim(kRequest, kStart + seconds(3)));
+  quarantine.OnAnnounced(kRequest, 1, kStart + seconds(3));
+  const TimePoint next = kStart + seconds(4) + minutes(10);
+  quarantine.OnRepeated(kRequest, next - minutes(5));
+  CHECK_FALSE(quarantine.StartProbeClaim(kRequest, next - seconds(1)));
+  CHECK(quarantine.StartProbeClaim(kRequest, next));
+}
+
 TEST_CASE("a claim that another gateway has won is not made again") {
   RequestQuarantine quarantine({});
   Quarantine(&quarantine);
@@ -283,6 +295,9 @@
     return refused;
   }
 
+  /// @return Claims that failed because another gateway had made one.
+  int LostClaims() const { return m_lost_claims; }
+
  private:
   static constexpr milliseconds kStoreTime{1500};
 
@@ -311,7 +326,10 @@
     gateway.OnRepeated(kRequest, m_now);
     if (!gateway.StartProbeClaim(kRequest, m_now)) return false;
     // The claim fails if the gateway has not seen the last change.
-    if (m_seen[name] != m_changes.size() || m_is_answered) return false;
+    if (m_seen[name] != m_changes.size() || m_is_answered) {
+      ++m_lost_claims;
+      return false;
+    }
     ++m_probes;
     m_changes.push_back(m_now);
     m_seen[name] = m_changes.size();
@@ -336,6 +354,12 @@
                   constexpr std::size_t announcers = 3;
                   const auto homes = RendezvousHomes(m_members, 7, announcers);
                   return std::ranges::find(homes, name) != homes.end();
+                },
+            .probe_jitter =
+                [this] {
+                  return milliseconds(std::uniform_int_distribution<int>(
+                      0, std::min(20 * static_cast<int>(m_members.size()),
+                                  10000))(m_random));
                 }});
     m_seen[name] = 0;
     if (!m_changes.empty()) Read(name);
@@ -381,6 +405,7 @@
   /// Number of changes that each gateway has seen.
   std::map<std::string, std::size_t> m_seen;
   int m_probes = 0;
+  int m_lost_claims = 0;
   bool m_is_answered = false;
 };
 
@@ -405,6 +430,12 @@
   }
 }
 
+TEST_CASE("few of many gateways claim the same probe") {
+  QuarantineFleet fleet(1000, 0, false, 1);
+  fleet.Run(seconds(20), milliseconds(1), 0);
+  CHECK(fleet.LostClaims() <= 200);
+}
+
 TEST_CASE("a request that always ends backend servers is probed three times") {
   QuarantineFleet fleet(4, 0, false, 1);
   CHECK(fleet.Run(std::chrono::hours(24), seconds(20), 0).size() == 5);
