--- a/src/wasabiwall/coordination/request_quarantine.h
+++ b/src/wasabiwall/coordination/request_quarantine.h
@@ -59,8 +59,8 @@
     std::function<void(const std::string& fingerprint)> announce;
     /// All gateways must learn that a quarantined request has been answered.
     std::function<void(const std::string& fingerprint)> announce_answered;
-    /// @return Whether this gateway is one of the few that announce the
-    /// quarantine of the request although they saw none of its crashes.
+    /// @return Whether this gateway is one of the few that announce what they
+    /// were told of the request: its quarantine, or an answer.
     std::function<bool(const std::string& fingerprint)> is_announcer;
     /// @return Further delay of a probe at this gateway, so that few gateways
     /// claim the same one.
--- a/src/wasabiwall/transport/quarantine_guard.h
+++ b/src/wasabiwall/transport/quarantine_guard.h
@@ -27,7 +27,8 @@
 
   /// @return Whether the request of the call may be sent to a backend server.
   /// @param has_run Whether the call may have run already.
-  /// @param on_decided Called after kUndecided; the verdict is then another.
+  /// @param on_decided Called once a verdict of kUndecided has been decided;
+  /// the next check then returns another one.
   Verdict Check(bool has_run, std::function<void()> on_decided);
 
   /// @return Time after which a caller should repeat the request.
--- a/tests/coordination/request_quarantine_test.cc
+++ b/tests/coordination/request_quarantine_test.cc
@@ -21,7 +21,8 @@
 const TimePoint kStart{seconds(100)};
 const std::string kRequest(32, 'a');
 
-TEST_CASE("a request is quarantined after two crashes and announced once") {
+TEST_CASE("a request is quarantined after two crashes and announced once",
+          "[request_quarantine]") {
   std::vector<std::string> quarantined;
   std::vector<std::string> announced;
   RequestQuarantine quarantine(
@@ -44,7 +45,8 @@
   CHECK(quarantine.Size(kStart) == 1);
 }
 
-TEST_CASE("a gateway announces only what ended backend servers through it") {
+TEST_CASE("a gateway announces only what ended backend servers through it",
+          "[request_quarantine]") {
   int announced = 0;
   RequestQuarantine quarantine(
       {.announce = [&](const std::string&) { ++announced; }});
@@ -60,7 +62,8 @@
   CHECK(quarantine.TimeLeft(kRequest, kStart));
 }
 
-TEST_CASE("a first home announces what ended backend servers elsewhere") {
+TEST_CASE("a first home announces what ended backend servers elsewhere",
+          "[request_quarantine]") {
   int announced = 0;
   RequestQuarantine quarantine(
       {.announce = [&](const std::string&) { ++announced; },
@@ -72,7 +75,8 @@
   CHECK(announced == 1);
 }
 
-TEST_CASE("an answer shows that a request is not the cause") {
+TEST_CASE("an answer shows that a request is not the cause",
+          "[request_quarantine]") {
   RequestQuarantine quarantine({});
   quarantine.OnCrash(kRequest, 1, kStart);
   SECTION("between two crashes") { quarantine.OnAnswered(kRequest); }
@@ -87,7 +91,7 @@
   CHECK_FALSE(quarantine.TimeLeft(kRequest, kStart));
 }
 
-TEST_CASE("answered requests are forgotten in time") {
+TEST_CASE("answered requests are forgotten in time", "[request_quarantine]") {
   RequestQuarantine quarantine({}, {.min_answered = 10});
   quarantine.OnAnswered(kRequest);
   for (int i = 0; i < 10; ++i) quarantine.OnAnswered(std::to_string(i));
@@ -96,7 +100,8 @@
   CHECK(quarantine.OnCrash(kRequest, 1, kStart));
 }
 
-TEST_CASE("a quarantine ends when the request has not come for its time") {
+TEST_CASE("a quarantine ends when the request has not come for its time",
+          "[request_quarantine]") {
   int announced = 0;
   RequestQuarantine quarantine(
       {.announce = [&](const std::string&) { ++announced; }});
@@ -119,7 +124,7 @@
   CHECK(announced == 1 + 20 / 5 + 1);
 }
 
-TEST_CASE("quarantined requests are bounded") {
+TEST_CASE("quarantined requests are bounded", "[request_quarantine]") {
   RequestQuarantine quarantine({}, {.max_quarantined = 10});
   for (int i = 0; i < 100; ++i) {
     const std::string fingerprint(32, static_cast<char>('A' + i % 50));
@@ -135,7 +140,8 @@
   REQUIRE(quarantine->TimeLeft(kRequest, kStart));
 }
 
-TEST_CASE("a quarantined request is probed after a while, then less often") {
+TEST_CASE("a quarantined request is probed after a while, then less often",
+          "[request_quarantine]") {
   RequestQuarantine quarantine({});
   CHECK_FALSE(quarantine.StartProbeClaim(kRequest, kStart));
   Quarantine(&quarantine);
@@ -163,7 +169,8 @@
   CHECK(quarantine.TimeLeft(kRequest, due));
 }
 
-TEST_CASE("probes are due at other times at each gateway") {
+TEST_CASE("probes are due at other times at each gateway",
+          "[request_quarantine]") {
   RequestQuarantine quarantine({.probe_jitter = [] { return seconds(1); }});
   Quarantine(&quarantine);
   CHECK_FALSE(quarantine.StartProbeClaim(kRequest, kStart + seconds(2)));
@@ -175,7 +182,8 @@
   CHECK(quarantine.StartProbeClaim(kRequest, next));
 }
 
-TEST_CASE("a claim that another gateway has won is not made again") {
+TEST_CASE("a claim that another gateway has won is not made again",
+          "[request_quarantine]") {
   RequestQuarantine quarantine({});
   Quarantine(&quarantine);
   const TimePoint due = kStart + seconds(2);
@@ -192,7 +200,8 @@
   }
 }
 
-TEST_CASE("a probe that did not run is left to the next repeat") {
+TEST_CASE("a probe that did not run is left to the next repeat",
+          "[request_quarantine]") {
   RequestQuarantine quarantine({});
   Quarantine(&quarantine);
   quarantine.OnProbeClaimed(kRequest, 1, kStart + seconds(2));
@@ -201,7 +210,8 @@
   CHECK(quarantine.TakeProbe(kRequest));
 }
 
-TEST_CASE("the answer of a probe releases the request at all gateways") {
+TEST_CASE("the answer of a probe releases the request at all gateways",
+          "[request_quarantine]") {
   int announced = 0;
   int released = 0;
   RequestQuarantine quarantine(
@@ -229,8 +239,8 @@
   CHECK_FALSE(quarantine.TimeLeft(kRequest, kStart));
 }
 
-TEST_CASE(
-    "a first home that has answered a request objects to its quarantine") {
+TEST_CASE("a first home that has answered a request objects to its quarantine",
+          "[request_quarantine]") {
   bool is_first_home = true;
   int announced = 0;
   RequestQuarantine quarantine(
@@ -420,7 +430,8 @@
       [&](TimePoint time) { return time - crashes[third] > known_after; }));
 }
 
-TEST_CASE("gateways that reach each other let two backend servers end") {
+TEST_CASE("gateways that reach each other let two backend servers end",
+          "[request_quarantine]") {
   for (const int gateways : {1, 4, 21, 32}) {
     QuarantineFleet fleet(gateways, 0, false, 1);
     const auto crashes = fleet.Run(minutes(9), milliseconds(250), 0);
@@ -430,19 +441,20 @@
   }
 }
 
-TEST_CASE("few of many gateways claim the same probe") {
+TEST_CASE("few of many gateways claim the same probe", "[request_quarantine]") {
   QuarantineFleet fleet(1000, 0, false, 1);
   fleet.Run(seconds(20), milliseconds(1), 0);
   CHECK(fleet.LostClaims() <= 200);
 }
 
-TEST_CASE("a request that always ends backend servers is probed three times") {
+TEST_CASE("a request that always ends backend servers is probed three times",
+          "[request_quarantine]") {
   QuarantineFleet fleet(4, 0, false, 1);
   CHECK(fleet.Run(std::chrono::hours(24), seconds(20), 0).size() == 5);
 }
 
 TEST_CASE("a request that ends backend servers is held off in every fleet",
-          "[quarantine][fuzz]") {
+          "[request_quarantine][fuzz]") {
   rc::prop("lost messages, restarts", [] {
     QuarantineFleet fleet(*rc::gen::inRange(1, 101), 0.1, false,
                           *rc::gen::arbitrary<unsigned>());
@@ -459,7 +471,7 @@
 }
 
 TEST_CASE("a request that others' crashes have quarantined is soon released",
-          "[quarantine][fuzz]") {
+          "[request_quarantine][fuzz]") {
   rc::prop("lost messages, restarts", [] {
     QuarantineFleet fleet(*rc::gen::inRange(1, 101), 0.1, false,
                           *rc::gen::arbitrary<unsigned>());
--- a/tests/platform/quarantine_entries_test.cc
+++ b/tests/platform/quarantine_entries_test.cc
@@ -124,6 +124,26 @@
   REQUIRE(all.RunUntilAll(false));
 }
 
+TEST_CASE("an entry that says answered is not replaced") {
+  Members all;
+  all.members[0]->SeeCrashes();
+  REQUIRE(all.RunUntilAll(true));
+  all.members[1]->quarantine.OnAnswered(kRequest);
+  REQUIRE(all.RunUntilAll(false));
+  Member& member = *all.members[2];
+  member.entries.Announce(kRequest);
+  // Changes are made in order.
+  bool done = false;
+  CHECK(member.entries.ClaimProbe(kRequest, [&] { done = true; }));
+  REQUIRE(all.fleet.RunUntil([&] { return done; }));
+  std::vector<StoreItem> items;
+  member.client.Range(kKey, "", [&](const auto& reply) {
+    items = reply.value_or(StoreItems{}).items;
+  });
+  REQUIRE(all.fleet.RunUntil([&] { return !items.empty(); }));
+  CHECK(DecodeQuarantine(items[0].value).is_answered);
+}
+
 TEST_CASE("no probe is claimed while the store is away") {
   Members all;
   all.members[0]->SeeCrashes();
