--- a/src/wasabiwall/coordination/request_quarantine.cc
+++ b/src/wasabiwall/coordination/request_quarantine.cc
@@ -162,6 +162,7 @@
     return false;
   }
   entry.probe_at = now + kClaimTime;
+  entry.probes_before_claim = entry.probes;
   return true;
 }
 
@@ -169,8 +170,10 @@
                                        int probes, TimePoint now) {
   const auto found = m_quarantined.find(fingerprint);
   if (found == m_quarantined.end()) return;
-  CountProbes(&found->second, probes, now);
-  found->second.has_probe = true;
+  Entry& entry = found->second;
+  // The entry in the store may have lapsed, and its count of probes with it.
+  CountProbes(&entry, std::max(probes, entry.probes_before_claim + 1), now);
+  entry.has_probe = true;
 }
 
 void RequestQuarantine::CountProbes(Entry* entry, int probes,
--- a/src/wasabiwall/coordination/request_quarantine.h
+++ b/src/wasabiwall/coordination/request_quarantine.h
@@ -138,6 +138,8 @@
     /// When the outcome of a probe that is under way should be known.
     TimePoint outcome_at;
     int probes = 0;
+    /// `probes` when this gateway last started a claim.
+    int probes_before_claim = 0;
     /// Whether this gateway has claimed a probe that has not run yet.
     bool has_probe = false;
   };
--- a/tests/coordination/request_quarantine_test.cc
+++ b/tests/coordination/request_quarantine_test.cc
@@ -200,6 +200,35 @@
   }
 }
 
+TEST_CASE("a claim that is read before its answer counts once",
+          "[request_quarantine]") {
+  RequestQuarantine quarantine({});
+  Quarantine(&quarantine);
+  const TimePoint due = kStart + seconds(2);
+  CHECK(quarantine.StartProbeClaim(kRequest, due));
+  quarantine.OnAnnounced(kRequest, 1, due);
+  quarantine.OnProbeClaimed(kRequest, 1, due);
+  quarantine.OnRepeated(kRequest, due + minutes(5));
+  CHECK(quarantine.StartProbeClaim(kRequest, due + minutes(10)));
+}
+
+TEST_CASE("the time between probes grows although the entry was lost",
+          "[request_quarantine]") {
+  RequestQuarantine quarantine({});
+  Quarantine(&quarantine);
+  TimePoint now = kStart + seconds(2);
+  quarantine.OnProbeClaimed(kRequest, 1, now);
+  now += minutes(5);
+  quarantine.OnRepeated(kRequest, now);
+  now += minutes(5);
+  // Another gateway has announced the request anew, without its probes.
+  quarantine.OnAnnounced(kRequest, 0, now);
+  CHECK(quarantine.StartProbeClaim(kRequest, now));
+  quarantine.OnProbeClaimed(kRequest, 1, now);
+  quarantine.OnRepeated(kRequest, now + minutes(9));
+  CHECK_FALSE(quarantine.StartProbeClaim(kRequest, now + minutes(18)));
+}
+
 TEST_CASE("a probe that did not run is left to the next repeat",
           "[request_quarantine]") {
   RequestQuarantine quarantine({});
--- a/tests/platform/quarantine_entries_test.cc
+++ b/tests/platform/quarantine_entries_test.cc
@@ -124,6 +124,32 @@
   REQUIRE(all.RunUntilAll(false));
 }
 
+TEST_CASE("a claim that is overtaken by another's is given up") {
+  GatewayFixture fleet;
+  soak::StoreEmulator store(&fleet.loop, 1);
+  StoreClient client(&fleet.loop, store.Address());
+  coordination::RequestQuarantine quarantine({});
+  QuarantineEntries entries(&fleet.loop, &client, &quarantine, "g0");
+  const auto read = [&] {
+    std::vector<StoreItem> items;
+    client.Range(kKey, "", [&](const auto& reply) {
+      items = reply.value_or(StoreItems{}).items;
+    });
+    REQUIRE(fleet.RunUntil([&] { return !items.empty(); }));
+    return items[0];
+  };
+  store.Put(kKey, EncodeQuarantine({.writer = "g1"}));
+  entries.OnItem(read());
+  store.Put(kKey, EncodeQuarantine({.writer = "g1", .probes = 1}));
+  const StoreItem claimed_by_other = read();
+  bool done = false;
+  CHECK(entries.ClaimProbe(kRequest, [&] { done = true; }));
+  // Before the claim is written.
+  entries.OnItem(claimed_by_other);
+  REQUIRE(fleet.RunUntil([&] { return done; }));
+  CHECK_FALSE(quarantine.TakeProbe(kRequest));
+}
+
 TEST_CASE("an entry that says answered is not replaced") {
   Members all;
   all.members[0]->SeeCrashes();
