One place each for envelopes of peer messages, load reports and followed stores in tests

EntryDaemon and SideDaemon made envelopes by the same two functions (PeerEnvelopes now), EntryNode and SideNode turned loads into reports by the same loop (LoadReportsOf), and four tests of StoreFollower started one by the same lines (FollowedStore).

--- a/programs/entry_daemon.cc
+++ b/programs/entry_daemon.cc
@@ -3,7 +3,6 @@
 #include <random>
 #include <utility>
 
-#include "wasabiwall/coordination/crash_record_codec.h"
 #include "wasabiwall/transport/logging.h"
 #include "wasabiwall/transport/vm_list_client.h"
 
@@ -21,7 +20,6 @@
 constexpr std::chrono::milliseconds kVmListInterval{1000};
 constexpr std::chrono::milliseconds kVmListTimeout{1000};
 constexpr std::chrono::milliseconds kPeerReplyTimeout{3000};
-constexpr std::size_t kCrashesPerMessage = 4;
 constexpr char kChatPath[] = "/v1/chat/completions";
 constexpr char kServicePrefix[] = "/v1/services/";
 constexpr char kBearer[] = "Bearer ";
@@ -63,17 +61,20 @@
              {coordination::SteadyClock(), &RandomBits}),
       m_control_budget(m_settings.control_bytes_per_second,
                        coordination::SteadyClock()),
-      m_load_news("", &m_control_budget, coordination::SteadyClock()),
+      m_envelopes(m_settings, "", &m_control_budget,
+                  {.config = &m_config,
+                   .crashes = &m_node.Crashes(),
+                   .loads = [this] { return m_node.LoadReports(); }}),
       m_follower({.failure_domain = m_settings.failure_domain,
                   .address = m_settings.peer_address,
                   .peers = m_settings.peers,
                   .may_read_service = m_settings.reads_configuration},
                  m_key_value.Store(), &m_config, &m_peers,
-                 [this] { return MakeEnvelope(); }),
+                 [this] { return m_envelopes.Make(); }),
       m_driver(&m_node, &m_config, &m_peers,
                {.make_envelope =
                     [this](const auto& target) {
-                      return MakeEnvelopeFor(target.value, false);
+                      return m_envelopes.MakeFor(target.value, false);
                     },
                 .on_envelope = [this](const auto& e) { OnEnvelope(e); },
                 .on_part_gap =
@@ -81,7 +82,7 @@
                       m_metrics.ObservePartGap(workspace, gap);
                     }}),
       m_prober(&m_node, &m_config, &m_peers, &m_control_budget,
-               {.make_envelope = [this] { return MakeEnvelope(); },
+               {.make_envelope = [this] { return m_envelopes.Make(); },
                 .on_envelope = [this](const auto& e) { OnEnvelope(e); }}),
       m_peer_server(m_settings.peer_address, m_settings.secret,
                     MakePeerHandlers()),
@@ -200,24 +201,6 @@
   }
 }
 
-gen::Envelope EntryDaemon::MakeEnvelope() const {
-  gen::Envelope envelope;
-  envelope.sender = m_settings.peer_address;
-  envelope.secret = m_settings.secret;
-  envelope.config_revision = m_config.Revision();
-  return envelope;
-}
-
-gen::Envelope EntryDaemon::MakeEnvelopeFor(const std::string& receiver,
-                                           bool refused) {
-  gen::Envelope envelope = MakeEnvelope();
-  envelope.loads = m_load_news.Select(receiver, refused,
-                                      [this] { return m_node.LoadReports(); });
-  envelope.crashes = coordination::ToThrift(m_node.Crashes().TakeForPeers(
-      kCrashesPerMessage, coordination::SteadyClock()()));
-  return envelope;
-}
-
 transport::PeerHandlers EntryDaemon::MakePeerHandlers() {
   transport::PeerHandlers handlers;
   handlers.items_since = [this](const auto& request) {
@@ -235,7 +218,7 @@
   };
   handlers.on_envelope = [this](const auto& envelope) { OnEnvelope(envelope); };
   handlers.make_envelope = [this](const auto& receiver, bool refused) {
-    return MakeEnvelopeFor(receiver, refused);
+    return m_envelopes.MakeFor(receiver, refused);
   };
   return handlers;
 }
--- a/programs/entry_daemon.h
+++ b/programs/entry_daemon.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <thread>
 
+#include "peer_envelopes.h"
 #include "wasabiwall/coordination/control_budget.h"
 #include "wasabiwall/coordination/entry_node.h"
-#include "wasabiwall/coordination/load_report_selector.h"
 #include "wasabiwall/protocol/settings.h"
 #include "wasabiwall/state/config_store.h"
 #include "wasabiwall/transport/call_driver.h"
@@ -44,9 +44,6 @@
   protocol::Result<coordination::PlannedCall> PlanCall(
       const transport::ServerRequest& request);
   void FollowVmList();
-  protocol::gen::Envelope MakeEnvelope() const;
-  protocol::gen::Envelope MakeEnvelopeFor(const std::string& receiver,
-                                          bool refused);
   transport::PeerHandlers MakePeerHandlers();
   void OnEnvelope(const protocol::gen::Envelope& envelope);
   bool Ready() const;
@@ -57,7 +54,7 @@
   transport::PeerClient m_peers;
   coordination::EntryNode m_node;
   coordination::ControlBudget m_control_budget;
-  coordination::LoadReportSelector m_load_news;
+  PeerEnvelopes m_envelopes;
   transport::ConfigFollower m_follower;
   transport::CallDriver m_driver;
   transport::Metrics m_metrics;
--- a/programs/side_daemon.cc
+++ b/programs/side_daemon.cc
@@ -6,7 +6,6 @@
 #include <unordered_map>
 #include <utility>
 
-#include "wasabiwall/coordination/crash_record_codec.h"
 #include "wasabiwall/transport/http_client.h"
 #include "wasabiwall/transport/logging.h"
 #include "wasabiwall/transport/vm_list_client.h"
@@ -23,7 +22,6 @@
 constexpr milliseconds kCommitRetryWait{100};
 constexpr milliseconds kIdlePoll{20};
 constexpr milliseconds kPeerReplyTimeout{3000};
-constexpr std::size_t kCrashesPerMessage = 4;
 constexpr int kStatusThreads = 8;
 constexpr int kRunnerThreads = 512;
 
@@ -59,15 +57,17 @@
                   }}),
       m_control_budget(m_settings.control_bytes_per_second,
                        coordination::SteadyClock()),
-      m_load_news(m_settings.backend_server, &m_control_budget,
-                  coordination::SteadyClock()),
+      m_envelopes(m_settings, m_settings.backend_server, &m_control_budget,
+                  {.config = &m_config,
+                   .crashes = &m_node.Crashes(),
+                   .loads = [this] { return m_node.LoadReports(); }}),
       m_follower(
           {.backend_server = m_settings.backend_server,
            .failure_domain = m_settings.failure_domain,
            .address = m_settings.peer_address,
            .peers = m_settings.peers,
            .may_read_service = m_settings.reads_configuration},
-          m_store, &m_config, &m_peers, [this] { return MakeEnvelope(); },
+          m_store, &m_config, &m_peers, [this] { return m_envelopes.Make(); },
           {.on_read =
                [this](auto began_at) { m_node.OnConfigurationRead(began_at); },
            .read_wanted = [this] { return m_node.NeedsConfigurationRead(); }}),
@@ -277,24 +277,6 @@
   return self == view->backend_servers.end() ? "" : self->second.url;
 }
 
-gen::Envelope SideDaemon::MakeEnvelope() const {
-  gen::Envelope envelope;
-  envelope.sender = m_settings.peer_address;
-  envelope.secret = m_settings.secret;
-  envelope.config_revision = m_config.Revision();
-  return envelope;
-}
-
-gen::Envelope SideDaemon::MakeEnvelopeFor(const std::string& receiver,
-                                          bool refused) {
-  gen::Envelope envelope = MakeEnvelope();
-  envelope.loads = m_load_news.Select(receiver, refused,
-                                      [this] { return m_node.LoadReports(); });
-  envelope.crashes = coordination::ToThrift(m_node.Crashes().TakeForPeers(
-      kCrashesPerMessage, coordination::SteadyClock()()));
-  return envelope;
-}
-
 transport::PeerHandlers SideDaemon::MakePeerHandlers() {
   transport::PeerHandlers handlers;
   handlers.submit = [this](const auto& request) {
@@ -322,7 +304,7 @@
     m_follower.OnRevisionHeard(envelope.config_revision, envelope.sender);
   };
   handlers.make_envelope = [this](const auto& receiver, bool refused) {
-    return MakeEnvelopeFor(receiver, refused);
+    return m_envelopes.MakeFor(receiver, refused);
   };
   handlers.stamp = [this](const auto& receiver, auto* envelope) {
     m_node.Stamp(receiver, envelope);
--- a/programs/side_daemon.h
+++ b/programs/side_daemon.h
@@ -10,8 +10,8 @@
 #include <thread>
 #include <vector>
 
+#include "peer_envelopes.h"
 #include "wasabiwall/coordination/control_budget.h"
-#include "wasabiwall/coordination/load_report_selector.h"
 #include "wasabiwall/coordination/side_node.h"
 #include "wasabiwall/protocol/settings.h"
 #include "wasabiwall/state/config_store.h"
@@ -53,9 +53,6 @@
                   transport::ServerResponse* response);
   void WaitUntilIdle();
   std::string BackendUrl() const;
-  protocol::gen::Envelope MakeEnvelope() const;
-  protocol::gen::Envelope MakeEnvelopeFor(const std::string& receiver,
-                                          bool refused);
   transport::PeerHandlers MakePeerHandlers();
 
   protocol::Settings m_settings;
@@ -67,7 +64,7 @@
   transport::BackendRunner m_runner;
   coordination::SideNode m_node;
   coordination::ControlBudget m_control_budget;
-  coordination::LoadReportSelector m_load_news;
+  PeerEnvelopes m_envelopes;
   transport::ConfigFollower m_follower;
   transport::Metrics m_metrics;
   transport::PeerServer m_peer_server;
--- a/src/wasabiwall/coordination/entry_node.cc
+++ b/src/wasabiwall/coordination/entry_node.cc
@@ -7,6 +7,7 @@
 
 #include "wasabiwall/coordination/crash_record_codec.h"
 #include "wasabiwall/coordination/idempotency_ledger.h"
+#include "wasabiwall/coordination/load_reports.h"
 #include "wasabiwall/coordination/quarantine.h"
 #include "wasabiwall/coordination/request_fingerprint.h"
 #include "wasabiwall/coordination/routing_policies.h"
@@ -26,7 +27,6 @@
 constexpr milliseconds kLoadMaxAge{2000};
 constexpr milliseconds kCandidateRefresh{100};
 /// Newest loads from which the reports for a peer are selected.
-constexpr std::size_t kMaxLoadReports = 256;
 /// Time after a pool's last call for which its backend servers are probed.
 constexpr milliseconds kPoolProbeTime{10000};
 /// More than the attempts that a CallPlan makes without waits or crashes.
@@ -234,18 +234,7 @@
 }
 
 std::vector<LoadReport> EntryNode::LoadReports() const {
-  const TimePoint now = m_hooks.clock();
-  std::vector<LoadReport> reports;
-  for (const LoadObservation& load : m_loads.Newest(kMaxLoadReports, now)) {
-    LoadReport report;
-    report.backend_server = load.server.value;
-    report.load_units = load.load_units;
-    report.warmup_limit_units = load.warmup_limit_units;
-    report.age_ms =
-        std::chrono::ceil<milliseconds>(now - load.observed_at).count();
-    reports.push_back(report);
-  }
-  return reports;
+  return LoadReportsOf(m_loads, m_hooks.clock());
 }
 
 protocol::Result<state::WorkspaceId> EntryNode::Authenticate(
--- a/src/wasabiwall/coordination/side_node.cc
+++ b/src/wasabiwall/coordination/side_node.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "wasabiwall/coordination/crash_record_codec.h"
+#include "wasabiwall/coordination/load_reports.h"
 #include "wasabiwall/protocol/usage_report.h"
 #include "wasabiwall/state/digest.h"
 
@@ -30,7 +31,6 @@
 /// after a VM or failure domain leaves.
 constexpr milliseconds kMaxTickGap{750};
 /// Newest loads from which the reports for a peer are selected.
-constexpr std::size_t kMaxLoadReports = 256;
 constexpr std::size_t kKeysPerTransaction = 32;
 constexpr int kIncarnationWords = 4;
 constexpr milliseconds kMaxPullWait{5000};
@@ -262,22 +262,12 @@
 }
 
 std::vector<LoadReport> SideNode::LoadReports() const {
-  const TimePoint now = m_hooks.clock();
-  std::vector<LoadReport> reports;
+  std::vector<LoadReport> reports = LoadReportsOf(m_loads, m_hooks.clock());
   LoadReport own;
   own.backend_server = m_self.value;
   own.load_units = m_admission.LoadUnits();
   own.warmup_limit_units = m_admission.WarmupUnits();
-  reports.push_back(own);
-  for (const LoadObservation& load : m_loads.Newest(kMaxLoadReports, now)) {
-    LoadReport report;
-    report.backend_server = load.server.value;
-    report.load_units = load.load_units;
-    report.warmup_limit_units = load.warmup_limit_units;
-    report.age_ms =
-        std::chrono::ceil<milliseconds>(now - load.observed_at).count();
-    reports.push_back(report);
-  }
+  reports.insert(reports.begin(), own);
   return reports;
 }
 
--- a/tests/platform/store_follower_test.cc
+++ b/tests/platform/store_follower_test.cc
@@ -35,6 +35,30 @@
   };
 }
 
+/// A gateway that follows a store.
+class FollowedStore {
+ public:
+  FollowedStore(GatewayFixture* fleet, const std::string& address,
+                std::function<void(const StoreItem&)> on_item = nullptr)
+      : m_fleet(fleet),
+        m_client(&fleet->loop, address),
+        m_follower(
+            &fleet->context, &m_client, DecodeConfig,
+            [this] { m_loaded = true; }, std::move(on_item)) {
+    m_follower.Start();
+  }
+
+  bool RunUntilLoaded() const {
+    return m_fleet->RunUntil([this] { return m_loaded; });
+  }
+
+ private:
+  GatewayFixture* m_fleet;
+  StoreClient m_client;
+  StoreFollower m_follower;
+  bool m_loaded = false;
+};
+
 TEST_CASE("calls go on while a configuration is decoded") {
   GatewayFixture fleet;
   ScriptedBackend store(&fleet.loop, StoreWith(Item("op/config", kConfig, 3)));
@@ -71,12 +95,8 @@
   ScriptedBackend store(&fleet.loop,
                         StoreWith(Item("servers/b", server, 2) + "," +
                                   Item("op/config", config, 3)));
-  StoreClient client(&fleet.loop, store.Address());
-  bool loaded = false;
-  StoreFollower follower(&fleet.context, &client, DecodeConfig,
-                         [&] { loaded = true; });
-  follower.Start();
-  REQUIRE(fleet.RunUntil([&] { return loaded; }));
+  const FollowedStore followed(&fleet, store.Address());
+  REQUIRE(followed.RunUntilLoaded());
   const auto* known = fleet.context.registry.Find(state::BackendServerId("b"));
   REQUIRE(known != nullptr);
   CHECK(known->cold_time == seconds(3));
@@ -85,12 +105,8 @@
 TEST_CASE("an unreadable configuration leaves the former one in force") {
   GatewayFixture fleet;
   ScriptedBackend store(&fleet.loop, StoreWith(Item("op/config", "{", 3)));
-  StoreClient client(&fleet.loop, store.Address());
-  bool loaded = false;
-  StoreFollower follower(&fleet.context, &client, DecodeConfig,
-                         [&] { loaded = true; });
-  follower.Start();
-  REQUIRE(fleet.RunUntil([&] { return loaded; }));
+  const FollowedStore followed(&fleet, store.Address());
+  REQUIRE(followed.RunUntilLoaded());
   CHECK(fleet.context.Config()->version == 1);
 }
 
@@ -98,14 +114,11 @@
   GatewayFixture fleet;
   ScriptedBackend store(
       &fleet.loop, StoreWith(Item("wasabiwall/quarantine/request", "g1", 3)));
-  StoreClient client(&fleet.loop, store.Address());
   std::vector<std::string> keys;
-  bool loaded = false;
-  StoreFollower follower(
-      &fleet.context, &client, DecodeConfig, [&] { loaded = true; },
+  const FollowedStore followed(
+      &fleet, store.Address(),
       [&](const StoreItem& item) { keys.push_back(item.key); });
-  follower.Start();
-  REQUIRE(fleet.RunUntil([&] { return loaded; }));
+  REQUIRE(followed.RunUntilLoaded());
   CHECK(keys == std::vector<std::string>{"wasabiwall/quarantine/request"});
 }
 
@@ -214,12 +227,8 @@
                R"(],"at":9})";
       },
       bytes_per_step);
-  StoreClient client(&fleet.loop, store.Address());
-  bool loaded = false;
-  StoreFollower follower(&fleet.context, &client, DecodeConfig,
-                         [&] { loaded = true; });
-  follower.Start();
-  REQUIRE(fleet.RunUntil([&] { return loaded; }));
+  const FollowedStore followed(&fleet, store.Address());
+  REQUIRE(followed.RunUntilLoaded());
   CHECK(fleet.context.Config()->version == 9);
 }
 
