--- a/src/wasabiwall/state/backend_registry.cc
+++ b/src/wasabiwall/state/backend_registry.cc
@@ -32,16 +32,18 @@
   return true;
 }
 
-void BackendRegistry::Remove(const BackendServerId& id, MonotonicTime now) {
+std::optional<MonotonicTime> BackendRegistry::Remove(const BackendServerId& id,
+                                                     MonotonicTime now) {
   const auto found = m_servers.find(id);
-  if (found == m_servers.end()) return;
+  if (found == m_servers.end()) return {};
   ++m_revision;
   if (InLapseGrace(now) && !found->second.server.draining) {
-    m_lapsing.try_emplace(id, m_last_outage + m_lapse_grace);
-    return;
+    return m_lapsing.try_emplace(id, m_last_outage + m_lapse_grace)
+        .first->second;
   }
   m_lapsing.erase(id);
   m_servers.erase(found);
+  return {};
 }
 
 void BackendRegistry::RetainOnly(const std::set<BackendServerId>& present,
@@ -67,7 +69,8 @@
   }
 }
 
-void BackendRegistry::Expire(MonotonicTime now) {
+std::vector<BackendServerId> BackendRegistry::Expire(MonotonicTime now) {
+  std::vector<BackendServerId> expired;
   for (auto entry = m_lapsing.begin(); entry != m_lapsing.end();) {
     if (now < entry->second) {
       ++entry;
@@ -75,6 +78,7 @@
     }
     ++m_revision;
     m_servers.erase(entry->first);
+    expired.push_back(entry->first);
     entry = m_lapsing.erase(entry);
   }
   for (auto& [id, mark] : m_leaving) {
@@ -83,6 +87,7 @@
   std::erase_if(m_leaving, [now](const auto& entry) {
     return now - entry.second.last_known > kLeavingRetention;
   });
+  return expired;
 }
 
 bool BackendRegistry::MarkLeaving(const BackendServer& server,
--- a/src/wasabiwall/state/backend_registry.h
+++ b/src/wasabiwall/state/backend_registry.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -80,7 +81,9 @@
 
   /// Removes an entry. Shortly after an outage of the registry, an entry that
   /// is not draining is kept for the grace time.
-  void Remove(const BackendServerId& id, MonotonicTime now);
+  /// @return Until when the entry is kept; nothing if it is gone.
+  std::optional<MonotonicTime> Remove(const BackendServerId& id,
+                                      MonotonicTime now);
 
   /// Removes the entries that a full read did not contain.
   /// @param present Identifiers that the read contained.
@@ -105,7 +108,16 @@
                     MonotonicTime now);
 
   /// Removes entries whose grace time is over.
-  void Expire(MonotonicTime now);
+  /// @return Their identifiers.
+  std::vector<BackendServerId> Expire(MonotonicTime now);
+
+  /// @return Whether the entry is missing and kept for the grace time.
+  bool IsMissing(const BackendServerId& id) const {
+    return m_lapsing.contains(id);
+  }
+
+  /// @return Number of missing entries that are kept.
+  std::size_t MissingCount() const { return m_lapsing.size(); }
 
   /// Records that a backend server has announced that it leaves. This holds for
   /// its incarnation, whatever the registry says of it, and for a time after
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -224,8 +224,9 @@
   std::vector<LogField> fields = {
       {"id", m_call.metadata.attempt_id},
       {"part", std::to_string(m_call.metadata.shared_part)},
-      {"shared_tokens", std::to_string(m_call.metadata.shared_tokens)},
-      {"registry", std::to_string(m_context->registry.Revision())}};
+      {"shared_tokens", std::to_string(m_call.metadata.shared_tokens)}};
+  std::ranges::move(m_context->RegistryLogFields(server.id),
+                    std::back_inserter(fields));
   std::ranges::move(LogFieldsOf(placement), std::back_inserter(fields));
   LogInfo("backend_selected", fields);
   m_context->loads.OnSent(server.id);
--- a/src/wasabiwall/transport/gateway.cc
+++ b/src/wasabiwall/transport/gateway.cc
@@ -97,7 +97,9 @@
     m_logged_rejections = m_rejected_connections;
   }
   m_context->LogSlowEngineChanges();
-  m_context->registry.Expire(m_context->loop->Now());
+  for (const auto& id : m_context->registry.Expire(m_context->loop->Now())) {
+    LogInfo("backend_expired", {{"backend", id.value}});
+  }
   m_context->hold_offs.Expire(m_context->loop->Now());
   FinishStopIfDrained();
   m_context->connections.Prune([this](const state::BackendServerId& id) {
@@ -185,6 +187,9 @@
   m_context->metrics.SetGauge(
       "wasabiwall_leaving_backend_servers",
       static_cast<double>(m_context->registry.LeavingCount()));
+  m_context->metrics.SetGauge(
+      "wasabiwall_missing_backend_servers",
+      static_cast<double>(m_context->registry.MissingCount()));
   m_context->metrics.SetGauge(
       "wasabiwall_held_off_backend_servers",
       m_context->hold_offs.Count(m_context->loop->Now()));
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -322,6 +322,16 @@
   crash_monitor.OnGone(id);
 }
 
+std::vector<LogField> GatewayContext::RegistryLogFields(
+    const state::BackendServerId& id) const {
+  const auto age = std::chrono::duration_cast<milliseconds>(
+      loop->Now() - store_confirmed_at.value_or(loop->Now()));
+  return {
+      {"registry", std::to_string(registry.Revision())},
+      {"entry", registry.IsMissing(id) ? "missing" : "present"},
+      {"store_age_ms", store_confirmed_at ? std::to_string(age.count()) : "-"}};
+}
+
 void GatewayContext::LogSlowEngineChanges() {
   if (!m_config) return;
   const auto now = loop->Now();
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -29,6 +29,7 @@
 #include "wasabiwall/transport/crash_monitor.h"
 #include "wasabiwall/transport/datagram_socket.h"
 #include "wasabiwall/transport/event_loop.h"
+#include "wasabiwall/transport/logging.h"
 #include "wasabiwall/transport/metrics.h"
 
 namespace wasabiwall::transport {
@@ -121,6 +122,11 @@
   /// Removes the state kept for a backend server that has left.
   void ForgetBackendServer(const state::BackendServerId& id);
 
+  /// @return What the registry says of a backend server and how old its word
+  /// is, for the log.
+  std::vector<LogField> RegistryLogFields(
+      const state::BackendServerId& id) const;
+
   /// Logs engines that have become slow, or fast again, since the last call.
   void LogSlowEngineChanges();
 
