--- /dev/null
+++ b/tests/platform/leaving_unseen_test.cc
@@ -0,0 +1,175 @@
+// Backend servers that leave while the gateway cannot reach the store.
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "fakes/followed_store.h"
+#include "fakes/gateway_fixture.h"
+#include "soak/store_emulator.h"
+
+namespace wasabiwall::platform {
+namespace {
+
+using fakes::FollowedStore;
+using fakes::GatewayFixture;
+using fakes::ScriptedBackend;
+using fakes::TestClient;
+using soak::StoreEmulator;
+using soak::StoreMode;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Time after the end of a disruption from which a gateway is bound by what the
+/// store says.
+constexpr milliseconds kContactTime{3000};
+/// Time in which the entry of a live backend server is back after an outage.
+constexpr milliseconds kReturnTime{2000};
+/// Calls of one round: enough that each backend server gets some.
+constexpr int kCalls = 20;
+
+/// A backend server that counts the calls it gets and keeps its own entry.
+class RegisteredBackend {
+ public:
+  RegisteredBackend(transport::EventLoop* loop, StoreEmulator* store,
+                    std::string id)
+      : m_store(store),
+        m_id(std::move(id)),
+        m_server(loop, [this](const ScriptedBackend::Received& call) {
+          ++m_calls;
+          call.session->Write(fakes::PlainAnswer(
+              *call.head.headers.Find("Attempt"), 200, "served"));
+        }) {}
+
+  void WriteEntry(const std::string& phase = "ready") {
+    const nlohmann::json entry = {
+        {"service", "s"},    {"address", m_server.Address()},
+        {"zone", "z"},       {"version", "1"},
+        {"capacity", 10},    {"phase", phase},
+        {"cold_left_ms", 0}, {"sequence", 1},
+        {"born", m_born}};
+    m_store->Put("servers/" + m_id, entry.dump());
+  }
+
+  void RemoveEntry() { m_store->Remove("servers/" + m_id); }
+
+  /// Starts anew at the same address and under the same identifier.
+  void Restart() { ++m_born; }
+
+  /// @return Calls that arrived since the last time.
+  int TakeCalls() { return std::exchange(m_calls, 0); }
+
+ private:
+  StoreEmulator* m_store;
+  std::string m_id;
+  std::int64_t m_born = 1000;
+  int m_calls = 0;
+  ScriptedBackend m_server;
+};
+
+/// A gateway before two backend servers that it knows from a store.
+class Fleet {
+ public:
+  Fleet() {
+    leaving.WriteEntry();
+    staying.WriteEntry();
+    REQUIRE(m_followed.RunUntilLoaded());
+    REQUIRE(gateway.RunUntil(
+        [this] { return gateway.context.registry.Size() == 2; }));
+    SendCalls();
+    REQUIRE(leaving.TakeCalls() > 0);
+    REQUIRE(staying.TakeCalls() > 0);
+  }
+
+  /// Sends calls one after the other and waits for their answers.
+  void SendCalls() {
+    for (int i = 0; i < kCalls; ++i) {
+      const TestClient& client =
+          gateway.Call("/safe/x", "a" + std::to_string(++m_attempts));
+      REQUIRE(gateway.RunUntil([&] { return client.Status() != 0; }));
+      CHECK(client.Status() == 200);
+    }
+  }
+
+  /// Leaves calls of the store without an answer until the gateway has sent its
+  /// second one.
+  /// @param meanwhile Runs after the first.
+  void CutStore(const std::function<void()>& meanwhile) {
+    store.SetMode(StoreMode::kSilent);
+    REQUIRE(gateway.RunUntil([this] { return store.IgnoredCalls() >= 1; }));
+    meanwhile();
+    REQUIRE(gateway.RunUntil([this] { return store.IgnoredCalls() >= 2; }));
+    store.SetMode(StoreMode::kUp);
+  }
+
+  GatewayFixture gateway;
+  StoreEmulator store{&gateway.loop, 1};
+  RegisteredBackend leaving{&gateway.loop, &store, "b1"};
+  RegisteredBackend staying{&gateway.loop, &store, "b2"};
+
+ private:
+  FollowedStore m_followed{&gateway, store.Address()};
+  int m_attempts = 0;
+};
+
+TEST_CASE("a backend server that left while the store was cut off is dropped") {
+  Fleet fleet;
+  fleet.CutStore([&] { fleet.leaving.RemoveEntry(); });
+  fleet.gateway.RunFor(kContactTime);
+  fleet.SendCalls();
+  CHECK(fleet.leaving.TakeCalls() == 0);
+}
+
+TEST_CASE("the return of the store is noticed while a call still waits") {
+  Fleet fleet;
+  fleet.CutStore([&] { fleet.leaving.WriteEntry("draining"); });
+  fleet.gateway.RunFor(kContactTime - kReturnTime);
+  fleet.SendCalls();
+  CHECK(fleet.leaving.TakeCalls() == 0);
+}
+
+TEST_CASE("a backend server whose entry returns after an outage is used on") {
+  Fleet fleet;
+  fleet.CutStore([&] { fleet.leaving.RemoveEntry(); });
+  transport::Timer heartbeat(&fleet.gateway.loop);
+  heartbeat.Start(kReturnTime, [&] { fleet.leaving.WriteEntry(); });
+  for (int i = 0; i < 7; ++i) {
+    fleet.gateway.RunFor(milliseconds(500));
+    fleet.SendCalls();
+    CHECK(fleet.leaving.TakeCalls() > 0);
+  }
+}
+
+TEST_CASE("an entry that is written late does not end a leave") {
+  Fleet fleet;
+  const auto is_eligible = [&] {
+    const auto* known =
+        fleet.gateway.context.registry.Find(state::BackendServerId("b1"));
+    return known != nullptr &&
+           fleet.gateway.context.registry.IsEligible(*known);
+  };
+  fleet.leaving.WriteEntry("draining");
+  REQUIRE(fleet.gateway.RunUntil([&] { return !is_eligible(); }));
+  SECTION("while its draining entry is there") {
+    fleet.leaving.WriteEntry("ready");
+    fleet.gateway.RunFor(seconds(1));
+    fleet.SendCalls();
+    CHECK(fleet.leaving.TakeCalls() == 0);
+  }
+  SECTION("after its entry was removed") {
+    fleet.leaving.RemoveEntry();
+    fleet.gateway.RunFor(seconds(1));
+    fleet.leaving.WriteEntry("ready");
+    fleet.gateway.RunFor(seconds(1));
+    fleet.SendCalls();
+    CHECK(fleet.leaving.TakeCalls() == 0);
+  }
+  SECTION("but a new incarnation is used") {
+    fleet.leaving.Restart();
+    fleet.leaving.WriteEntry("ready");
+    REQUIRE(fleet.gateway.RunUntil(is_eligible));
+    fleet.SendCalls();
+    CHECK(fleet.leaving.TakeCalls() > 0);
+  }
+}
+
+}  // namespace
+}  // namespace wasabiwall::platform
