Missing backend servers are kept from the first contact, not from the last failure

Callers were sent to backend servers that had left: an entry that went missing around an outage of the store was kept until 2.5 s after the last call that failed. That call may have been sent before the store was back and given up long after, so the time was not that of the store. Whether the store was out or the gateway was cut off cannot be told apart; but live backend servers register again within about two seconds of the return, so the time now runs from the first answer, 2.2 s, and only if there was no contact for as long as entries last (two heartbeats; new setting registry_heartbeat_ms, filled in from the platform's). While there is no contact a missing entry stays. The end of the time counts when a call is placed, not at the next housekeeping.

--- a/src/wasabiwall/coordination/backend_placement.cc
+++ b/src/wasabiwall/coordination/backend_placement.cc
@@ -94,7 +94,7 @@
   const double usual_others = UsualOthers(*query.service);
   for (const auto* known : m_inputs.registry->Of(query.service->id)) {
     const state::BackendServer& server = known->server;
-    if (!m_inputs.registry->IsEligible(*known)) continue;
+    if (!m_inputs.registry->IsEligible(*known, now)) continue;
     if (m_inputs.hold_offs->IsHeldOff(server, now)) {
       if (*refusal == PlacementRefusal::kNoneEligible ||
           *refusal == PlacementRefusal::kUnreachable) {
@@ -231,7 +231,7 @@
     const state::Service& service, TimePoint now) const {
   std::optional<std::chrono::milliseconds> least;
   for (const auto* known : m_inputs.registry->Of(service.id)) {
-    if (!m_inputs.registry->IsEligible(*known)) continue;
+    if (!m_inputs.registry->IsEligible(*known, now)) continue;
     if (!m_inputs.hold_offs->IsHeldOff(known->server, now)) continue;
     const auto left = m_inputs.hold_offs->TimeLeft(known->server, now);
     if (!least || left < *least) least = left;
--- a/src/wasabiwall/protocol/gateway_settings.cc
+++ b/src/wasabiwall/protocol/gateway_settings.cc
@@ -27,6 +27,7 @@
            NumberSpec("load_factor", FieldType::kNumber, 1, 100),
            NumberSpec("retry_share", FieldType::kNumber, 0, 1),
            NumberSpec("retry_burst", FieldType::kNumber, 0, 100000),
+           NumberSpec("registry_heartbeat_ms", FieldType::kInteger, 1, 60000),
            NumberSpec("lapse_grace_ms", FieldType::kInteger, 0, 60000),
            NumberSpec("max_descriptors", FieldType::kInteger, 64, 10000000)}),
   };
@@ -59,6 +60,7 @@
     settings.stop_timeout =
         std::chrono::duration_cast<std::chrono::milliseconds>(seconds);
   }
+  read_duration("registry_heartbeat_ms", &settings.registry_heartbeat);
   read_duration("lapse_grace_ms", &settings.lapse_grace);
   settings.max_descriptors =
       limits.value("max_descriptors", settings.max_descriptors);
--- a/src/wasabiwall/protocol/gateway_settings.h
+++ b/src/wasabiwall/protocol/gateway_settings.h
@@ -33,9 +33,11 @@
   double retry_share = 0.2;
   /// Retries that a retry budget may accumulate, shared by all gateways.
   double retry_burst = 50;
+  /// How often backend servers renew their entries in the registry.
+  std::chrono::milliseconds registry_heartbeat{1200};
   /// How long after an outage of the key-value service a backend server whose
   /// entry vanished is kept.
-  std::chrono::milliseconds lapse_grace{2500};
+  std::chrono::milliseconds lapse_grace{2200};
   /// Maximum number of open file descriptors.
   int max_descriptors = 4096;
 };
--- a/src/wasabiwall/state/backend_registry.cc
+++ b/src/wasabiwall/state/backend_registry.cc
@@ -14,13 +14,13 @@
 bool BackendRegistry::Put(const BackendServer& server, MonotonicTime now,
                           std::chrono::milliseconds cold_time, bool appeared) {
   ++m_revision;
-  m_lapsing.erase(server.id);
   const auto found = m_servers.find(server.id);
   const bool same_incarnation =
       found != m_servers.end() &&
       IncarnationOf(found->second.server) == IncarnationOf(server);
   if (same_incarnation) {
     found->second.server = server;
+    found->second.kept_until.reset();
     found->second.cold_until =
         std::max(found->second.cold_until, now + server.cold_left);
     return false;
@@ -37,15 +37,44 @@
   const auto found = m_servers.find(id);
   if (found == m_servers.end()) return {};
   ++m_revision;
-  if (InLapseGrace(now) && !found->second.server.draining) {
-    return m_lapsing.try_emplace(id, m_last_outage + m_lapse_grace)
-        .first->second;
+  const bool may_return = m_grace_end && now < *m_grace_end;
+  const BackendServer& server = found->second.server;
+  if (may_return && !server.draining && !IsLeaving(server)) {
+    found->second.kept_until = m_grace_end;
+    return m_grace_end;
   }
-  m_lapsing.erase(id);
   m_servers.erase(found);
   return {};
 }
 
+void BackendRegistry::OnContact(MonotonicTime now) {
+  const bool was_out =
+      m_last_contact && now - *m_last_contact >= m_lapse_times.shortest_outage;
+  m_last_contact = now;
+  m_in_contact = true;
+  if (!was_out) return;
+  m_grace_end = now + m_lapse_times.grace;
+  for (auto& [id, known] : m_servers) {
+    if (known.kept_until) known.kept_until = m_grace_end;
+  }
+}
+
+bool BackendRegistry::HasExpired(const KnownBackendServer& known,
+                                 MonotonicTime now) const {
+  return m_in_contact && known.kept_until && now >= *known.kept_until;
+}
+
+bool BackendRegistry::IsMissing(const BackendServerId& id) const {
+  const auto* known = Find(id);
+  return known != nullptr && known->kept_until.has_value();
+}
+
+std::size_t BackendRegistry::MissingCount() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      m_servers,
+      [](const auto& entry) { return entry.second.kept_until.has_value(); }));
+}
+
 void BackendRegistry::RetainOnly(const std::set<BackendServerId>& present,
                                  MonotonicTime now) {
   std::vector<BackendServerId> missing;
@@ -71,15 +100,12 @@
 
 std::vector<BackendServerId> BackendRegistry::Expire(MonotonicTime now) {
   std::vector<BackendServerId> expired;
-  for (auto entry = m_lapsing.begin(); entry != m_lapsing.end();) {
-    if (now < entry->second) {
-      ++entry;
-      continue;
-    }
+  for (const auto& [id, known] : m_servers) {
+    if (HasExpired(known, now)) expired.push_back(id);
+  }
+  for (const BackendServerId& id : expired) {
     ++m_revision;
-    m_servers.erase(entry->first);
-    expired.push_back(entry->first);
-    entry = m_lapsing.erase(entry);
+    m_servers.erase(id);
   }
   for (auto& [id, mark] : m_leaving) {
     if (m_servers.contains(id)) mark.last_known = now;
@@ -111,9 +137,10 @@
   found->second.cold_until = std::max(found->second.cold_until, until);
 }
 
-bool BackendRegistry::IsEligible(const KnownBackendServer& known) const {
+bool BackendRegistry::IsEligible(const KnownBackendServer& known,
+                                 MonotonicTime now) const {
   return !known.server.draining && !IsLeaving(known.server) &&
-         !IsEvacuated(known.server.failure_domain);
+         !IsEvacuated(known.server.failure_domain) && !HasExpired(known, now);
 }
 
 const KnownBackendServer* BackendRegistry::Find(
@@ -134,8 +161,4 @@
   return found;
 }
 
-bool BackendRegistry::InLapseGrace(MonotonicTime now) const {
-  return m_had_outage && now < m_last_outage + m_lapse_grace;
-}
-
 }  // namespace wasabiwall::state
--- a/src/wasabiwall/state/backend_registry.h
+++ b/src/wasabiwall/state/backend_registry.h
@@ -57,18 +57,30 @@
   MonotonicTime cold_until;
   /// Time for which new backend servers of its service stay cold.
   std::chrono::milliseconds cold_time{0};
+  /// Until when it may be used although its entry is missing; nothing while the
+  /// entry is there.
+  std::optional<MonotonicTime> kept_until;
+};
+
+/// How entries of backend servers expire and return about an outage.
+struct LapseTimes {
+  /// Shortest time without contact in which an entry may have expired.
+  std::chrono::milliseconds shortest_outage{2400};
+  /// Time after an outage in which live backend servers register again.
+  std::chrono::milliseconds grace{2200};
 };
 
 /// Local copy of the registry's backend servers and failure domains.
 ///
-/// Entries that disappear around an outage of the registry are kept for a grace
-/// time, since live backend servers register again after one. Not safe for
-/// concurrent use.
+/// Entries may expire in an outage of the registry, and live backend servers
+/// register again after it. Whether the registry was out or this process was
+/// cut off from it cannot be told apart, so entries that went missing while
+/// there was no contact are kept for a grace time from the moment of the first
+/// contact. Not safe for concurrent use.
 class BackendRegistry {
  public:
-  /// @param lapse_grace Time after an outage for which a missing entry is kept.
-  explicit BackendRegistry(std::chrono::milliseconds lapse_grace)
-      : m_lapse_grace(lapse_grace) {}
+  explicit BackendRegistry(LapseTimes lapse_times)
+      : m_lapse_times(lapse_times) {}
 
   /// Adds or updates an entry.
   /// @param cold_time Time for which new backend servers of its service stay
@@ -79,8 +91,8 @@
   bool Put(const BackendServer& server, MonotonicTime now,
            std::chrono::milliseconds cold_time, bool appeared);
 
-  /// Removes an entry. Shortly after an outage of the registry, an entry that
-  /// is not draining is kept for the grace time.
+  /// Removes an entry. Within the grace time after an outage of the registry,
+  /// an entry that is not leaving is kept for the rest of that time.
   /// @return Until when the entry is kept; nothing if it is gone.
   std::optional<MonotonicTime> Remove(const BackendServerId& id,
                                       MonotonicTime now);
@@ -95,11 +107,13 @@
 
   bool IsComplete() const { return m_is_complete; }
 
-  /// Records that the registry cannot be reached.
-  void OnOutage(MonotonicTime now) {
-    m_last_outage = now;
-    m_had_outage = true;
-  }
+  /// Records that the registry has answered, before the answer is applied. If
+  /// it had not for long, the grace time begins.
+  void OnContact(MonotonicTime now);
+
+  /// Records that the registry cannot be reached. Missing entries are kept
+  /// until it can.
+  void OnContactLost() { m_in_contact = false; }
 
   /// Evacuates a failure domain or ends its evacuation. Its backend servers may
   /// have become cold in the meantime and are treated as cold after the
@@ -112,12 +126,10 @@
   std::vector<BackendServerId> Expire(MonotonicTime now);
 
   /// @return Whether the entry is missing and kept for the grace time.
-  bool IsMissing(const BackendServerId& id) const {
-    return m_lapsing.contains(id);
-  }
+  bool IsMissing(const BackendServerId& id) const;
 
   /// @return Number of missing entries that are kept.
-  std::size_t MissingCount() const { return m_lapsing.size(); }
+  std::size_t MissingCount() const;
 
   /// Records that a backend server has announced that it leaves. This holds for
   /// its incarnation, whatever the registry says of it, and for a time after
@@ -136,7 +148,7 @@
   }
 
   /// @return Whether new calls may be sent to the backend server.
-  bool IsEligible(const KnownBackendServer& known) const;
+  bool IsEligible(const KnownBackendServer& known, MonotonicTime now) const;
 
   /// @return The backend server, or null.
   const KnownBackendServer* Find(const BackendServerId& id) const;
@@ -158,18 +170,18 @@
     MonotonicTime last_known;
   };
 
-  bool InLapseGrace(MonotonicTime now) const;
+  /// @return Whether the entry is missing and its grace time is over.
+  bool HasExpired(const KnownBackendServer& known, MonotonicTime now) const;
   bool IsLeaving(const BackendServer& server) const;
 
-  std::chrono::milliseconds m_lapse_grace;
+  LapseTimes m_lapse_times;
   std::unordered_map<BackendServerId, KnownBackendServer> m_servers;
-  /// Entries that disappeared around an outage, with the end of their grace
-  /// time.
-  std::unordered_map<BackendServerId, MonotonicTime> m_lapsing;
   std::unordered_map<BackendServerId, LeavingMark> m_leaving;
   std::set<FailureDomainId> m_evacuated;
-  MonotonicTime m_last_outage;
-  bool m_had_outage = false;
+  bool m_in_contact = true;
+  std::optional<MonotonicTime> m_last_contact;
+  /// End of the grace time after the last outage.
+  std::optional<MonotonicTime> m_grace_end;
   bool m_is_complete = true;
   std::int64_t m_revision = 0;
 };
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -51,7 +51,7 @@
     : loop(event_loop),
       options(std::move(gateway_options)),
       codec(std::move(call_codec)),
-      registry(options.lapse_grace),
+      registry(options.lapse_times),
       load_announcer(&loads, LoadAnnouncerHooks()),
       failure_domains(options.failure_domain, FailureDomainHooks()),
       cold_starts(SeededRandom()()),
@@ -342,7 +342,7 @@
   for (const auto& [service, properties] : m_config->services) {
     std::vector<state::BackendServerId> engines;
     for (const auto* known : registry.Of(service)) {
-      if (registry.IsEligible(*known)) engines.push_back(known->server.id);
+      if (registry.IsEligible(*known, now)) engines.push_back(known->server.id);
     }
     const auto slow_threshold = event_intervals.SlowThreshold(engines, now);
     if (!slow_threshold) continue;
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -54,8 +54,8 @@
   double retry_share = 0.2;
   /// Retries that may accumulate in the budget, over all processes.
   double retry_burst = 50;
-  /// How long an entry that disappeared during a registry outage is kept.
-  std::chrono::milliseconds lapse_grace{2500};
+  /// How the registry's entries expire and return about an outage.
+  state::LapseTimes lapse_times;
   /// File descriptors that the process may have open.
   int max_descriptors = 4096;
 };
