--- a/src/wasabiwall/transport/async_http_client.cc
+++ b/src/wasabiwall/transport/async_http_client.cc
@@ -9,6 +9,8 @@
 
 /// Longest idle time of a connection: longer than the pauses between calls.
 constexpr std::chrono::milliseconds kMaxConnectionIdle{3000};
+/// Idle time that no pooled connection meets.
+constexpr std::chrono::milliseconds kNoIdle{0};
 
 /// @return The length that a head declares; 0 if it declares none.
 std::size_t DeclaredLength(const MessageHead& head) {
@@ -108,7 +110,9 @@
   call->on_reply = std::move(on_reply);
   std::erase_if(m_pending, [](const auto& other) { return other.expired(); });
   m_pending.push_back(call);
-  call->connection = m_pool.Acquire(m_server, kMaxConnectionIdle);
+  call->connection = m_pool.Acquire(
+      m_server, limits.new_connection ? kNoIdle : kMaxConnectionIdle);
+  if (limits.new_connection) call->connection->CloseAfterResponse();
   std::string bytes = method + " " + target + " HTTP/1.1\r\n";
   AppendHeader("Host", m_server.address, &bytes);
   if (!body.empty()) AppendHeader("Content-Type", "application/json", &bytes);
--- a/src/wasabiwall/transport/async_http_client.h
+++ b/src/wasabiwall/transport/async_http_client.h
@@ -31,6 +31,8 @@
   std::chrono::milliseconds transfer_timeout{5000};
   /// A response with a larger body is not read.
   std::size_t max_body_bytes = 8U << 20U;
+  /// Whether the call gets a connection of its own, which ends with it.
+  bool new_connection = false;
 };
 
 /// A call of AsyncHttpClient without a response.
--- a/tests/fakes/paged_store.cc
+++ b/tests/fakes/paged_store.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kNotFound = 404;
 constexpr int kRevision = 5;
 constexpr std::string_view kAfter = "&after=";
 
@@ -37,6 +38,9 @@
 }
 
 void PagedStore::OnCall(const ScriptedBackend::Received& call) {
+  if (call.head.target.find("kv-key") != std::string::npos) {
+    call.session->Write(PlainAnswer("", kNotFound, "{}"));
+  }
   if (call.head.target.find("kv-range") == std::string::npos) return;
   ++m_reads;
   if (call.head.target.find(kAfter) == std::string::npos) ++m_first_page_reads;
--- a/tests/platform/leaving_unseen_test.cc
+++ b/tests/platform/leaving_unseen_test.cc
@@ -23,6 +23,8 @@
 constexpr milliseconds kContactTime{3000};
 /// Time in which the entry of a live backend server is back after an outage.
 constexpr milliseconds kReturnTime{2000};
+/// Time without a heartbeat after which an entry expires.
+constexpr milliseconds kLapseTime{3600};
 /// Calls of one round: enough that each backend server gets some.
 constexpr int kCalls = 20;
 
@@ -79,6 +81,13 @@
     REQUIRE(staying.TakeCalls() > 0);
   }
 
+  /// @return Whether the gateway may place calls at a backend server.
+  bool IsUsed(const std::string& id) {
+    const auto& registry = gateway.context.registry;
+    const auto* known = registry.Find(state::BackendServerId(id));
+    return known != nullptr && registry.IsEligible(*known, gateway.loop.Now());
+  }
+
   /// Sends calls one after the other and waits for their answers.
   void SendCalls() {
     for (int i = 0; i < kCalls; ++i) {
@@ -89,14 +98,15 @@
     }
   }
 
-  /// Leaves calls of the store without an answer until the gateway has sent its
-  /// second one.
-  /// @param meanwhile Runs after the first.
+  /// Leaves calls of the store without an answer for as long as entries last,
+  /// and until the gateway has sent another one, which stays without an answer.
+  /// @param meanwhile Runs before the end.
   void CutStore(const std::function<void()>& meanwhile) {
     store.SetMode(StoreMode::kSilent);
-    REQUIRE(gateway.RunUntil([this] { return store.IgnoredCalls() >= 1; }));
+    gateway.RunFor(kLapseTime);
     meanwhile();
-    REQUIRE(gateway.RunUntil([this] { return store.IgnoredCalls() >= 2; }));
+    const auto ignored = store.IgnoredCalls();
+    REQUIRE(gateway.RunUntil([&] { return store.IgnoredCalls() > ignored; }));
     store.SetMode(StoreMode::kUp);
   }
 
@@ -140,12 +150,7 @@
 
 TEST_CASE("an entry that is written late does not end a leave") {
   Fleet fleet;
-  const auto is_eligible = [&] {
-    const auto* known =
-        fleet.gateway.context.registry.Find(state::BackendServerId("b1"));
-    return known != nullptr && fleet.gateway.context.registry.IsEligible(
-                                   *known, fleet.gateway.loop.Now());
-  };
+  const auto is_eligible = [&] { return fleet.IsUsed("b1"); };
   fleet.leaving.WriteEntry("draining");
   REQUIRE(fleet.gateway.RunUntil([&] { return !is_eligible(); }));
   SECTION("while its draining entry is there") {
