--- a/tests/platform/leaving_unseen_test.cc
+++ b/tests/platform/leaving_unseen_test.cc
@@ -148,6 +148,26 @@
   }
 }
 
+TEST_CASE("the return of an entry is seen before its time is over") {
+  Fleet fleet;
+  fleet.CutStore([&] { fleet.leaving.RemoveEntry(); });
+  REQUIRE(fleet.gateway.RunUntil(
+      [&] { return fleet.gateway.context.registry.MissingCount() == 1; }));
+  // Another change just before begins a pause between two watches.
+  constexpr milliseconds just_before{50};
+  transport::Timer other(&fleet.gateway.loop);
+  other.Start(kReturnTime - just_before, [&] { fleet.staying.WriteEntry(); });
+  transport::Timer heartbeat(&fleet.gateway.loop);
+  heartbeat.Start(kReturnTime, [&] { fleet.leaving.WriteEntry(); });
+  bool was_used = true;
+  const bool has_returned = fleet.gateway.RunUntil([&] {
+    was_used = was_used && fleet.IsUsed("b1");
+    return fleet.gateway.context.registry.MissingCount() == 0;
+  });
+  CHECK(has_returned);
+  CHECK(was_used);
+}
+
 TEST_CASE("an entry that is written late does not end a leave") {
   Fleet fleet;
   const auto is_eligible = [&] { return fleet.IsUsed("b1"); };
