A leave of an entry holds for its incarnation

The state draining was that of the newest entry, so that a write of the server that was carried out late (the store may do so seconds later) made it take calls again, also after its entry had been removed. The registry keeps leaves that are announced in responses by incarnation already; a draining entry is now one of them. An entry without start time is left out, since a later run under the same name could not be told from it.

A new incarnation is used as before.

--- a/src/wasabiwall/state/backend_registry.cc
+++ b/src/wasabiwall/state/backend_registry.cc
@@ -14,6 +14,9 @@
 bool BackendRegistry::Put(const BackendServer& server, MonotonicTime now,
                           std::chrono::milliseconds cold_time, bool appeared) {
   ++m_revision;
+  // A write of the server that is carried out late must not bring it back.
+  // Without a start time, a later run could not be told from this one.
+  if (server.draining && server.incarnation != 0) MarkLeaving(server, now);
   const auto found = m_servers.find(server.id);
   const bool same_incarnation =
       found != m_servers.end() &&
--- a/src/wasabiwall/state/backend_registry.h
+++ b/src/wasabiwall/state/backend_registry.h
@@ -131,9 +131,9 @@
   /// @return Number of missing entries that are kept.
   std::size_t MissingCount() const;
 
-  /// Records that a backend server has announced that it leaves. This holds for
-  /// its incarnation, whatever the registry says of it, and for a time after
-  /// its entry has disappeared.
+  /// Records that a backend server has announced that it leaves, in its entry
+  /// or in a response. This holds for its incarnation, whatever the registry
+  /// says of it, and for a time after its entry has disappeared.
   /// @return Whether this is news.
   bool MarkLeaving(const BackendServer& server, MonotonicTime now);
 
