--- a/tests/platform/leaving_unseen_test.cc
+++ b/tests/platform/leaving_unseen_test.cc
@@ -5,6 +5,7 @@
 #include "fakes/followed_store.h"
 #include "fakes/gateway_fixture.h"
 #include "soak/store_emulator.h"
+#include "wasabiwall/transport/base64.h"
 
 namespace wasabiwall::platform {
 namespace {
@@ -31,6 +32,7 @@
 /// A backend server that counts the calls it gets and keeps its own entry.
 class RegisteredBackend {
  public:
+  /// @param store Null if others write its entry.
   RegisteredBackend(transport::EventLoop* loop, StoreEmulator* store,
                     std::string id)
       : m_store(store),
@@ -41,14 +43,18 @@
               *call.head.headers.Find("Attempt"), 200, "served"));
         }) {}
 
-  void WriteEntry(const std::string& phase = "ready") {
+  std::string EntryText(const std::string& phase = "ready") const {
     const nlohmann::json entry = {
         {"service", "s"},    {"address", m_server.Address()},
         {"zone", "z"},       {"version", "1"},
         {"capacity", 10},    {"phase", phase},
         {"cold_left_ms", 0}, {"sequence", 1},
         {"born", m_born}};
-    m_store->Put("servers/" + m_id, entry.dump());
+    return entry.dump();
+  }
+
+  void WriteEntry(const std::string& phase = "ready") {
+    m_store->Put("servers/" + m_id, EntryText(phase));
   }
 
   void RemoveEntry() { m_store->Remove("servers/" + m_id); }
@@ -196,5 +202,109 @@
   }
 }
 
+/// @return An item as it stands in an answer of the store.
+nlohmann::json ItemJson(const std::string& key, const std::string& value,
+                        int revision) {
+  return {{"key", key},
+          {"value", transport::EncodeBase64(value)},
+          {"revision", revision}};
+}
+
+/// A gateway that has lost the history of a store and reads it again in two
+/// pages, the second of which has no items. The entry of one backend server is
+/// gone.
+class RereadFleet {
+ public:
+  /// @param last_key Of the first page.
+  explicit RereadFleet(const std::string& last_key)
+      : m_last_item(ItemJson(last_key, "{}", 4)) {
+    REQUIRE(m_followed.RunUntilLoaded());
+    REQUIRE(m_gateway.RunUntil([this] { return m_second_page != nullptr; }));
+  }
+
+  /// Answers the second page, at a revision at which the entry is gone.
+  void AnswerSecondPage() {
+    Answer(m_second_page, {{"items", nlohmann::json::array()}, {"at", 106}});
+  }
+
+  /// Answers the watch from the first page on with a change of before the
+  /// second page.
+  void AnswerWatchWithOldChange() {
+    REQUIRE(m_gateway.RunUntil([this] { return m_replay != nullptr; }));
+    Answer(m_replay,
+           {{"events", {ItemJson(kLeavingKey, m_leaving.EntryText(), 101)}},
+            {"at", 101}});
+  }
+
+  /// Sends calls and returns how many the backend server got that has left.
+  int CallsToTheOneThatLeft() {
+    m_gateway.RunFor(milliseconds(100));
+    m_leaving.TakeCalls();
+    for (int i = 0; i < kCalls; ++i) {
+      const TestClient& client =
+          m_gateway.Call("/safe/x", "a" + std::to_string(++m_attempts));
+      REQUIRE(m_gateway.RunUntil([&] { return client.Status() != 0; }));
+    }
+    return m_leaving.TakeCalls();
+  }
+
+ private:
+  static constexpr const char* kStayingKey = "servers/a";
+  static constexpr const char* kLeavingKey = "servers/x";
+  using Session = std::shared_ptr<ScriptedBackend::Session>;
+
+  static void Answer(const Session& session, const nlohmann::json& body) {
+    session->Write(fakes::PlainAnswer("", 200, body.dump()));
+  }
+
+  void OnCall(const ScriptedBackend::Received& call) {
+    const std::string& target = call.head.target;
+    const auto has = [&](const char* text) {
+      return target.find(text) != std::string::npos;
+    };
+    const auto staying = ItemJson(kStayingKey, m_staying.EntryText(), 2);
+    const auto leaving = ItemJson(kLeavingKey, m_leaving.EntryText(), 3);
+    if (has("kv-watch") && has("after=5&")) {
+      call.session->Write(fakes::PlainAnswer("", 410, "{}"));
+    } else if (has("kv-watch") && has("after=100&")) {
+      m_replay = call.session;
+    } else if (has("kv-range") && has("&after=")) {
+      m_second_page = call.session;
+    } else if (has("kv-range") && !std::exchange(m_was_read, true)) {
+      Answer(call.session, {{"items", {staying, leaving}}, {"at", 5}});
+    } else if (has("kv-range")) {
+      Answer(
+          call.session,
+          {{"items", {staying, m_last_item}}, {"has_more", true}, {"at", 100}});
+    }
+  }
+
+  nlohmann::json m_last_item;
+  GatewayFixture m_gateway;
+  RegisteredBackend m_leaving{&m_gateway.loop, nullptr, "x"};
+  RegisteredBackend m_staying{&m_gateway.loop, nullptr, "a"};
+  bool m_was_read = false;
+  Session m_second_page;
+  Session m_replay;
+  ScriptedBackend m_store{
+      &m_gateway.loop,
+      [this](const ScriptedBackend::Received& call) { OnCall(call); }};
+  FollowedStore m_followed{&m_gateway, m_store.Address()};
+  int m_attempts = 0;
+};
+
+TEST_CASE("a backend server that a page lacks is dropped with that page") {
+  RereadFleet fleet("wasabiwall/other");
+  CHECK(fleet.CallsToTheOneThatLeft() == 0);
+}
+
+TEST_CASE("a change older than a page does not bring back what it lacks") {
+  RereadFleet fleet("servers/b");
+  REQUIRE(fleet.CallsToTheOneThatLeft() > 0);
+  fleet.AnswerSecondPage();
+  fleet.AnswerWatchWithOldChange();
+  CHECK(fleet.CallsToTheOneThatLeft() == 0);
+}
+
 }  // namespace
 }  // namespace wasabiwall::platform
