A call that is sent to a backend server again gets a new connection

It can happen here: with no other backend server in reach, a refused call waits and goes to the same one again, over the same connection and under the same identifier, so that a copy of the refusal was taken for the answer. A call that may run once was then sent a third time while its second send ran (the test: 2 runs, 1 now). Copies for other calls are told by their identifier already, those without one end the connection.

--- a/src/wasabiwall/transport/async_http_client.cc
+++ b/src/wasabiwall/transport/async_http_client.cc
@@ -9,8 +9,6 @@
 
 /// Longest idle time of a connection: longer than the pauses between calls.
 constexpr std::chrono::milliseconds kMaxConnectionIdle{3000};
-/// Idle time that no pooled connection meets.
-constexpr std::chrono::milliseconds kNoIdle{0};
 
 /// @return The length that a head declares; 0 if it declares none.
 std::size_t DeclaredLength(const MessageHead& head) {
@@ -110,8 +108,9 @@
   call->on_reply = std::move(on_reply);
   std::erase_if(m_pending, [](const auto& other) { return other.expired(); });
   m_pending.push_back(call);
-  call->connection = m_pool.Acquire(
-      m_server, limits.new_connection ? kNoIdle : kMaxConnectionIdle);
+  call->connection = m_pool.Acquire(m_server, limits.new_connection
+                                                  ? BackendPool::kNewConnection
+                                                  : kMaxConnectionIdle);
   if (limits.new_connection) call->connection->CloseAfterResponse();
   std::string bytes = method + " " + target + " HTTP/1.1\r\n";
   AppendHeader("Host", m_server.address, &bytes);
--- a/src/wasabiwall/transport/backend_pool.h
+++ b/src/wasabiwall/transport/backend_pool.h
@@ -13,6 +13,9 @@
 /// Pools persistent connections to backend servers.
 class BackendPool {
  public:
+  /// Idle time that no pooled connection meets.
+  static constexpr std::chrono::milliseconds kNewConnection{0};
+
   explicit BackendPool(EventLoop* loop) : m_loop(loop) {}
 
   /// Closes all connections; the handlers of their calls are not called.
@@ -22,7 +25,7 @@
 
   /// Returns an idle connection, or opens one.
   /// @param max_idle Longest time for which a reused connection may have been
-  /// idle.
+  /// idle; kNewConnection for one that was not used before.
   std::shared_ptr<BackendConnection> Acquire(
       const state::BackendServer& server, std::chrono::milliseconds max_idle);
 
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -233,8 +233,12 @@
   m_context->health.OnSent(server.id, m_context->loop->Now());
   m_context->cold_starts.OnSent(server.id, m_context->loop->Now());
   m_context->hold_offs.OnSent(server, m_context->loop->Now());
-  m_connection =
-      m_context->connections.Acquire(server, Policy().MaxConnectionIdle());
+  // A copy of the response to an earlier send of this call would be taken for
+  // the response to this one.
+  const bool is_repeat = !m_contacted_servers.insert(server.id).second;
+  m_connection = m_context->connections.Acquire(
+      server,
+      is_repeat ? BackendPool::kNewConnection : Policy().MaxConnectionIdle());
   m_placement = std::move(placement);
   if (!m_connection->IsConnected()) {
     m_attempt_timer.Start(Policy().ConnectTimeout(),
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -138,6 +139,8 @@
   std::shared_ptr<BackendConnection> m_connection;
   std::optional<coordination::Placement> m_placement;
   std::vector<state::BackendServerId> m_tried_servers;
+  /// Backend servers to which the call was sent, those before a wait too.
+  std::set<state::BackendServerId> m_contacted_servers;
   std::vector<state::FailureDomainId> m_silent_domains;
   coordination::AttemptCounts m_counts;
   ReplyReader m_reply;
--- a/tests/gateway/refusal_test.cc
+++ b/tests/gateway/refusal_test.cc
@@ -2,6 +2,7 @@
 // is reported truthfully.
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "fakes/gateway_fixture.h"
 
@@ -114,6 +115,27 @@
   }
 }
 
+TEST_CASE("a refusal that is written once more does not refuse a later send") {
+  GatewayFixture fixture;
+  std::set<std::shared_ptr<ScriptedBackend::Session>> used;
+  int runs = 0;
+  fixture.AddBackend("b", [&](const ScriptedBackend::Received& call) {
+    const std::string refusal =
+        PlainAnswer("a1", 503, "busy", "Not-Run: 1\r\n");
+    const bool is_first = used.empty();
+    const bool was_used = !used.insert(call.session).second;
+    if (is_first || was_used) call.session->Write(refusal);
+    if (is_first) return;
+    ++runs;
+    call.session->Write(PlainAnswer("a1", 200, "served"));
+  });
+  // The only backend server gets the call once more after a pause in the queue.
+  TestClient& client = fixture.Call("/once/x", "a1");
+  REQUIRE(fixture.RunUntil([&] { return client.Status() != 0; }));
+  CHECK(client.Status() == 200);
+  CHECK(runs == 1);
+}
+
 TEST_CASE("connections left idle after a burst are evicted for new callers") {
   auto options = GatewayFixture::DefaultOptions();
   options.max_descriptors = 20;  // Half of it for callers.
--- a/tests/gateway/stream_test.cc
+++ b/tests/gateway/stream_test.cc
@@ -208,6 +208,47 @@
   }
 }
 
+TEST_CASE("an error of the next backend server is no part of a stream") {
+  const std::string body = "event: none of the stream\n\n";
+  const auto error = [&](int status, const std::string& headers) {
+    return PlainAnswer("a1", status, body, headers);
+  };
+  const std::string event_type = "Content-Type: text/event-stream\r\n";
+  const auto [name, answer] = GENERATE_COPY(table<std::string, std::string>({
+      {"as text", error(500, "Content-Type: text/plain\r\n")},
+      {"as an event stream", error(500, event_type)},
+      {"as a refusal", error(503, event_type + "Not-Run: 1\r\n")},
+      {"as not found", error(404, "")},
+      {"without identifier", PlainAnswer("", 500, body, event_type)},
+      {"without an end", "HTTP/1.1 500 Error\r\nAttempt: a1\r\n\r\n" + body},
+  }));
+  INFO(name);
+  GatewayFixture fixture;
+  int sends = 0;
+  const auto script = [&,
+                       answer = answer](const ScriptedBackend::Received& call) {
+    if (++sends == 1) {
+      call.session->Write(StreamHead("a1") + EventChunk(1, "one") +
+                          EventChunk(2, "two").substr(0, 8));
+    } else {
+      call.session->Write(answer);
+    }
+    call.session->Close();
+  };
+  fixture.AddBackend("b1", script);
+  fixture.AddBackend("b2", script);
+  TestClient& client = fixture.Call("/chat/x", "a1");
+  REQUIRE(fixture.RunUntil([&] { return client.Ended(); }));
+  CHECK(sends > 1);
+  CHECK(client.Broken());
+  CHECK(client.Has("one"));
+  CHECK_FALSE(client.Has("two"));
+  CHECK_FALSE(client.Has("none of the stream"));
+  CHECK_FALSE(client.Has("HTTP/1.1 5"));
+  CHECK_FALSE(client.Has("HTTP/1.1 4"));
+  CHECK_FALSE(client.Has("0\r\n\r\n"));
+}
+
 TEST_CASE("a late copy of an error without identifier reaches no other call") {
   GatewayFixture fixture;
   const std::string error =
