--- a/src/wasabiwall/state/backend_registry.cc
+++ b/src/wasabiwall/state/backend_registry.cc
@@ -50,6 +50,10 @@
   return {};
 }
 
+void BackendRegistry::Drop(const BackendServerId& id) {
+  if (m_servers.erase(id) > 0) ++m_revision;
+}
+
 void BackendRegistry::OnContact(MonotonicTime now) {
   const bool was_out =
       m_last_contact && now - *m_last_contact >= m_lapse_times.shortest_outage;
--- a/src/wasabiwall/state/backend_registry.h
+++ b/src/wasabiwall/state/backend_registry.h
@@ -97,6 +97,9 @@
   std::optional<MonotonicTime> Remove(const BackendServerId& id,
                                       MonotonicTime now);
 
+  /// Removes an entry that cannot be read, which has not expired.
+  void Drop(const BackendServerId& id);
+
   /// Removes the entries that a full read did not contain.
   /// @param present Identifiers that the read contained.
   void RetainOnly(const std::set<BackendServerId>& present, MonotonicTime now);
--- a/tests/platform/leaving_unseen_test.cc
+++ b/tests/platform/leaving_unseen_test.cc
@@ -114,6 +114,12 @@
     const auto ignored = store.IgnoredCalls();
     REQUIRE(gateway.RunUntil([&] { return store.IgnoredCalls() > ignored; }));
     store.SetMode(StoreMode::kUp);
+    m_store_back_at = gateway.loop.Now();
+  }
+
+  /// @return Time since the end of the cut.
+  std::chrono::microseconds SinceStoreIsBack() const {
+    return gateway.loop.Now() - m_store_back_at;
   }
 
   GatewayFixture gateway;
@@ -123,6 +129,7 @@
 
  private:
   FollowedStore m_followed{&gateway, store.Address()};
+  coordination::TimePoint m_store_back_at;
   int m_attempts = 0;
 };
 
@@ -154,6 +161,16 @@
   }
 }
 
+TEST_CASE("an entry that cannot be read is not kept after an outage") {
+  Fleet fleet;
+  fleet.CutStore([&] { fleet.store.Put("servers/b1", "{"); });
+  REQUIRE(fleet.gateway.RunUntil([&] { return !fleet.IsUsed("b1"); }));
+  // Far less than the time for which an entry that expired is kept.
+  CHECK(fleet.SinceStoreIsBack() < kReturnTime / 2);
+  fleet.SendCalls();
+  CHECK(fleet.leaving.TakeCalls() == 0);
+}
+
 TEST_CASE("the return of an entry is seen before its time is over") {
   Fleet fleet;
   fleet.CutStore([&] { fleet.leaving.RemoveEntry(); });
