--- a/src/wasabiwall/transport/gateway.cc
+++ b/src/wasabiwall/transport/gateway.cc
@@ -99,6 +99,7 @@
   m_context->LogSlowEngineChanges();
   for (const auto& id : m_context->registry.Expire(m_context->loop->Now())) {
     LogInfo("backend_expired", {{"backend", id.value}});
+    m_context->ForgetBackendServer(id);
   }
   m_context->hold_offs.Expire(m_context->loop->Now());
   FinishStopIfDrained();
--- a/tests/platform/leaving_unseen_test.cc
+++ b/tests/platform/leaving_unseen_test.cc
@@ -161,6 +161,19 @@
   }
 }
 
+TEST_CASE("nothing is kept of a backend server whose time is over") {
+  Fleet fleet;
+  const state::BackendServerId id("b1");
+  auto& context = fleet.gateway.context;
+  fleet.CutStore([&] { fleet.leaving.RemoveEntry(); });
+  context.health.OnSignal(id, coordination::HealthSignal::kReplaced,
+                          fleet.gateway.loop.Now());
+  REQUIRE(context.health.IsUnreachable(id, fleet.gateway.loop.Now()));
+  REQUIRE(fleet.gateway.RunUntil(
+      [&] { return context.registry.Find(id) == nullptr; }));
+  CHECK_FALSE(context.health.IsUnreachable(id, fleet.gateway.loop.Now()));
+}
+
 TEST_CASE("an entry that cannot be read is not kept after an outage") {
   Fleet fleet;
   fleet.CutStore([&] { fleet.store.Put("servers/b1", "{"); });
