--- a/tests/fakes/scripted_backend.cc
+++ b/tests/fakes/scripted_backend.cc
@@ -28,6 +28,8 @@
   return "127.0.0.1:" + std::to_string(m_listener->Port());
 }
 
+ScriptedBackend::~ScriptedBackend() { Crash(); }
+
 void ScriptedBackend::Crash() {
   m_listener.reset();
   for (const auto& session : m_sessions) session->Reset();
--- a/tests/fakes/scripted_backend.h
+++ b/tests/fakes/scripted_backend.h
@@ -51,6 +51,11 @@
   /// Listens on a free loopback port.
   ScriptedBackend(transport::EventLoop* loop, Script script);
 
+  /// Resets all connections, also those of sessions that others hold.
+  ~ScriptedBackend();
+  ScriptedBackend(const ScriptedBackend&) = delete;
+  ScriptedBackend& operator=(const ScriptedBackend&) = delete;
+
   /// @return `ip:port`.
   std::string Address() const;
 
