A quiet store is not out

Contact is now lost only when a call has failed or is overdue, and an outage lasts 2.25 heartbeats at least. The test failed before.

--- a/src/wasabiwall/state/backend_registry.cc
+++ b/src/wasabiwall/state/backend_registry.cc
@@ -55,8 +55,8 @@
 }
 
 void BackendRegistry::OnContact(MonotonicTime now) {
-  const bool was_out =
-      m_last_contact && now - *m_last_contact >= m_lapse_times.shortest_outage;
+  const bool was_out = !m_in_contact && m_last_contact &&
+                       now - *m_last_contact >= m_lapse_times.shortest_outage;
   m_last_contact = now;
   m_in_contact = true;
   if (!was_out) return;
--- a/src/wasabiwall/state/backend_registry.h
+++ b/src/wasabiwall/state/backend_registry.h
@@ -65,7 +65,7 @@
 /// How entries of backend servers expire and return about an outage.
 struct LapseTimes {
   /// Shortest time without contact in which an entry may have expired.
-  std::chrono::milliseconds shortest_outage{2400};
+  std::chrono::milliseconds shortest_outage{2700};
   /// Time after an outage in which live backend servers register again.
   std::chrono::milliseconds grace{2200};
 };
@@ -111,11 +111,11 @@
   bool IsComplete() const { return m_is_complete; }
 
   /// Records that the registry has answered, before the answer is applied. If
-  /// it had not for long, the grace time begins.
+  /// contact was lost for long, the grace time begins.
   void OnContact(MonotonicTime now);
 
-  /// Records that the registry cannot be reached. Missing entries are kept
-  /// until it can.
+  /// Records that an answer of the registry failed or is overdue. Missing
+  /// entries are kept until there is one.
   void OnContactLost() { m_in_contact = false; }
 
   /// Evacuates a failure domain or ends its evacuation. Its backend servers may
--- a/tests/gateway/registry_test.cc
+++ b/tests/gateway/registry_test.cc
@@ -104,6 +104,16 @@
   CHECK(outage.registry.Find(BackendServerId("a")) == nullptr);
 }
 
+TEST_CASE("a registry that was quiet for long has not been out") {
+  BackendRegistry registry(kLapseTimes);
+  registry.OnContact(kStart);
+  registry.Put(Server("a"), kStart, kColdTime, false);
+  const auto now = kStart + 2 * kShortestOutage;
+  registry.OnContact(now);
+  CHECK_FALSE(registry.Remove(BackendServerId("a"), now));
+  CHECK(registry.Find(BackendServerId("a")) == nullptr);
+}
+
 TEST_CASE("an entry cannot have expired in a short outage") {
   AfterOutage outage(Server("a"), kShortestOutage - milliseconds(1));
   CHECK_FALSE(outage.registry.Remove(BackendServerId("a"), outage.back));
