--- a/tests/platform/documents_test.cc
+++ b/tests/platform/documents_test.cc
@@ -80,6 +80,7 @@
   CHECK_FALSE(altered("1500", "\"soon\""));
   CHECK_FALSE(altered("99", "\"x\""));
   CHECK_FALSE(DecodeBackendServer("i-1", "\xff\xfe"));
+  CHECK_FALSE(DecodeBackendServer("i-1", std::string(200000, '[')));
 }
 
 TEST_CASE("call headers are decoded and those of the system replaced") {
