--- a/tests/gateway/crashing_request_test.cc
+++ b/tests/gateway/crashing_request_test.cc
@@ -78,6 +78,41 @@
   }
 }
 
+TEST_CASE("requests that share a part that ends backend servers are held off") {
+  // Five ends and three calls more, over all calls and their retries.
+  constexpr int most_sends = 8;
+  constexpr int calls = 16;
+  GatewayFixture fleet;
+  int sends = 0;
+  std::map<std::string, ScriptedBackend*> backends;
+  for (int i = 0; i < 2 * calls + 1; ++i) {
+    const std::string id = "b" + std::to_string(i);
+    backends[id] =
+        &fleet.AddBackend(id, [&, id](const ScriptedBackend::Received& call) {
+          if (*call.head.headers.Find("Part") == "7") {
+            ++sends;
+            fleet.loop.Post([&, id] { backends.at(id)->Crash(); });
+            return;
+          }
+          call.session->Write(StreamHead(*call.head.headers.Find("Attempt")) +
+                              EventChunk(1, "served") +
+                              std::string(transport::kLastChunk));
+        });
+  }
+  for (int i = 0; i < calls; ++i) {
+    const std::string own = std::to_string(i);
+    TestClient& crashing =
+        fleet.Call("/talk/x" + own, "c" + own, "Part: 7\r\n");
+    REQUIRE(fleet.RunUntil([&] { return crashing.Status() != 0; }));
+    // Ends at the same moment may have one cause that is no request.
+    fleet.RunFor(milliseconds(120));
+    TestClient& sound = fleet.Call("/talk/y" + own, "s" + own, "Part: 8\r\n");
+    REQUIRE(fleet.RunUntil([&] { return sound.Status() != 0; }));
+    CHECK(sound.Status() == 200);
+  }
+  CHECK(sends <= most_sends);
+}
+
 TEST_CASE("repeats through other gateways are held off as well") {
   GatewayFixture first;
   GatewayFixture second;
