--- a/src/wasabiwall/coordination/request_fingerprint.h
+++ b/src/wasabiwall/coordination/request_fingerprint.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -13,4 +15,12 @@
 /// @return The first 32 hex digits of a SHA-256 over the parts.
 std::string FingerprintOf(std::initializer_list<std::string_view> parts);
 
+/// @return Fingerprint of one part of prompts; as long as that of a request and
+/// never equal to one.
+std::string FingerprintOfPromptPart(std::uint64_t part);
+
+/// @return The part that a fingerprint names; nothing if it is that of a
+/// request.
+std::optional<std::uint64_t> PromptPartOf(std::string_view fingerprint);
+
 }  // namespace wasabiwall::coordination
--- a/src/wasabiwall/transport/call_codec.h
+++ b/src/wasabiwall/transport/call_codec.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "wasabiwall/coordination/backend_load_table.h"
 #include "wasabiwall/state/strong_id.h"
@@ -24,6 +25,9 @@
   std::uint64_t shared_part = 0;
   /// Tokens of all shared parts of the prompt.
   std::int64_t shared_tokens = 0;
+  /// Hashes of the prompt parts that other calls may share, in order. A part
+  /// that belongs to this call alone is not among them.
+  std::vector<std::uint64_t> prompt_parts;
 };
 
 /// Metadata of a call that the gateway sends to the backend server.
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <utility>
 
+#include "wasabiwall/coordination/request_fingerprint.h"
 #include "wasabiwall/protocol/event_stream.h"
 #include "wasabiwall/transport/forwarded_request.h"
 #include "wasabiwall/transport/local_reply.h"
@@ -28,6 +29,16 @@
 
 constexpr int kFirstServerError = 500;
 
+/// @return The parts as fingerprints name them, separated by commas.
+std::string NamesOf(const std::vector<std::uint64_t>& prompt_parts) {
+  std::string names;
+  for (const std::uint64_t part : prompt_parts) {
+    if (!names.empty()) names += ',';
+    names += coordination::FingerprintOfPromptPart(part);
+  }
+  return names.empty() ? "-" : names;
+}
+
 milliseconds ToMilliseconds(std::chrono::microseconds time) {
   return std::chrono::duration_cast<milliseconds>(time);
 }
@@ -581,6 +592,7 @@
       {"id", m_call.metadata.attempt_id},
       {"fingerprint",
        m_quarantine.Fingerprint().empty() ? "-" : m_quarantine.Fingerprint()},
+      {"parts", NamesOf(m_call.metadata.prompt_parts)},
       {"outcome", outcome},
       {"route", m_call.route != nullptr ? m_call.route->name : "-"},
       {"workspace", workspace.empty() ? "-" : workspace},
--- a/tests/fakes/gateway_fixture.cc
+++ b/tests/fakes/gateway_fixture.cc
@@ -1,5 +1,6 @@
 #include "fakes/gateway_fixture.h"
 
+#include <sstream>
 #include <utility>
 
 namespace wasabiwall::fakes {
@@ -45,7 +46,12 @@
     if (!deadline.empty()) call.deadline = milliseconds(std::stoi(deadline));
     if (headers.Find("Key") != nullptr) call.key = ValueOf(headers, "Key");
     const std::string part = ValueOf(headers, "Part");
-    if (!part.empty()) call.shared_part = std::stoul(part);
+    if (!part.empty()) {
+      std::istringstream parts(part);
+      while (parts >> call.shared_part) {
+        call.prompt_parts.push_back(call.shared_part);
+      }
+    }
     const std::string tokens = ValueOf(headers, "Tokens");
     if (!tokens.empty()) call.shared_tokens = std::stol(tokens);
     return call;
--- a/tests/fakes/gateway_fixture.h
+++ b/tests/fakes/gateway_fixture.h
@@ -11,8 +11,8 @@
 
 namespace wasabiwall::fakes {
 
-/// Header codec with short names: Attempt, Deadline, Key, Part, Tokens in
-/// calls; Fetch in forwarded calls; Attempt, Not-Run, Wrong-Backend,
+/// Header codec with short names: Attempt, Deadline, Key, Part (the shared parts
+/// of the prompt, separated by spaces), Tokens in calls; Fetch in forwarded calls; Attempt, Not-Run, Wrong-Backend,
 /// Leaving, Hold-Off (milliseconds), Running in responses.
 transport::CallCodec TestCodec();
 
