--- a/src/wasabiwall/coordination/crash_records.cc
+++ b/src/wasabiwall/coordination/crash_records.cc
@@ -52,6 +52,16 @@
   if (found->second.empty()) m_table.erase(found);
 }
 
+void CrashRecords::RemoveCrash(std::int64_t crash) {
+  const std::lock_guard lock(m_mutex);
+  for (auto entry = m_table.begin(); entry != m_table.end();) {
+    m_size -= std::erase_if(entry->second, [crash](const Record& record) {
+      return record.crash == crash;
+    });
+    entry = entry->second.empty() ? m_table.erase(entry) : std::next(entry);
+  }
+}
+
 void CrashRecords::Forget(const std::string& fingerprint) {
   const std::lock_guard lock(m_mutex);
   const auto found = m_table.find(fingerprint);
--- a/src/wasabiwall/coordination/crash_records.h
+++ b/src/wasabiwall/coordination/crash_records.h
@@ -51,6 +51,9 @@
   /// Removes the record of a request that turned out to have survived.
   void Withdraw(const std::string& fingerprint, std::int64_t crash);
 
+  /// Removes the records of a crash.
+  void RemoveCrash(std::int64_t crash);
+
   /// Removes all records of a request.
   void Forget(const std::string& fingerprint);
 
--- /dev/null
+++ b/src/wasabiwall/coordination/prompt_part_evidence.cc
@@ -0,0 +1,147 @@
+#include "wasabiwall/coordination/prompt_part_evidence.h"
+
+#include <algorithm>
+#include <array>
+#include <bit>
+#include <utility>
+
+#include "wasabiwall/state/digest.h"
+
+namespace wasabiwall::coordination {
+namespace {
+
+/// Records kept of a part, more than any verdict needs.
+constexpr std::size_t kMaxRecordsPerPart = 8;
+/// Parts among which one with few records is looked for to make room.
+constexpr int kEvictionCandidates = 16;
+
+}  // namespace
+
+PromptPartEvidence::PromptPartEvidence(PromptPartEvidenceOptions options)
+    : m_options(options) {}
+
+void PromptPartEvidence::OnCrash(std::uint64_t part, std::int64_t crash,
+                                 TimePoint at, TimePoint now) {
+  const auto answered = AnsweredRequestSentAt(part);
+  if (answered && *answered > at) return;
+  if (now - at >= m_options.retention) return;
+  if (m_records.size() >= m_options.max_parts && !m_records.contains(part)) {
+    MakeRoom(crash, now);
+  }
+  Records& records = m_records[part];
+  const bool is_known = std::ranges::any_of(
+      records, [crash](const Record& record) { return record.crash == crash; });
+  if (is_known) return;
+  std::erase_if(records,
+                [&](const Record& record) { return IsExpired(record, now); });
+  // The first and the last crash tell how long it has gone on.
+  if (records.size() >= kMaxRecordsPerPart) records.pop_back();
+  const auto later = std::ranges::upper_bound(records, at, {}, &Record::at);
+  records.insert(later, {crash, at});
+}
+
+void PromptPartEvidence::MakeRoom(std::int64_t crash, TimePoint now) {
+  // A random choice, so that many new parts in flight at one crash do not
+  // displace the cause each time.
+  const std::array<char, sizeof crash> bytes =
+      std::bit_cast<std::array<char, sizeof crash>>(crash);
+  const std::size_t start =
+      state::FastHash({bytes.data(), bytes.size()}, m_records.size()) %
+      m_records.bucket_count();
+  const auto last_crash = [&](std::uint64_t part) {
+    return m_records.at(part).back().at;
+  };
+  std::optional<std::uint64_t> evicted;
+  std::size_t fewest = kMaxRecordsPerPart + 1;
+  int candidates = 0;
+  for (std::size_t i = 0;
+       candidates < kEvictionCandidates && i < m_records.bucket_count(); ++i) {
+    const std::size_t bucket = (start + i) % m_records.bucket_count();
+    for (auto entry = m_records.begin(bucket); entry != m_records.end(bucket);
+         ++entry) {
+      ++candidates;
+      const bool is_expired =
+          now - last_crash(entry->first) >= m_options.retention;
+      const std::size_t count = is_expired ? 0 : entry->second.size();
+      if (count >= fewest) continue;
+      fewest = count;
+      evicted = entry->first;
+    }
+  }
+  if (evicted) m_records.erase(*evicted);
+}
+
+bool PromptPartEvidence::OnAnswered(std::uint64_t part, TimePoint sent_at) {
+  if (m_answered.size() >= m_options.min_answered) {
+    m_answered_before = std::exchange(m_answered, {});
+  }
+  const auto [entry, is_new] = m_answered.try_emplace(part, sent_at);
+  entry->second = std::max(entry->second, sent_at);
+  const auto found = m_records.find(part);
+  if (found == m_records.end()) return false;
+  const bool is_cleared =
+      std::erase_if(found->second, [sent_at](const Record& record) {
+        return record.at < sent_at;
+      }) > 0;
+  if (found->second.empty()) m_records.erase(found);
+  return is_cleared;
+}
+
+std::optional<TimePoint> PromptPartEvidence::AnsweredRequestSentAt(
+    std::uint64_t part) const {
+  const auto found = m_answered.find(part);
+  if (found != m_answered.end()) return found->second;
+  const auto before = m_answered_before.find(part);
+  if (before != m_answered_before.end()) return before->second;
+  return std::nullopt;
+}
+
+bool PromptPartEvidence::IsCause(std::uint64_t part, TimePoint now) const {
+  const auto found = m_records.find(part);
+  if (found == m_records.end()) return false;
+  const Records& records = found->second;
+  const int moments = Moments(records, now);
+  if (!AnsweredRequestSentAt(part)) return moments >= m_options.crashes;
+  return moments >= m_options.crashes_if_answered_before &&
+         records.back().at - records.front().at >=
+             m_options.span_if_answered_before;
+}
+
+int PromptPartEvidence::Moments(const Records& records, TimePoint now) const {
+  int moments = 0;
+  TimePoint counted;
+  for (const Record& record : records) {
+    if (IsExpired(record, now)) continue;
+    if (moments > 0 && record.at - counted < m_options.same_moment) continue;
+    ++moments;
+    counted = record.at;
+  }
+  return moments;
+}
+
+std::vector<std::int64_t> PromptPartEvidence::CrashesOf(
+    std::uint64_t part) const {
+  std::vector<std::int64_t> crashes;
+  const auto found = m_records.find(part);
+  if (found == m_records.end()) return crashes;
+  for (const Record& record : found->second) crashes.push_back(record.crash);
+  return crashes;
+}
+
+std::optional<TimePoint> PromptPartEvidence::FirstCrashAt(
+    std::uint64_t part) const {
+  const auto found = m_records.find(part);
+  if (found == m_records.end() || found->second.empty()) return std::nullopt;
+  return found->second.front().at;
+}
+
+void PromptPartEvidence::RemoveCrash(std::int64_t crash) {
+  for (auto entry = m_records.begin(); entry != m_records.end();) {
+    std::erase_if(entry->second, [crash](const Record& record) {
+      return record.crash == crash;
+    });
+    entry = entry->second.empty() ? m_records.erase(entry) : std::next(entry);
+  }
+}
+
+}  // namespace wasabiwall::coordination
--- a/src/wasabiwall/coordination/request_quarantine.cc
+++ b/src/wasabiwall/coordination/request_quarantine.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "wasabiwall/coordination/request_fingerprint.h"
 #include "wasabiwall/state/digest.h"
 
 namespace wasabiwall::coordination {
@@ -19,6 +20,8 @@
 constexpr milliseconds kOutcomeTime{5000};
 /// Own crashes kept, to know which gateway announces a quarantine.
 constexpr std::size_t kMaxOwnCrashes = 4096;
+/// Crashes kept whose cause is known; records of them arrive within seconds.
+constexpr std::size_t kMaxAttributedCrashes = 256;
 
 }  // namespace
 
@@ -26,7 +29,8 @@
                                      RequestQuarantineOptions options)
     : m_hooks(std::move(hooks)),
       m_options(options),
-      m_records({.retention = options.quarantine_time}) {}
+      m_records({.retention = options.quarantine_time}),
+      m_part_evidence(options.prompt_parts) {}
 
 bool RequestQuarantine::WasAnswered(const std::string& fingerprint) const {
   const std::uint64_t hash = state::FastHash(fingerprint);
@@ -34,12 +38,19 @@
 }
 
 bool RequestQuarantine::OnCrash(const std::string& fingerprint,
-                                std::int64_t crash, TimePoint now) {
-  if (WasAnswered(fingerprint)) return false;
+                                std::int64_t crash, TimePoint now,
+                                milliseconds age) {
+  const auto part = PromptPartOf(fingerprint);
+  if (!part && WasAnswered(fingerprint)) return false;
   if (m_own_crashes.size() >= kMaxOwnCrashes) m_own_crashes.clear();
   m_own_crashes[fingerprint] = now;
-  m_records.Add(fingerprint, crash, now);
-  Judge(fingerprint, "crashes", now);
+  if (part) {
+    m_part_evidence.OnCrash(*part, crash, now - age, now);
+    JudgePart(fingerprint, *part, "crashes", now);
+  } else {
+    if (!IsAttributed(crash)) m_records.Add(fingerprint, crash, now);
+    Judge(fingerprint, "crashes", now);
+  }
   return true;
 }
 
@@ -47,11 +58,19 @@
     const std::vector<CrashRecord>& records, TimePoint now) {
   std::vector<std::string> answered;
   for (const CrashRecord& record : records) {
+    if (const auto part = PromptPartOf(record.fingerprint)) {
+      m_part_evidence.OnCrash(*part, record.crash, now - record.age, now);
+      if (m_part_evidence.AnsweredRequestSentAt(*part)) {
+        answered.push_back(record.fingerprint);
+      }
+      JudgePart(record.fingerprint, *part, "peer", now);
+      continue;
+    }
     if (WasAnswered(record.fingerprint)) {
       answered.push_back(record.fingerprint);
       continue;
     }
-    m_records.Observe({record}, now);
+    if (!IsAttributed(record.crash)) m_records.Observe({record}, now);
     Judge(record.fingerprint, "peer", now);
   }
   return answered;
@@ -59,14 +78,52 @@
 
 void RequestQuarantine::Judge(const std::string& fingerprint,
                               const char* source, TimePoint now) {
-  if (m_records.Count(fingerprint, now) < kQuarantineCrashes) return;
+  const int crashes = m_records.Count(fingerprint, now);
+  if (crashes < kQuarantineCrashes) return;
   const bool is_known = TimeLeft(fingerprint, now).has_value();
-  Entry& entry = Insert(fingerprint, source, now);
+  Entry& entry = Insert(
+      fingerprint,
+      {.source = source, .crashes = static_cast<std::size_t>(crashes)}, now);
   if (!is_known && MayAnnounce(fingerprint)) {
     Announce(fingerprint, &entry, now);
   }
 }
 
+void RequestQuarantine::JudgePart(const std::string& fingerprint,
+                                  std::uint64_t part, const char* source,
+                                  TimePoint now) {
+  const bool is_known = TimeLeft(fingerprint, now).has_value();
+  if (!is_known) {
+    if (m_hooks.is_judge && !m_hooks.is_judge(fingerprint)) return;
+    if (!m_part_evidence.IsCause(part, now)) return;
+  }
+  const auto crashes = m_part_evidence.CrashesOf(part);
+  if (!is_known) {
+    const TimePoint first = m_part_evidence.FirstCrashAt(part).value_or(now);
+    Entry& entry =
+        Insert(fingerprint,
+               {.source = source,
+                .crashes = crashes.size(),
+                .first_crash_age =
+                    std::chrono::duration_cast<milliseconds>(now - first)},
+               now);
+    if (MayAnnounce(fingerprint)) Announce(fingerprint, &entry, now);
+  }
+  for (const std::int64_t crash : crashes) Attribute(crash);
+}
+
+void RequestQuarantine::Attribute(std::int64_t crash) {
+  m_records.RemoveCrash(crash);
+  m_part_evidence.RemoveCrash(crash);
+  if (IsAttributed(crash)) return;
+  m_attributed.push_back(crash);
+  if (m_attributed.size() > kMaxAttributedCrashes) m_attributed.pop_front();
+}
+
+bool RequestQuarantine::IsAttributed(std::int64_t crash) const {
+  return std::ranges::find(m_attributed, crash) != m_attributed.end();
+}
+
 bool RequestQuarantine::MayAnnounce(const std::string& fingerprint) const {
   // Of two gateways that saw one crash each, neither may know of the other.
   return m_own_crashes.contains(fingerprint) ||
@@ -74,7 +131,7 @@
 }
 
 void RequestQuarantine::OnAnnounced(const std::string& fingerprint, int probes,
-                                    TimePoint now) {
+                                    TimePoint now, milliseconds age) {
   if (WasAnswered(fingerprint)) {
     // Few gateways reply, since all that have answered it get here.
     const bool replies =
@@ -84,24 +141,27 @@
     }
     return;
   }
-  Entry& entry = Insert(fingerprint, "announcement", now);
+  Entry& entry = Insert(
+      fingerprint, {.source = "announcement", .first_crash_age = age}, now);
   entry.announced_at = now;
   CountProbes(&entry, probes, now);
 }
 
 RequestQuarantine::Entry& RequestQuarantine::Insert(
-    const std::string& fingerprint, const char* source, TimePoint now) {
+    const std::string& fingerprint, const QuarantineReason& reason,
+    TimePoint now) {
   const bool is_known = TimeLeft(fingerprint, now).has_value();
   if (!is_known && m_quarantined.size() >= m_options.max_quarantined) {
     MakeRoom(now);
   }
   Entry& entry = m_quarantined[fingerprint];
   if (!is_known) {
-    entry = {.probe_at = now + m_options.first_probe_delay + ProbeJitter()};
+    entry = {.first_crash_at = now - reason.first_crash_age,
+             .probe_at = now + m_options.first_probe_delay + ProbeJitter()};
   }
   entry.until = now + m_options.quarantine_time;
   if (!is_known && m_hooks.on_quarantined) {
-    m_hooks.on_quarantined(fingerprint, source);
+    m_hooks.on_quarantined(fingerprint, reason);
   }
   return entry;
 }
@@ -129,7 +189,49 @@
   }
 }
 
-void RequestQuarantine::OnPeerAnswered(const std::string& fingerprint) {
+void RequestQuarantine::OnPartAnswered(std::uint64_t part, TimePoint sent_at) {
+  const bool is_cleared = m_part_evidence.OnAnswered(part, sent_at);
+  if (!is_cleared && m_quarantined.empty()) return;
+  const std::string fingerprint = FingerprintOfPromptPart(part);
+  if (is_cleared && m_hooks.on_part_cleared) {
+    m_hooks.on_part_cleared(fingerprint, sent_at);
+  }
+  if (ReleasePart(fingerprint, sent_at) && m_hooks.announce_answered) {
+    m_hooks.announce_answered(fingerprint);
+  }
+}
+
+bool RequestQuarantine::ReleasePart(const std::string& fingerprint,
+                                    TimePoint sent_at) {
+  const auto first_crash_at = FirstCrashAt(fingerprint);
+  if (!first_crash_at || sent_at <= *first_crash_at) return false;
+  return Release(fingerprint);
+}
+
+std::optional<TimePoint> RequestQuarantine::AnsweredRequestSentAt(
+    const std::string& fingerprint) const {
+  const auto part = PromptPartOf(fingerprint);
+  if (!part) return std::nullopt;
+  return m_part_evidence.AnsweredRequestSentAt(*part);
+}
+
+std::optional<TimePoint> RequestQuarantine::FirstCrashAt(
+    const std::string& fingerprint) const {
+  const auto found = m_quarantined.find(fingerprint);
+  if (found == m_quarantined.end()) return std::nullopt;
+  return found->second.first_crash_at;
+}
+
+void RequestQuarantine::OnPeerAnswered(const std::string& fingerprint,
+                                       TimePoint sent_at) {
+  if (const auto part = PromptPartOf(fingerprint)) {
+    m_part_evidence.OnAnswered(*part, sent_at);
+    if (ReleasePart(fingerprint, sent_at) && MayAnnounce(fingerprint) &&
+        m_hooks.announce_answered) {
+      m_hooks.announce_answered(fingerprint);
+    }
+    return;
+  }
   const bool announces = MayAnnounce(fingerprint);
   const bool was_quarantined = Release(fingerprint);
   if (was_quarantined && announces && m_hooks.announce_answered) {
@@ -142,17 +244,30 @@
 }
 
 bool RequestQuarantine::Release(const std::string& fingerprint) {
-  if (m_answered.size() >= m_options.min_answered) {
-    m_answered_before = std::exchange(m_answered, {});
+  if (const auto part = PromptPartOf(fingerprint)) {
+    m_part_evidence.Forget(*part);
+  } else {
+    if (m_answered.size() >= m_options.min_answered) {
+      m_answered_before = std::exchange(m_answered, {});
+    }
+    m_answered.insert(state::FastHash(fingerprint));
+    m_records.Forget(fingerprint);
   }
-  m_answered.insert(state::FastHash(fingerprint));
   m_own_crashes.erase(fingerprint);
-  m_records.Forget(fingerprint);
   const bool was_quarantined = m_quarantined.erase(fingerprint) > 0;
   if (was_quarantined && m_hooks.on_released) m_hooks.on_released(fingerprint);
   return was_quarantined;
 }
 
+bool RequestQuarantine::IsProbeDue(const std::string& fingerprint,
+                                   TimePoint now) const {
+  const auto found = m_quarantined.find(fingerprint);
+  if (found == m_quarantined.end()) return false;
+  const Entry& entry = found->second;
+  return entry.has_probe ||
+         (entry.probes < m_options.max_probes && now >= entry.probe_at);
+}
+
 bool RequestQuarantine::StartProbeClaim(const std::string& fingerprint,
                                         TimePoint now) {
   const auto found = m_quarantined.find(fingerprint);
--- a/src/wasabiwall/coordination/request_quarantine.h
+++ b/src/wasabiwall/coordination/request_quarantine.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -12,6 +13,7 @@
 
 #include "wasabiwall/coordination/clock.h"
 #include "wasabiwall/coordination/crash_records.h"
+#include "wasabiwall/coordination/prompt_part_evidence.h"
 
 namespace wasabiwall::coordination {
 
@@ -32,26 +34,40 @@
   /// Probes of one quarantine in the whole fleet. With the crashes before them,
   /// a request that is the cause ends at most five backend servers.
   int max_probes = 3;
+  PromptPartEvidenceOptions prompt_parts;
 };
 
-/// Decides which requests a gateway holds off because backend servers ended
-/// while they ran them, however often and through whichever gateway their
-/// callers repeat them.
+/// Why a content is quarantined, for the log.
+struct QuarantineReason {
+  /// How this gateway knows.
+  const char* source = "";
+  /// Crashes with the content that this gateway knows of.
+  std::size_t crashes = 0;
+  /// Time since the first of them.
+  std::chrono::milliseconds first_crash_age{0};
+};
+
+/// Decides which contents a gateway holds off because backend servers ended
+/// while they ran them, however often and through whichever gateway callers
+/// send them.
 ///
-/// A request is known by its fingerprint. All requests in flight when a backend
-/// server ends get a record; one with kQuarantineCrashes records and no answer
-/// is quarantined. A request that was answered lately is never a suspect, so
-/// that a popular one that is in flight at every crash keeps running.
+/// A content is a whole request or a part of prompts, known by its fingerprint.
+/// All contents in flight when a backend server ends get a record. A request
+/// with kQuarantineCrashes records and no answer is quarantined; one that was
+/// answered lately is never a suspect, so that a popular one that is in flight
+/// at every crash keeps running. Parts are judged by PromptPartEvidence.
+/// Crashes with a quarantined part are counted for nothing else.
 ///
-/// A request that was only in flight when others ended backend servers is told
-/// from the cause by a half-open probe: one repeat at a time, which one gateway
-/// of the fleet claims, runs. An answer releases the request at all gateways.
-/// Does no I/O. Not safe for concurrent use.
+/// A content that was only in flight when others ended backend servers is told
+/// from the cause by a half-open probe: one request at a time, which one
+/// gateway of the fleet claims, runs. An answer releases the content at all
+/// gateways. Does no I/O. Not safe for concurrent use.
 class RequestQuarantine {
  public:
   struct Hooks {
-    /// A request is quarantined from now on.
-    std::function<void(const std::string& fingerprint, const char* source)>
+    /// A content is quarantined from now on.
+    std::function<void(const std::string& fingerprint,
+                       const QuarantineReason& reason)>
         on_quarantined;
     /// A quarantined request may run again, since it has been answered.
     std::function<void(const std::string& fingerprint)> on_released;
@@ -59,6 +75,13 @@
     std::function<void(const std::string& fingerprint)> announce;
     /// All gateways must learn that a quarantined request has been answered.
     std::function<void(const std::string& fingerprint)> announce_answered;
+    /// An answered request has cleared a prompt part of a crash, of which other
+    /// gateways have records.
+    std::function<void(const std::string& fingerprint, TimePoint sent_at)>
+        on_part_cleared;
+    /// @return Whether this gateway gets all records of a prompt part, so that
+    /// it may judge the part. Not set: it may.
+    std::function<bool(const std::string& fingerprint)> is_judge;
     /// @return Whether this gateway is one of the few that announce what they
     /// were told of the request: its quarantine, or an answer.
     std::function<bool(const std::string& fingerprint)> is_announcer;
@@ -70,29 +93,52 @@
   explicit RequestQuarantine(Hooks hooks,
                              RequestQuarantineOptions options = {});
 
-  /// Records that a backend server ended while it ran a request for this
+  /// Records that a backend server ended while it ran a content for this
   /// gateway.
   /// @param crash Identifies the end of the backend server in the fleet.
-  /// @return Whether the request may be the cause, so that other gateways need
+  /// @param age Time since then.
+  /// @return Whether the content may be the cause, so that other gateways need
   /// the record.
   bool OnCrash(const std::string& fingerprint, std::int64_t crash,
-               TimePoint now);
+               TimePoint now,
+               std::chrono::milliseconds age = std::chrono::milliseconds(0));
 
   /// Merges records of another gateway.
   /// @return Fingerprints of requests that were answered lately, so that they
-  /// are not the cause.
+  /// are not the cause, and of prompt parts that were in such requests.
   std::vector<std::string> OnPeerRecords(
       const std::vector<CrashRecord>& records, TimePoint now);
 
-  /// Records that another gateway has announced the quarantine of a request.
+  /// Records that another gateway has announced the quarantine of a content.
   /// @param probes Probes that gateways have claimed so far.
-  void OnAnnounced(const std::string& fingerprint, int probes, TimePoint now);
+  /// @param age Time since the first crash with the content, or less.
+  void OnAnnounced(
+      const std::string& fingerprint, int probes, TimePoint now,
+      std::chrono::milliseconds age = std::chrono::milliseconds(0));
 
   /// Records that a backend server has answered a request in full.
   void OnAnswered(const std::string& fingerprint);
 
+  /// Records that a backend server has answered a request with a prompt part.
+  /// @param sent_at When the request was sent.
+  void OnPartAnswered(std::uint64_t part, TimePoint sent_at);
+
   /// Records that another gateway knows of an answer.
-  void OnPeerAnswered(const std::string& fingerprint);
+  /// @param sent_at When the answered request was sent; counts for prompt
+  /// parts.
+  void OnPeerAnswered(const std::string& fingerprint, TimePoint sent_at);
+
+  /// @return When the latest answered request with a prompt part was sent;
+  /// nothing if none is known, or for a request.
+  std::optional<TimePoint> AnsweredRequestSentAt(
+      const std::string& fingerprint) const;
+
+  /// @return When the first crash with a quarantined content happened; nothing
+  /// if it is not quarantined.
+  std::optional<TimePoint> FirstCrashAt(const std::string& fingerprint) const;
+
+  /// @return Whether anything is quarantined.
+  bool IsEmpty() const { return m_quarantined.empty(); }
 
   /// Records that it was announced that a request has been answered.
   void OnAnsweredAnnounced(const std::string& fingerprint);
@@ -101,6 +147,10 @@
   /// quarantine.
   void OnRepeated(const std::string& fingerprint, TimePoint now);
 
+  /// @return Whether the next probe is due, or has been claimed by this gateway
+  /// and not been taken.
+  bool IsProbeDue(const std::string& fingerprint, TimePoint now) const;
+
   /// Decides whether this gateway should claim the next probe in the fleet.
   /// After a yes, the answer is no for a time in which the claim is decided.
   bool StartProbeClaim(const std::string& fingerprint, TimePoint now);
@@ -133,6 +183,8 @@
   struct Entry {
     TimePoint until;
     TimePoint announced_at;
+    /// When the first crash with the content happened, or later.
+    TimePoint first_crash_at;
     /// When the next probe may be claimed, if any are left.
     TimePoint probe_at;
     /// When the outcome of a probe that is under way should be known.
@@ -149,8 +201,19 @@
   bool MayAnnounce(const std::string& fingerprint) const;
   /// Quarantines the request if it has enough records.
   void Judge(const std::string& fingerprint, const char* source, TimePoint now);
-  Entry& Insert(const std::string& fingerprint, const char* source,
+  void JudgePart(const std::string& fingerprint, std::uint64_t part,
+                 const char* source, TimePoint now);
+  Entry& Insert(const std::string& fingerprint, const QuarantineReason& reason,
                 TimePoint now);
+  /// Takes a crash for that of a quarantined part: nothing else that was in
+  /// flight is a suspect of it.
+  void Attribute(std::int64_t crash);
+  /// @return Whether the crash was that of a quarantined part.
+  bool IsAttributed(std::int64_t crash) const;
+  /// Releases a quarantined part if the answered request was sent after its
+  /// first crash.
+  /// @return Whether it was released.
+  bool ReleasePart(const std::string& fingerprint, TimePoint sent_at);
   void Announce(const std::string& fingerprint, Entry* entry, TimePoint now);
   /// Takes over the number of probes claimed in the fleet if it has risen.
   void CountProbes(Entry* entry, int probes, TimePoint now) const;
@@ -163,6 +226,9 @@
   Hooks m_hooks;
   RequestQuarantineOptions m_options;
   CrashRecords m_records;
+  PromptPartEvidence m_part_evidence;
+  /// Crashes of quarantined parts, the latest last.
+  std::deque<std::int64_t> m_attributed;
   /// Last crash that this gateway saw of a request by itself.
   std::unordered_map<std::string, TimePoint> m_own_crashes;
   std::unordered_map<std::string, Entry> m_quarantined;
--- a/src/wasabiwall/protocol/crash_message.cc
+++ b/src/wasabiwall/protocol/crash_message.cc
@@ -11,13 +11,25 @@
 // numbers.
 constexpr const char* kCrashType = "crash";
 constexpr const char* kAnsweredType = "answered";
+constexpr const char* kQuarantinedType = "quarantined";
+
+const char* NameOf(CrashMessage::Kind kind) {
+  switch (kind) {
+    case CrashMessage::Kind::kCrash:
+      return kCrashType;
+    case CrashMessage::Kind::kAnswered:
+      return kAnsweredType;
+    case CrashMessage::Kind::kQuarantined:
+      return kQuarantinedType;
+  }
+  return "";
+}
 
 }  // namespace
 
 std::string EncodeCrashMessage(const CrashMessage& message) {
-  const bool is_crash = message.kind == CrashMessage::Kind::kCrash;
-  const json fields = {is_crash ? kCrashType : kAnsweredType, message.crash,
-                       message.age.count(), message.fingerprints};
+  const json fields = {NameOf(message.kind), message.crash, message.age.count(),
+                       message.fingerprints};
   std::string bytes;
   json::to_cbor(fields, bytes);
   return bytes;
@@ -26,10 +38,16 @@
 std::optional<CrashMessage> DecodeCrashMessage(std::string_view bytes) {
   try {
     const json fields = json::from_cbor(bytes);
-    const bool is_crash = fields.at(0) == kCrashType;
-    if (!is_crash && fields.at(0) != kAnsweredType) return std::nullopt;
     CrashMessage message;
-    if (!is_crash) message.kind = CrashMessage::Kind::kAnswered;
+    bool is_known = false;
+    for (const auto kind :
+         {CrashMessage::Kind::kCrash, CrashMessage::Kind::kAnswered,
+          CrashMessage::Kind::kQuarantined}) {
+      if (fields.at(0) != NameOf(kind)) continue;
+      message.kind = kind;
+      is_known = true;
+    }
+    if (!is_known) return std::nullopt;
     message.crash = fields.at(1).get<std::int64_t>();
     message.age = std::chrono::milliseconds(fields.at(2).get<std::int64_t>());
     message.fingerprints = fields.at(3).get<std::vector<std::string>>();
--- a/src/wasabiwall/protocol/crash_message.h
+++ b/src/wasabiwall/protocol/crash_message.h
@@ -13,23 +13,26 @@
 /// Most requests in a CrashMessage, so that it fits into a datagram.
 inline constexpr std::size_t kMaxCrashMessageRequests = 24;
 
-/// Message between gateways about requests that were running when a backend
-/// server ended.
+/// Message between gateways about contents, which are requests or parts of
+/// prompts, that were running when a backend server ended.
 struct CrashMessage {
   enum class Kind {
-    /// Names the requests.
+    /// Names the contents.
     kCrash,
-    /// Answers it with those of them that were answered lately, so that they
-    /// are not the cause.
+    /// Names contents that were answered.
     kAnswered,
+    /// Names contents that the sender has quarantined.
+    kQuarantined,
   };
 
   Kind kind = Kind::kCrash;
-  /// Identifies the end of the backend server, the same at all gateways.
+  /// Identifies the end of the backend server, the same at all gateways; 0 if
+  /// the message is about none.
   std::int64_t crash = 0;
-  /// Time since then.
+  /// Time since then; of an answer, since the request was sent; of a
+  /// quarantine, since the first crash.
   std::chrono::milliseconds age{0};
-  /// Fingerprints of the requests.
+  /// Fingerprints of the contents.
   std::vector<std::string> fingerprints;
 };
 
--- a/src/wasabiwall/transport/backend_connection.cc
+++ b/src/wasabiwall/transport/backend_connection.cc
@@ -64,9 +64,14 @@
 
 void BackendConnection::SendNow() {
   if (!m_request) return;
-  const auto request = std::exchange(m_request, nullptr);
+  const std::string bytes = std::exchange(m_request, nullptr)();
+  if (bytes.empty()) {
+    const auto self = shared_from_this();
+    Fail();
+    return;
+  }
   m_request_sent = true;
-  m_tcp->Write(request());
+  m_tcp->Write(bytes);
 }
 
 void BackendConnection::Close() {
--- a/src/wasabiwall/transport/backend_connection.h
+++ b/src/wasabiwall/transport/backend_connection.h
@@ -33,7 +33,8 @@
   void Open(const TcpOptions& options, std::function<void()> on_ended);
 
   /// Sends a request as soon as the connection is established.
-  /// @param request Called once connected; returns the bytes to send.
+  /// @param request Called once connected; returns the bytes to send, or
+  /// nothing to withdraw the request.
   /// @param response_has_body False for requests whose responses have no body.
   void Send(std::function<std::string()> request, bool response_has_body,
             CallHandlers handlers);
--- a/src/wasabiwall/transport/crash_monitor.cc
+++ b/src/wasabiwall/transport/crash_monitor.cc
@@ -1,7 +1,7 @@
 #include "wasabiwall/transport/crash_monitor.h"
 
 #include <algorithm>
-#include <iterator>
+#include <map>
 #include <utility>
 
 #include "wasabiwall/coordination/rendezvous_homes.h"
@@ -26,8 +26,8 @@
 /// Time within which a new incarnation shows that the one before has ended: a
 /// restart, and the time until the registry tells of it.
 constexpr std::chrono::seconds kReplacementTime{10};
-/// Broken calls that are kept for one backend server.
-constexpr std::ptrdiff_t kMaxKeptCalls = 256;
+/// Contents that are kept for one backend server.
+constexpr std::size_t kMaxKeptFingerprints = 1024;
 
 /// @return Identifier of the end of a backend server.
 std::int64_t CrashIdOf(const state::BackendServer& server) {
@@ -63,11 +63,20 @@
   return std::ranges::find(homes, m_own_name) != homes.end();
 }
 
-void CrashMonitor::OnConnectionBroken(const state::BackendServer& server,
-                                      const std::string& fingerprint) {
+bool CrashMonitor::IsHome(const std::string& fingerprint) const {
+  if (!m_members->contains(m_own_name)) return true;
+  const auto homes = coordination::RendezvousHomes(
+      *m_members, state::FastHash(fingerprint), kHomes);
+  return std::ranges::find(homes, m_own_name) != homes.end();
+}
+
+void CrashMonitor::OnConnectionBroken(
+    const state::BackendServer& server,
+    const std::vector<std::string>& fingerprints) {
   auto& check = m_checks[server.id];
   if (check) {
-    check->calls.fingerprints.push_back(fingerprint);
+    ++check->calls.count;
+    check->calls.fingerprints.insert(fingerprints.begin(), fingerprints.end());
     return;
   }
   const auto address = ParseAddress(server.address);
@@ -76,7 +85,10 @@
     return;
   }
   check = std::make_unique<Check>(m_loop);
-  check->calls = {server, {fingerprint}, m_loop->Now()};
+  check->calls = {.server = server,
+                  .count = 1,
+                  .fingerprints = {fingerprints.begin(), fingerprints.end()},
+                  .broken_at = m_loop->Now()};
   const state::BackendServerId id = server.id;
   check->timer.Start(kCheckTimeout, [this, id] { OnChecked(id, true); });
   check->connection = std::make_unique<TcpConnection>(
@@ -106,11 +118,11 @@
   });
   BrokenCalls& kept = m_survived[calls.server.id];
   kept.server = std::move(calls.server);
+  kept.count += calls.count;
   kept.broken_at = calls.broken_at;
-  std::ranges::move(calls.fingerprints, std::back_inserter(kept.fingerprints));
-  if (kept.fingerprints.size() > kMaxKeptCalls) {
-    kept.fingerprints.erase(kept.fingerprints.begin(),
-                            kept.fingerprints.end() - kMaxKeptCalls);
+  for (const std::string& fingerprint : calls.fingerprints) {
+    if (kept.fingerprints.size() >= kMaxKeptFingerprints) break;
+    kept.fingerprints.insert(fingerprint);
   }
 }
 
@@ -127,25 +139,71 @@
 
 void CrashMonitor::RecordCrash(const BrokenCalls& calls) {
   const auto now = m_loop->Now();
-  protocol::CrashMessage crash{
-      .crash = CrashIdOf(calls.server),
-      .age = std::chrono::duration_cast<milliseconds>(now - calls.broken_at)};
+  protocol::CrashMessage crash{.crash = CrashIdOf(calls.server),
+                               .age = AgeOf(calls.broken_at)};
   for (const std::string& fingerprint : calls.fingerprints) {
-    if (m_quarantine->OnCrash(fingerprint, crash.crash, now)) {
+    if (m_quarantine->OnCrash(fingerprint, crash.crash, now, crash.age)) {
       crash.fingerprints.push_back(fingerprint);
     }
   }
   LogWarn("backend_crashed",
           {{"backend", calls.server.id.value},
-           {"requests", std::to_string(calls.fingerprints.size())},
+           {"crash", std::to_string(crash.crash)},
+           {"requests", std::to_string(calls.count)},
            {"suspects", std::to_string(crash.fingerprints.size())},
            {"known_after_ms", std::to_string(crash.age.count())}});
-  Tell(crash);
+  SendToHomes(crash);
+  TellKnownAnswers(calls.fingerprints);
+}
+
+milliseconds CrashMonitor::AgeOf(coordination::TimePoint time) const {
+  const auto age = std::chrono::ceil<milliseconds>(m_loop->Now() - time);
+  return std::max(age, milliseconds(0));
+}
+
+void CrashMonitor::TellKnownAnswers(const std::set<std::string>& fingerprints) {
+  protocol::CrashMessage message{.kind =
+                                     protocol::CrashMessage::Kind::kAnswered};
+  for (const std::string& fingerprint : fingerprints) {
+    const auto sent_at = m_quarantine->AnsweredRequestSentAt(fingerprint);
+    if (!sent_at) continue;
+    message.fingerprints.push_back(fingerprint);
+    // The oldest holds for all of them.
+    message.age = std::max(message.age, AgeOf(*sent_at));
+  }
+  SendToHomes(message);
+}
+
+void CrashMonitor::TellAnswered(const std::string& fingerprint,
+                                coordination::TimePoint sent_at) {
+  SendToHomes({.kind = protocol::CrashMessage::Kind::kAnswered,
+               .age = AgeOf(sent_at),
+               .fingerprints = {fingerprint}});
+}
+
+void CrashMonitor::TellQuarantined(const std::string& fingerprint,
+                                   coordination::TimePoint first_crash_at) {
+  SendToAll({.kind = protocol::CrashMessage::Kind::kQuarantined,
+             .age = AgeOf(first_crash_at),
+             .fingerprints = {fingerprint}});
+}
+
+void CrashMonitor::TellReleased(const std::string& fingerprint,
+                                coordination::TimePoint sent_at) {
+  SendToAll({.kind = protocol::CrashMessage::Kind::kAnswered,
+             .age = AgeOf(sent_at),
+             .fingerprints = {fingerprint}});
 }
 
-void CrashMonitor::Tell(const protocol::CrashMessage& crash) {
+void CrashMonitor::SendToAll(const protocol::CrashMessage& message) {
+  for (const auto& [name, address] : *m_members) {
+    if (name != m_own_name) m_send(address, message);
+  }
+}
+
+void CrashMonitor::SendToHomes(const protocol::CrashMessage& message) {
   std::map<std::string, std::vector<std::string>> by_home;
-  for (const std::string& fingerprint : crash.fingerprints) {
+  for (const std::string& fingerprint : message.fingerprints) {
     const std::uint64_t key = state::FastHash(fingerprint);
     for (const std::string& home :
          coordination::RendezvousHomes(*m_members, key, kHomes)) {
@@ -153,37 +211,53 @@
     }
   }
   for (const auto& [home, fingerprints] : by_home) {
-    protocol::CrashMessage message{.crash = crash.crash, .age = crash.age};
+    protocol::CrashMessage part{
+        .kind = message.kind, .crash = message.crash, .age = message.age};
     for (const std::string& fingerprint : fingerprints) {
-      message.fingerprints.push_back(fingerprint);
-      if (message.fingerprints.size() < protocol::kMaxCrashMessageRequests) {
+      part.fingerprints.push_back(fingerprint);
+      if (part.fingerprints.size() < protocol::kMaxCrashMessageRequests) {
         continue;
       }
-      m_send(m_members->at(home), message);
-      message.fingerprints.clear();
+      m_send(m_members->at(home), part);
+      part.fingerprints.clear();
     }
-    if (!message.fingerprints.empty()) m_send(m_members->at(home), message);
+    if (!part.fingerprints.empty()) m_send(m_members->at(home), part);
   }
 }
 
 void CrashMonitor::OnMessage(const std::string& from,
                              const protocol::CrashMessage& message) {
-  if (message.kind == protocol::CrashMessage::Kind::kAnswered) {
-    for (const std::string& fingerprint : message.fingerprints) {
-      m_quarantine->OnPeerAnswered(fingerprint);
-    }
-    return;
+  const auto now = m_loop->Now();
+  switch (message.kind) {
+    case protocol::CrashMessage::Kind::kAnswered:
+      for (const std::string& fingerprint : message.fingerprints) {
+        m_quarantine->OnPeerAnswered(fingerprint, now - message.age);
+      }
+      return;
+    case protocol::CrashMessage::Kind::kQuarantined:
+      for (const std::string& fingerprint : message.fingerprints) {
+        m_quarantine->OnAnnounced(fingerprint, 0, now, message.age);
+      }
+      return;
+    case protocol::CrashMessage::Kind::kCrash:
+      break;
   }
   std::vector<coordination::CrashRecord> records;
   records.reserve(message.fingerprints.size());
   for (const std::string& fingerprint : message.fingerprints) {
     records.push_back({fingerprint, message.crash, message.age});
   }
-  auto answered = m_quarantine->OnPeerRecords(records, m_loop->Now());
-  if (answered.empty()) return;
-  m_send(from, {.kind = protocol::CrashMessage::Kind::kAnswered,
-                .crash = message.crash,
-                .fingerprints = std::move(answered)});
+  protocol::CrashMessage requests{
+      .kind = protocol::CrashMessage::Kind::kAnswered, .crash = message.crash};
+  protocol::CrashMessage parts = requests;
+  for (std::string& fingerprint : m_quarantine->OnPeerRecords(records, now)) {
+    const auto sent_at = m_quarantine->AnsweredRequestSentAt(fingerprint);
+    protocol::CrashMessage& reply = sent_at ? parts : requests;
+    if (sent_at) reply.age = std::max(reply.age, AgeOf(*sent_at));
+    reply.fingerprints.push_back(std::move(fingerprint));
+  }
+  if (!requests.fingerprints.empty()) m_send(from, requests);
+  if (!parts.fingerprints.empty()) m_send(from, parts);
 }
 
 }  // namespace wasabiwall::transport
--- a/src/wasabiwall/transport/crash_monitor.h
+++ b/src/wasabiwall/transport/crash_monitor.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -40,13 +43,32 @@
     m_members = std::move(members);
   }
 
-  /// @return Whether this gateway is one of the first homes of the request.
+  /// @return Whether this gateway is one of the first homes of the content.
   bool IsFirstHome(const std::string& fingerprint) const;
 
+  /// @return Whether this gateway gets all records of the content, as far as it
+  /// knows.
+  bool IsHome(const std::string& fingerprint) const;
+
   /// Records that the connection to a backend server broke while it may have
-  /// run a request.
+  /// run a call.
+  /// @param fingerprints The call's request and the parts of its prompt.
   void OnConnectionBroken(const state::BackendServer& server,
-                          const std::string& fingerprint);
+                          const std::vector<std::string>& fingerprints);
+
+  /// Tells the gateways that have records of a prompt part that a request with
+  /// the part was answered.
+  void TellAnswered(const std::string& fingerprint,
+                    coordination::TimePoint sent_at);
+
+  /// Tells all other gateways that this one has quarantined a content, since
+  /// the store may be away.
+  void TellQuarantined(const std::string& fingerprint,
+                       coordination::TimePoint first_crash_at);
+
+  /// Tells all other gateways that a quarantined content was answered.
+  void TellReleased(const std::string& fingerprint,
+                    coordination::TimePoint sent_at);
 
   /// Records that an incarnation of a backend server has ended or been
   /// replaced.
@@ -63,7 +85,9 @@
   /// Calls whose connections to one backend server broke.
   struct BrokenCalls {
     state::BackendServer server;
-    std::vector<std::string> fingerprints;
+    std::size_t count = 0;
+    /// Contents of the calls, each once.
+    std::set<std::string> fingerprints;
     coordination::TimePoint broken_at;
   };
 
@@ -72,7 +96,12 @@
   /// have been replaced.
   void KeepForReplacement(BrokenCalls calls);
   void RecordCrash(const BrokenCalls& calls);
-  void Tell(const protocol::CrashMessage& crash);
+  /// Sends to the homes of each content what the message says of it.
+  void SendToHomes(const protocol::CrashMessage& message);
+  void SendToAll(const protocol::CrashMessage& message);
+  /// Tells of which of the contents other requests have been answered.
+  void TellKnownAnswers(const std::set<std::string>& fingerprints);
+  std::chrono::milliseconds AgeOf(coordination::TimePoint time) const;
 
   EventLoop* m_loop;
   coordination::RequestQuarantine* m_quarantine;
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -284,6 +284,9 @@
 }
 
 std::string Exchange::EncodeRequest() {
+  // The connection may have taken a while to open.
+  m_is_withdrawn = m_quarantine.IsWithdrawn();
+  if (m_is_withdrawn) return "";
   ++m_counts.sends;
   ++m_counts.runs;
   m_sent_at = m_context->loop->Now();
@@ -395,7 +398,7 @@
     RetryOrFail(false, ErrorKind::kAnswerCut, truncation);
     return;
   }
-  m_quarantine.OnAnswered();
+  m_quarantine.OnAnswered(IsSuccess(m_reply.Head().status), m_sent_at);
   const bool failed = m_reply.Head().status >= kFirstServerError;
   EndAttempt(failed ? HealthSignal::kFailed : HealthSignal::kAnswered);
   if (m_reply.IsEventStream()) {
@@ -411,6 +414,11 @@
 }
 
 void Exchange::OnAttemptFailed() {
+  if (std::exchange(m_is_withdrawn, false)) {
+    EndAttempt(HealthSignal::kRefused);
+    Place();
+    return;
+  }
   if (!m_connection->HasSent()) {
     EndAttempt(HealthSignal::kUnreachable);
     ++m_counts.unreachable;
@@ -593,6 +601,7 @@
       {"fingerprint",
        m_quarantine.Fingerprint().empty() ? "-" : m_quarantine.Fingerprint()},
       {"parts", NamesOf(m_call.metadata.prompt_parts)},
+      {"held_by", m_quarantine.HeldBy()},
       {"outcome", outcome},
       {"route", m_call.route != nullptr ? m_call.route->name : "-"},
       {"workspace", workspace.empty() ? "-" : workspace},
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -91,6 +91,7 @@
   // One attempt.
   void StartAttempt(coordination::Placement placement);
   /// Counts the send, starts the idle timer and encodes the request.
+  /// @return Nothing to send if the request has been quarantined meanwhile.
   std::string EncodeRequest();
   void OnReplyHead(MessageHead head);
   void OnReplyBody(std::string_view data);
@@ -147,6 +148,8 @@
 
   bool m_reading_paused = false;
   bool m_ended = false;
+  /// Whether the attempt ended unsent because of the quarantine.
+  bool m_is_withdrawn = false;
   /// When the request was last written to a backend server.
   coordination::TimePoint m_sent_at;
   /// Whether the current backend server has sent an event of the stream.
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -70,8 +70,9 @@
                        }),
       quarantine(
           {.on_quarantined =
-               [this](const std::string& fingerprint, const char* source) {
-                 OnQuarantined(fingerprint, source);
+               [this](const std::string& fingerprint,
+                      const coordination::QuarantineReason& reason) {
+                 OnQuarantined(fingerprint, reason);
                },
            .on_released =
                [](const std::string& fingerprint) {
@@ -79,14 +80,29 @@
                },
            .announce =
                [this](const std::string& fingerprint) {
+                 crash_monitor.TellQuarantined(
+                     fingerprint, quarantine.FirstCrashAt(fingerprint)
+                                      .value_or(loop->Now()));
                  if (!quarantine_sharing.announce) return;
                  quarantine_sharing.announce(fingerprint);
                },
            .announce_answered =
                [this](const std::string& fingerprint) {
+                 crash_monitor.TellReleased(
+                     fingerprint, quarantine.AnsweredRequestSentAt(fingerprint)
+                                      .value_or(loop->Now()));
                  if (!quarantine_sharing.announce_answered) return;
                  quarantine_sharing.announce_answered(fingerprint);
                },
+           .on_part_cleared =
+               [this](const std::string& fingerprint,
+                      coordination::TimePoint sent_at) {
+                 crash_monitor.TellAnswered(fingerprint, sent_at);
+               },
+           .is_judge =
+               [this](const std::string& fingerprint) {
+                 return crash_monitor.IsHome(fingerprint);
+               },
            .is_announcer =
                [this](const std::string& fingerprint) {
                  return crash_monitor.IsFirstHome(fingerprint);
@@ -265,10 +281,15 @@
           {{"from", from}, {"bytes", std::to_string(data.size())}});
 }
 
-void GatewayContext::OnQuarantined(const std::string& fingerprint,
-                                   const char* source) {
-  LogWarn("request_quarantined",
-          {{"fingerprint", fingerprint}, {"source", source}});
+void GatewayContext::OnQuarantined(
+    const std::string& fingerprint,
+    const coordination::QuarantineReason& reason) {
+  LogWarn(
+      "request_quarantined",
+      {{"fingerprint", fingerprint},
+       {"source", reason.source},
+       {"crashes", std::to_string(reason.crashes)},
+       {"first_crash_age_ms", std::to_string(reason.first_crash_age.count())}});
 }
 
 int GatewayContext::ProcessCount() const {
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -171,7 +171,8 @@
  private:
   coordination::RetryLimits RetryLimits() const;
   void UpdateRetryBudgets();
-  void OnQuarantined(const std::string& fingerprint, const char* source);
+  void OnQuarantined(const std::string& fingerprint,
+                     const coordination::QuarantineReason& reason);
   void OnPeerMessage(const std::string& from, std::string_view data);
   coordination::FailureDomainHealth::Hooks FailureDomainHooks();
   coordination::LoadAnnouncer::Hooks LoadAnnouncerHooks();
--- a/src/wasabiwall/transport/quarantine_guard.cc
+++ b/src/wasabiwall/transport/quarantine_guard.cc
@@ -1,11 +1,22 @@
 #include "wasabiwall/transport/quarantine_guard.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "wasabiwall/coordination/request_fingerprint.h"
 #include "wasabiwall/transport/logging.h"
 
 namespace wasabiwall::transport {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Time for which a call waits for each quarantined content beyond the first
+/// before it is a probe. Calls with fewer come first, since a crash of theirs
+/// says more about each.
+constexpr milliseconds kProbeDelayPerContent{1000};
+
+}  // namespace
 
 void QuarantineGuard::Start(const MessageHead& head, const std::string& body,
                             const ResolvedCall& call) {
@@ -13,47 +24,119 @@
   m_fingerprint = coordination::FingerprintOf(
       {call.WorkspaceName(), head.method, host == nullptr ? "" : *host,
        head.target, body});
+  m_prompt_parts = call.metadata.prompt_parts;
   m_call_id = call.metadata.attempt_id;
 }
 
+std::vector<std::string> QuarantineGuard::Quarantined() const {
+  std::vector<std::string> quarantined;
+  const coordination::RequestQuarantine& quarantine = m_context->quarantine;
+  if (quarantine.IsEmpty()) return quarantined;
+  const auto now = m_context->loop->Now();
+  if (quarantine.TimeLeft(m_fingerprint, now)) {
+    quarantined.push_back(m_fingerprint);
+  }
+  for (const std::uint64_t part : m_prompt_parts) {
+    std::string fingerprint = coordination::FingerprintOfPromptPart(part);
+    if (quarantine.TimeLeft(fingerprint, now)) {
+      quarantined.push_back(std::move(fingerprint));
+    }
+  }
+  return quarantined;
+}
+
 QuarantineGuard::Verdict QuarantineGuard::Check(
     bool has_run, std::function<void()> on_decided) {
-  const auto now = m_context->loop->Now();
-  coordination::RequestQuarantine& quarantine = m_context->quarantine;
-  if (!quarantine.TimeLeft(m_fingerprint, now)) return Verdict::kRun;
+  const auto quarantined = Quarantined();
+  if (quarantined.empty()) return Verdict::kRun;
   if (!has_run) {
-    if (m_is_probe) return Verdict::kRun;
-    m_is_probe = quarantine.TakeProbe(m_fingerprint);
-    if (m_is_probe) {
+    const Verdict verdict = Probe(quarantined, std::move(on_decided));
+    if (verdict != Verdict::kRefuse) return verdict;
+  }
+  for (const std::string& fingerprint : quarantined) {
+    m_context->quarantine.OnRepeated(fingerprint, m_context->loop->Now());
+  }
+  m_held_by = quarantined;
+  return Verdict::kRefuse;
+}
+
+QuarantineGuard::Verdict QuarantineGuard::Probe(
+    const std::vector<std::string>& fingerprints,
+    std::function<void()> on_decided) {
+  coordination::RequestQuarantine& quarantine = m_context->quarantine;
+  const auto now = m_context->loop->Now();
+  const auto delay =
+      kProbeDelayPerContent * (static_cast<int>(fingerprints.size()) - 1);
+  const bool all_due =
+      std::ranges::all_of(fingerprints, [&](const std::string& fingerprint) {
+        return m_probes.contains(fingerprint) ||
+               quarantine.IsProbeDue(fingerprint, now - delay);
+      });
+  if (!all_due) return Verdict::kRefuse;
+  for (const std::string& fingerprint : fingerprints) {
+    if (m_probes.contains(fingerprint)) continue;
+    if (quarantine.TakeProbe(fingerprint)) {
+      m_probes.insert(fingerprint);
       LogInfo("quarantine_probe",
-              {{"id", m_call_id}, {"fingerprint", m_fingerprint}});
-      return Verdict::kRun;
+              {{"id", m_call_id}, {"fingerprint", fingerprint}});
+      continue;
     }
     const auto& claim = m_context->quarantine_sharing.claim_probe;
     const bool is_claimed = claim &&
-                            quarantine.StartProbeClaim(m_fingerprint, now) &&
-                            claim(m_fingerprint, std::move(on_decided));
-    if (is_claimed) return Verdict::kUndecided;
+                            quarantine.StartProbeClaim(fingerprint, now) &&
+                            claim(fingerprint, std::move(on_decided));
+    return is_claimed ? Verdict::kUndecided : Verdict::kRefuse;
   }
-  quarantine.OnRepeated(m_fingerprint, now);
-  return Verdict::kRefuse;
+  return Verdict::kRun;
+}
+
+bool QuarantineGuard::IsWithdrawn() const {
+  return std::ranges::any_of(Quarantined(),
+                             [this](const std::string& fingerprint) {
+                               return !m_probes.contains(fingerprint);
+                             });
 }
 
-std::chrono::milliseconds QuarantineGuard::RetryAfter() const {
-  return m_context->quarantine.RetryAfter(m_fingerprint,
-                                          m_context->loop->Now());
+milliseconds QuarantineGuard::RetryAfter() const {
+  milliseconds longest{0};
+  for (const std::string& fingerprint : m_held_by) {
+    longest = std::max(longest, m_context->quarantine.RetryAfter(
+                                    fingerprint, m_context->loop->Now()));
+  }
+  return longest;
+}
+
+std::string QuarantineGuard::HeldBy() const {
+  std::string names;
+  for (const std::string& fingerprint : m_held_by) {
+    if (!names.empty()) names += ',';
+    names += fingerprint;
+  }
+  return names.empty() ? "-" : names;
 }
 
 void QuarantineGuard::OnBroken(const state::BackendServer& server) {
-  m_context->crash_monitor.OnConnectionBroken(server, m_fingerprint);
+  std::vector<std::string> fingerprints{m_fingerprint};
+  for (const std::uint64_t part : m_prompt_parts) {
+    fingerprints.push_back(coordination::FingerprintOfPromptPart(part));
+  }
+  m_context->crash_monitor.OnConnectionBroken(server, fingerprints);
 }
 
-void QuarantineGuard::OnAnswered() {
+void QuarantineGuard::OnAnswered(bool is_success,
+                                 coordination::TimePoint sent_at) {
   m_context->quarantine.OnAnswered(m_fingerprint);
+  if (!is_success) return;
+  for (const std::uint64_t part : m_prompt_parts) {
+    m_context->quarantine.OnPartAnswered(part, sent_at);
+  }
 }
 
 void QuarantineGuard::OnEnded(bool has_run) {
-  if (m_is_probe && !has_run) m_context->quarantine.ReturnProbe(m_fingerprint);
+  if (has_run) return;
+  for (const std::string& fingerprint : m_probes) {
+    m_context->quarantine.ReturnProbe(fingerprint);
+  }
 }
 
 }  // namespace wasabiwall::transport
--- a/src/wasabiwall/transport/quarantine_guard.h
+++ b/src/wasabiwall/transport/quarantine_guard.h
@@ -2,15 +2,17 @@
 
 #include <chrono>
 #include <functional>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "wasabiwall/transport/gateway_context.h"
 #include "wasabiwall/transport/resolved_call.h"
 
 namespace wasabiwall::transport {
 
-/// Decides for one call whether its request may run, and tells the quarantine
-/// how the run ended.
+/// Decides for one call whether its contents, which are the request and the
+/// parts of its prompt, may run, and tells the quarantine how the run ended.
 class QuarantineGuard {
  public:
   enum class Verdict {
@@ -26,12 +28,15 @@
   void Start(const MessageHead& head, const std::string& body,
              const ResolvedCall& call);
 
-  /// @return Whether the request of the call may be sent to a backend server.
+  /// @return Whether the call may be sent to a backend server.
   /// @param has_run Whether the call may have run already.
   /// @param on_decided Called once a verdict of kUndecided has been decided;
   /// the next check then returns another one.
   Verdict Check(bool has_run, std::function<void()> on_decided);
 
+  /// @return Whether a content has been quarantined since the call was placed.
+  bool IsWithdrawn() const;
+
   /// @return Time after which a caller should repeat the request.
   std::chrono::milliseconds RetryAfter() const;
 
@@ -39,7 +44,9 @@
   void OnBroken(const state::BackendServer& server);
 
   /// Records that a backend server has answered in full.
-  void OnAnswered();
+  /// @param is_success Whether the answer was made from the prompt.
+  /// @param sent_at When the request was sent to the backend server.
+  void OnAnswered(bool is_success, coordination::TimePoint sent_at);
 
   /// Records the end of the call.
   void OnEnded(bool has_run);
@@ -47,12 +54,25 @@
   /// @return Fingerprint of the request; empty before Start.
   const std::string& Fingerprint() const { return m_fingerprint; }
 
+  /// @return Contents for which the call was refused, separated by commas, or
+  /// `-`.
+  std::string HeldBy() const;
+
  private:
+  /// @return The quarantined contents of the call.
+  std::vector<std::string> Quarantined() const;
+  /// Takes or claims the probes of all these contents.
+  Verdict Probe(const std::vector<std::string>& fingerprints,
+                std::function<void()> on_decided);
+
   GatewayContext* m_context;
   std::string m_fingerprint;
+  std::vector<std::uint64_t> m_prompt_parts;
   std::string m_call_id;
-  /// Whether the call runs although its request is quarantined.
-  bool m_is_probe = false;
+  /// Contents that the call runs with although they are quarantined.
+  std::set<std::string> m_probes;
+  /// Contents for which the call was refused.
+  std::vector<std::string> m_held_by;
 };
 
 }  // namespace wasabiwall::transport
--- a/tests/coordination/request_quarantine_test.cc
+++ b/tests/coordination/request_quarantine_test.cc
@@ -27,7 +27,7 @@
   std::vector<std::string> announced;
   RequestQuarantine quarantine(
       {.on_quarantined =
-           [&](const std::string& fingerprint, const char*) {
+           [&](const std::string& fingerprint, const QuarantineReason&) {
              quarantined.push_back(fingerprint);
            },
        .announce =
@@ -253,7 +253,7 @@
     CHECK(announced == 1);
   }
   SECTION("at one that saw a crash and is told by a peer") {
-    quarantine.OnPeerAnswered(kRequest);
+    quarantine.OnPeerAnswered(kRequest, kStart);
     CHECK(announced == 1);
   }
   SECTION("at those that read of it") {
--- a/tests/fakes/gateway_fixture.h
+++ b/tests/fakes/gateway_fixture.h
@@ -11,9 +11,10 @@
 
 namespace wasabiwall::fakes {
 
-/// Header codec with short names: Attempt, Deadline, Key, Part (the shared parts
-/// of the prompt, separated by spaces), Tokens in calls; Fetch in forwarded calls; Attempt, Not-Run, Wrong-Backend,
-/// Leaving, Hold-Off (milliseconds), Running in responses.
+/// Header codec with short names: Attempt, Deadline, Key, Part (the shared
+/// parts of the prompt, separated by spaces), Tokens in calls; Fetch in
+/// forwarded calls; Attempt, Not-Run, Wrong-Backend, Leaving, Hold-Off
+/// (milliseconds), Running in responses.
 transport::CallCodec TestCodec();
 
 /// A caller's connection that sends and receives raw bytes.
