--- /dev/null
+++ b/tests/coordination/prompt_part_evidence_test.cc
@@ -0,0 +1,148 @@
+// Which part of prompts is taken for the cause of crashes.
+#include "wasabiwall/coordination/prompt_part_evidence.h"
+
+#include <catch2/catch.hpp>
+
+#include "wasabiwall/coordination/request_fingerprint.h"
+
+namespace wasabiwall::coordination {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(1000)};
+constexpr std::uint64_t kPart = 7;
+
+/// Records crashes of a part at regular intervals.
+/// @return Time of the last one.
+TimePoint Crash(PromptPartEvidence* evidence, int count, milliseconds interval,
+                TimePoint first = kStart, std::uint64_t part = kPart) {
+  TimePoint at = first;
+  for (int i = 0; i < count; ++i) {
+    at = first + i * interval;
+    evidence->OnCrash(part, first.time_since_epoch().count() + i + 1, at, at);
+  }
+  return at;
+}
+
+TEST_CASE("three crashes without an answer make a part the cause",
+          "[prompt_part_evidence]") {
+  PromptPartEvidence evidence;
+  CHECK_FALSE(evidence.IsCause(kPart, kStart));
+  CHECK_FALSE(evidence.IsCause(kPart, Crash(&evidence, 2, milliseconds(400))));
+  const auto last = Crash(&evidence, 3, milliseconds(400));
+  CHECK(evidence.IsCause(kPart, last));
+  CHECK(evidence.FirstCrashAt(kPart) == kStart);
+  CHECK_FALSE(evidence.IsCause(kPart, last + minutes(10)));
+}
+
+TEST_CASE("a crash that is heard of twice counts once",
+          "[prompt_part_evidence]") {
+  PromptPartEvidence evidence;
+  for (int i = 0; i < 5; ++i) {
+    const auto at = kStart + i * seconds(1);
+    evidence.OnCrash(kPart, 1, at, at);
+  }
+  CHECK(evidence.CrashesOf(kPart).size() == 1);
+}
+
+TEST_CASE("backend servers that end at the same moment count as one crash",
+          "[prompt_part_evidence]") {
+  PromptPartEvidence evidence;
+  const auto last = Crash(&evidence, 8, milliseconds(10));
+  CHECK_FALSE(evidence.IsCause(kPart, last));
+}
+
+TEST_CASE("an answer to a request sent after a crash clears the part of it",
+          "[prompt_part_evidence]") {
+  PromptPartEvidence evidence;
+  Crash(&evidence, 2, milliseconds(400));
+  SECTION("sent after both crashes") {
+    CHECK(evidence.OnAnswered(kPart, kStart + milliseconds(401)));
+    CHECK(evidence.Size() == 0);
+  }
+  SECTION("sent between them") {
+    CHECK(evidence.OnAnswered(kPart, kStart + milliseconds(1)));
+    CHECK(evidence.CrashesOf(kPart).size() == 1);
+  }
+  SECTION("sent before them") {
+    CHECK_FALSE(evidence.OnAnswered(kPart, kStart));
+    CHECK(evidence.CrashesOf(kPart).size() == 2);
+  }
+}
+
+TEST_CASE("a record that arrives after such an answer does not count",
+          "[prompt_part_evidence]") {
+  PromptPartEvidence evidence;
+  evidence.OnAnswered(kPart, kStart + seconds(1));
+  evidence.OnCrash(kPart, 1, kStart, kStart + seconds(2));
+  CHECK(evidence.Size() == 0);
+}
+
+TEST_CASE("a part that was answered before is the cause after five crashes",
+          "[prompt_part_evidence]") {
+  PromptPartEvidence evidence;
+  for (int i = 0; i < 1000; ++i) {
+    evidence.OnAnswered(kPart, kStart - seconds(1000 - i));
+  }
+  SECTION("that span two seconds") {
+    CHECK_FALSE(
+        evidence.IsCause(kPart, Crash(&evidence, 4, milliseconds(700))));
+    CHECK(evidence.IsCause(kPart, Crash(&evidence, 5, milliseconds(500))));
+  }
+  SECTION("not while they may be one failure of many backend servers") {
+    const auto last = Crash(&evidence, 15, milliseconds(120));
+    CHECK_FALSE(evidence.IsCause(kPart, last));
+    const auto late = kStart + seconds(2);
+    evidence.OnCrash(kPart, 99, late, late);
+    CHECK(evidence.IsCause(kPart, late));
+  }
+}
+
+TEST_CASE("the removal of a crash leaves the others",
+          "[prompt_part_evidence]") {
+  PromptPartEvidence evidence;
+  const auto last = Crash(&evidence, 3, milliseconds(400));
+  evidence.RemoveCrash(evidence.CrashesOf(kPart).front());
+  CHECK(evidence.CrashesOf(kPart).size() == 2);
+  CHECK_FALSE(evidence.IsCause(kPart, last));
+}
+
+TEST_CASE("new parts at each crash do not displace the cause",
+          "[prompt_part_evidence]") {
+  PromptPartEvidence evidence({.max_parts = 1000});
+  std::uint64_t next = 1000;
+  TimePoint now = kStart;
+  for (int crash = 1; crash <= 20; ++crash) {
+    now += milliseconds(400);
+    evidence.OnCrash(kPart, crash, now, now);
+    for (int i = 0; i < 2000; ++i) evidence.OnCrash(next++, crash, now, now);
+    CHECK(evidence.Size() <= 1000);
+  }
+  CHECK(evidence.IsCause(kPart, now));
+}
+
+TEST_CASE("answered parts are forgotten in time", "[prompt_part_evidence]") {
+  PromptPartEvidence evidence({.min_answered = 10});
+  evidence.OnAnswered(kPart, kStart);
+  for (std::uint64_t i = 0; i < 10; ++i) evidence.OnAnswered(100 + i, kStart);
+  CHECK(evidence.AnsweredRequestSentAt(kPart) == kStart);
+  for (std::uint64_t i = 0; i < 20; ++i) evidence.OnAnswered(200 + i, kStart);
+  CHECK_FALSE(evidence.AnsweredRequestSentAt(kPart));
+}
+
+TEST_CASE("fingerprints of prompt parts name the part",
+          "[prompt_part_evidence]") {
+  for (const std::uint64_t part : {0UL, 1UL, 0xabcdefUL, ~0UL}) {
+    const std::string fingerprint = FingerprintOfPromptPart(part);
+    CHECK(fingerprint.size() == FingerprintOf({"x"}).size());
+    CHECK(PromptPartOf(fingerprint) == part);
+  }
+  CHECK_FALSE(PromptPartOf(FingerprintOf({"x"})));
+  CHECK_FALSE(PromptPartOf("prompt-part-0000gggggggggggggggg"));
+}
+
+}  // namespace
+}  // namespace wasabiwall::coordination
