A planned stop answers every call that it has read

Report of other operators: requests that came late in the grace time were passed on and cut without an answer. A stream that has begun is reset, so that nobody takes it for complete.

Calls received after the process has left rotation were refused before already if they could outlast it.

--- a/src/wasabiwall/transport/client_connection.cc
+++ b/src/wasabiwall/transport/client_connection.cc
@@ -64,6 +64,11 @@
   if (!IsBusy()) Close();
 }
 
+void ClientConnection::OnProcessExit() {
+  const auto self = shared_from_this();
+  if (m_exchange) m_exchange->OnProcessExit();
+}
+
 void ClientConnection::OnData(std::string_view data) {
   const auto self = shared_from_this();
   if (m_rejected) return;
--- a/src/wasabiwall/transport/client_connection.h
+++ b/src/wasabiwall/transport/client_connection.h
@@ -27,6 +27,9 @@
   /// Closes the connection if no request is in progress.
   void CloseIfIdle();
 
+  /// Ends the call in progress because the process is about to exit.
+  void OnProcessExit();
+
   /// @return Whether a request is being read or answered.
   bool IsBusy() const;
 
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -158,8 +158,19 @@
   return true;
 }
 
+bool Exchange::RefuseIfStopping() {
+  const auto& stop_deadline = m_context->stop_deadline;
+  if (!stop_deadline || m_counts.runs > 0 ||
+      m_call.deadline <= *stop_deadline) {
+    return false;
+  }
+  m_waiter_id = 0;
+  Refuse(ErrorKind::kDraining, "stopping");
+  return true;
+}
+
 bool Exchange::Place() {
-  if (RefuseIfQuarantined()) return true;
+  if (RefuseIfStopping() || RefuseIfQuarantined()) return true;
   const auto placement =
       m_context->placement.Choose(Query(), m_context->loop->Now());
   if (!placement) {
@@ -575,6 +586,13 @@
         {}});
 }
 
+void Exchange::OnProcessExit() {
+  if (m_ended) return;
+  const auto self = shared_from_this();
+  AbortAttempt(HealthSignal::kRefused);
+  Refuse(ErrorKind::kDraining, "stopping");
+}
+
 void Exchange::Cancel() {
   if (m_ended) return;
   const auto self = shared_from_this();
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -54,6 +54,10 @@
   /// Aborts the call after the caller has disconnected; writes no more output.
   void Cancel();
 
+  /// Ends the call because the process is about to exit: with an error if the
+  /// response has not begun, otherwise by truncating it.
+  void OnProcessExit();
+
   /// Resumes reading from the backend server once the caller's socket has
   /// accepted all output.
   void OnOutputDrained();
@@ -74,6 +78,9 @@
   /// probe.
   /// @return Whether the call must not be placed now.
   bool RefuseIfQuarantined();
+  /// Refuses a call that has waited and may not end before this process does.
+  /// @return Whether it was refused.
+  bool RefuseIfStopping();
   void Enqueue(coordination::PlacementRefusal refusal);
   void RefuseUnplaced(coordination::PlacementRefusal refusal);
   /// @return Time until a backend server of the service that is held off may
--- a/src/wasabiwall/transport/gateway.cc
+++ b/src/wasabiwall/transport/gateway.cc
@@ -15,8 +15,10 @@
 /// Time after the stop signal within which a load balancer that checks
 /// readiness every second takes the process out of rotation.
 constexpr std::chrono::milliseconds kRotationDelay{2500};
-/// Reserve at the end of the stop timeout.
+/// Reserve at the end of the stop timeout, and the part of it in which final
+/// answers are written.
 constexpr std::chrono::milliseconds kStopMargin{100};
+constexpr std::chrono::milliseconds kFinalWriteTime{50};
 /// Shortest idle time after which a caller's connection may be evicted for a
 /// new one. A caller that has just connected sends its request within a round
 /// trip.
@@ -120,12 +122,20 @@
                            CloseIdle();
                            FinishStopIfDrained();
                          });
-  m_stop_timer.Start(time, [this] {
-    if (std::exchange(m_stopped, true)) return;
-    LogWarn("stop_timeout",
-            {{"connections", std::to_string(m_connections.size())}});
-    m_on_stopped();
-  });
+  m_stop_timer.Start(time, [this] { OnStopTimeout(); });
+}
+
+void Gateway::OnStopTimeout() {
+  if (std::exchange(m_stopped, true)) return;
+  LogWarn("stop_timeout",
+          {{"connections", std::to_string(m_connections.size())},
+           {"busy", std::to_string(BusyConnections())}});
+  m_listener.reset();
+  m_context->stop_deadline = m_context->loop->Now();
+  const std::vector<std::shared_ptr<ClientConnection>> connections(
+      m_connections.begin(), m_connections.end());
+  for (const auto& connection : connections) connection->OnProcessExit();
+  m_stop_timer.Start(kFinalWriteTime, [this] { m_on_stopped(); });
 }
 
 void Gateway::CloseIdle() {
--- a/src/wasabiwall/transport/gateway.h
+++ b/src/wasabiwall/transport/gateway.h
@@ -44,6 +44,8 @@
   /// Closes some of the connections that have been idle for the longest.
   void EvictIdle();
   void FinishStopIfDrained();
+  /// Answers all calls in progress, then ends the process.
+  void OnStopTimeout();
   /// @return Connections on which a request is being read or answered.
   std::size_t BusyConnections() const;
   StatusPage ReadinessPage() const;
--- a/tests/gateway/stop_test.cc
+++ b/tests/gateway/stop_test.cc
@@ -81,5 +81,58 @@
   CHECK(fixture.loop.Now() - start < milliseconds(1000));
 }
 
+TEST_CASE("calls that the stop timeout meets get a final answer") {
+  GatewayFixture fixture(OptionsWithStopTimeout(milliseconds(400)));
+  std::shared_ptr<ScriptedBackend::Session> open_stream;
+  const ScriptedBackend& backend =
+      fixture.AddBackend("b", [&](const ScriptedBackend::Received& call) {
+        if (!call.head.target.starts_with("/talk/")) return;
+        open_stream = call.session;
+        call.session->Write(StreamHead("a2") + EventChunk(1, "x"));
+      });
+  TestClient& once = fixture.Call("/once/x", "a1");
+  TestClient& stream = fixture.Call("/talk/x", "a2");
+  REQUIRE(fixture.RunUntil(
+      [&] { return stream.Has("data: x") && backend.Requests().size() == 2; }));
+  fixture.gateway.Stop();
+  REQUIRE(fixture.RunUntil([&] { return fixture.stopped; }));
+  CHECK(once.Status() == 502);
+  // A stream that has begun can only be broken off visibly.
+  CHECK(stream.Broken());
+  CHECK_FALSE(stream.Has(std::string(transport::kLastChunk)));
+}
+
+TEST_CASE(
+    "a call that waited until the process left rotation is not passed on "
+    "if it may not end in time") {
+  GatewayFixture fixture(OptionsWithStopTimeout(milliseconds(3500)));
+  // One connection to the backend server, which the first call keeps.
+  auto config = GatewayFixture::MakeConfig(2);
+  config->services[state::ServiceId("s")].max_connections = 1;
+  state::Route patient = *config->FindRoute("host", "/talk/x");
+  patient.name = patient.path_prefix = "/patient/";
+  patient.objective = std::chrono::seconds(5);
+  config->AddRoute(patient);
+  config->Index();
+  fixture.context.ApplyConfig(config);
+  std::shared_ptr<ScriptedBackend::Session> first;
+  const ScriptedBackend& backend = fixture.AddBackend(
+      "b",
+      [&](const ScriptedBackend::Received& call) { first = call.session; });
+  fixture.Call("/talk/x", "a1");
+  REQUIRE(fixture.RunUntil([&] { return first != nullptr; }));
+  fixture.gateway.Stop();
+  TestClient& waiting = fixture.Call("/patient/x", "a2");
+  // Less than a stopping gateway counts as in rotation.
+  fixture.RunFor(milliseconds(2200));
+  REQUIRE(waiting.Status() == 0);
+  fixture.RunFor(kOutOfRotation - milliseconds(2200));
+  first->Reset();
+  REQUIRE(fixture.RunUntil([&] { return waiting.Status() != 0; }));
+  CHECK(waiting.Status() == 503);
+  CHECK(waiting.Has("Retry-After: "));
+  CHECK(backend.Requests().size() == 1);
+}
+
 }  // namespace
 }  // namespace wasabiwall::fakes
