--- a/tests/platform/quarantine_entries_test.cc
+++ b/tests/platform/quarantine_entries_test.cc
@@ -7,6 +7,7 @@
 #include "platform_documents.h"
 #include "soak/store_emulator.h"
 #include "store_follower.h"
+#include "wasabiwall/coordination/request_fingerprint.h"
 
 namespace wasabiwall::platform {
 namespace {
@@ -170,6 +171,39 @@
   CHECK(DecodeQuarantine(items[0].value).is_answered);
 }
 
+TEST_CASE("a prompt part that is a cause again is announced over its answer") {
+  Members all;
+  const std::string part = coordination::FingerprintOfPromptPart(7);
+  const auto see_crashes = [&](std::int64_t first) {
+    auto& quarantine = all.members[0]->quarantine;
+    const auto now = all.fleet.loop.Now();
+    for (int i = 0; i < 5; ++i) {
+      quarantine.OnCrash(part, first + i, now, milliseconds(4000 - i * 1000));
+    }
+    quarantine.JudgePromptParts(now);
+  };
+  const auto run_until = [&](bool quarantined) {
+    return all.fleet.RunUntil([&] {
+      return std::ranges::all_of(all.members, [&](const auto& member) {
+        return member->quarantine.TimeLeft(part, all.fleet.loop.Now())
+                   .has_value() == quarantined;
+      });
+    });
+  };
+  see_crashes(1);
+  REQUIRE(run_until(true));
+  // The entry tells when the first crash was, so that only an answer to a
+  // request sent after it counts.
+  all.members[1]->quarantine.OnPartAnswered(
+      7, all.fleet.loop.Now() - milliseconds(5000));
+  all.fleet.RunFor(milliseconds(50));
+  REQUIRE(run_until(true));
+  all.members[1]->quarantine.OnPartAnswered(7, all.fleet.loop.Now());
+  REQUIRE(run_until(false));
+  see_crashes(11);
+  REQUIRE(run_until(true));
+}
+
 TEST_CASE("no probe is claimed while the store is away") {
   Members all;
   all.members[0]->SeeCrashes();
--- a/tests/protocol/crash_message_test.cc
+++ b/tests/protocol/crash_message_test.cc
@@ -19,7 +19,12 @@
   constexpr std::size_t datagram_bytes = 1400;
   CrashMessage message = MakeMessage(kMaxCrashMessageRequests);
   message.kind =
-      GENERATE(CrashMessage::Kind::kCrash, CrashMessage::Kind::kAnswered);
+      GENERATE(CrashMessage::Kind::kCrash, CrashMessage::Kind::kAnswered,
+               CrashMessage::Kind::kQuarantined);
+  if (message.kind == CrashMessage::Kind::kQuarantined) {
+    message.fingerprints.resize(1);
+    message.caused_crashes.assign(kMaxCausedCrashes, -7);
+  }
   const std::string bytes = EncodeCrashMessage(message);
   CHECK(bytes.size() <= datagram_bytes);
   const auto decoded = DecodeCrashMessage(bytes);
@@ -28,6 +33,7 @@
   CHECK(decoded->crash == message.crash);
   CHECK(decoded->age == message.age);
   CHECK(decoded->fingerprints == message.fingerprints);
+  CHECK(decoded->caused_crashes == message.caused_crashes);
 }
 
 TEST_CASE("malformed crash messages are rejected", "[crash_message]") {
@@ -38,6 +44,9 @@
   CHECK_FALSE(DecodeCrashMessage("HTTP/1.1 200 OK"));
   CHECK_FALSE(DecodeCrashMessage(
       EncodeCrashMessage(MakeMessage(kMaxCrashMessageRequests + 1))));
+  CrashMessage many_crashes = MakeMessage(1);
+  many_crashes.caused_crashes.assign(kMaxCausedCrashes + 1, 1);
+  CHECK_FALSE(DecodeCrashMessage(EncodeCrashMessage(many_crashes)));
   CrashMessage future = MakeMessage(1);
   future.age = std::chrono::milliseconds(-1);
   CHECK_FALSE(DecodeCrashMessage(EncodeCrashMessage(future)));
