--- a/src/wasabiwall/coordination/request_quarantine.cc
+++ b/src/wasabiwall/coordination/request_quarantine.cc
@@ -333,12 +333,8 @@
   if (probes <= entry->probes) return;
   entry->probes = probes;
   entry->outcome_at = now + kOutcomeTime;
-  if (probes == 1) {
-    entry->probe_at = now + m_options.second_probe_delay + ProbeJitter();
-    return;
-  }
   constexpr int most_doublings = 10;
-  const int doublings = std::min(probes - 2, most_doublings);
+  const int doublings = std::min(probes - 1, most_doublings);
   entry->probe_at =
       now + m_options.probe_interval * (1 << doublings) + ProbeJitter();
 }
--- a/src/wasabiwall/coordination/request_quarantine.h
+++ b/src/wasabiwall/coordination/request_quarantine.h
@@ -29,10 +29,7 @@
   /// Time until the first probe: longer than the answers of copies that were in
   /// flight, and the records of the same crashes, usually take.
   std::chrono::milliseconds first_probe_delay = std::chrono::seconds(2);
-  /// Time from the first probe to the second one, since the first may meet a
-  /// crash that another call causes.
-  std::chrono::milliseconds second_probe_delay = std::chrono::seconds(5);
-  /// Time from the second probe to the third one; doubles with each probe.
+  /// Time from the first probe to the second one; doubles with each probe.
   std::chrono::milliseconds probe_interval = std::chrono::minutes(10);
   /// Probes of one quarantine in the whole fleet. With the crashes before them,
   /// a request that is the cause ends at most five backend servers.
