--- a/tests/coordination/prompt_part_fleet_test.cc
+++ b/tests/coordination/prompt_part_fleet_test.cc
@@ -145,7 +145,7 @@
   }
 
   void Send(const std::string& to,
-            std::function<void(RequestQuarantine*)> message) {
+            const std::function<void(RequestQuarantine*)>& message) {
     if (Chance(m_scenario.loss)) return;
     After(kMessageTime,
           [this, to, message] { message(m_gateways.at(to).get()); });
