Review, case 3: an older write of an entry brings a worker back that has left

A worker's second write gets no answer and is done 5.9 s later, after its entry was removed while the store was stable. Gateways do not compare sequences of the same incarnation and take the worker for a new one.

How: three gateways, four workers, 120 unsafe requests a second.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,5 +3,5 @@
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
-[ -x target/review/case_evacuate ] || exit 2
-target/review/case_evacuate "$folder/record.txt"
+[ -x target/review/case_late ] || exit 2
+target/review/case_late "$folder/record.txt"
