--- a/review/standin/standin.cc
+++ b/review/standin/standin.cc
@@ -274,12 +274,16 @@
 }
 
 Server::~Server() {
-  m_stopped = true;
+  StopListening();
+  ResetAll();
+  while (m_active > 0) SleepMs(5);
+}
+
+void Server::StopListening() {
+  if (m_stopped.exchange(true)) return;
   shutdown(m_listener, SHUT_RDWR);
   m_thread.join();
   close(m_listener);
-  ResetAll();
-  while (m_active > 0) SleepMs(5);
 }
 
 void Server::ResetAll() {
@@ -593,7 +597,7 @@
     constexpr std::int64_t heartbeat_ms = 1200;
     std::int64_t next = NowMs() + std::random_device{}() % heartbeat_ms;
     bool was_cold = false;
-    while (!m_stopped) {
+    while (!m_stopped && !m_crashed) {
       SleepMs(10);
       if (NowMs() < next) continue;
       next += heartbeat_ms;
@@ -611,7 +615,8 @@
 }
 
 void Backend::Exit() {
-  m_crashed = true;
+  if (m_crashed.exchange(true)) return;
+  m_server->StopListening();
   m_server->ResetAll();
 }
 
@@ -631,6 +636,7 @@
   constexpr std::int64_t idle_ms = 10'000;
   bool extra_due = false;
   while (const auto call = stream->Read(NowMs() + idle_ms, false)) {
+    if (m_crashed) return;
     const std::string attempt = call->Header("X-Attempt-Id");
     if (std::exchange(extra_due, false) && m_faulty) {
       m_record->Line("extra     bytes from " + m_options.id + " as " + attempt +
@@ -648,6 +654,7 @@
     }
     m_record->Line("run       " + attempt + " at " + m_options.id +
                    ", tenant " + call->Header("X-Tenant"));
+    bool crashes = false;
     {
       const std::lock_guard lock(m_mutex);
       m_runs.push_back({attempt, NowMs(), call->Header("Authorization"),
@@ -659,18 +666,17 @@
         }
         const int count = static_cast<int>(m_last_second.size());
         m_most_in_cold_second = std::max(m_most_in_cold_second, count);
-        if (m_options.cold_crash > 0 && count >= m_options.cold_crash) {
-          m_crashed = true;
-        }
+        crashes = m_options.cold_crash > 0 && count >= m_options.cold_crash;
       }
       extra_due = m_faulty &&
                   std::bernoulli_distribution(m_options.extra_share)(m_random);
     }
-    SleepMs(m_options.work.count());
-    if (m_crashed) {
-      stream->Reset();
-      return;
+    if (crashes) {
+      m_record->Line("worker    " + m_options.id + " crashes");
+      Exit();
     }
+    SleepMs(m_options.work.count());
+    if (m_crashed) return;
     if (!stream->WriteAll(
             Reply(200, common + "X-Response-Seal: " + m_options.id + "\r\n",
                   std::string(m_options.body_bytes, 'b')))) {
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -101,6 +101,8 @@
   std::string Address() const { return "127.0.0.1:" + std::to_string(m_port); }
   /// Resets all open connections.
   void ResetAll();
+  /// Accepts no more connections.
+  void StopListening();
 
  private:
   void Accept();
