--- a/src/wasabiwall/state/backend_registry.h
+++ b/src/wasabiwall/state/backend_registry.h
@@ -30,6 +30,8 @@
   /// Start time in Unix milliseconds, which distinguishes incarnations with the
   /// same identifier. 0 if unknown.
   std::int64_t incarnation = 0;
+  /// Number of the entry's write, counted by the backend server from its start.
+  std::int64_t sequence = 0;
   /// Time for which it stays cold, counted from the registry update.
   std::chrono::milliseconds cold_left{0};
 };
