--- a/src/wasabiwall/transport/async_http_client.cc
+++ b/src/wasabiwall/transport/async_http_client.cc
@@ -28,6 +28,7 @@
 
   void OnHead(const MessageHead& head) {
     reply.status = head.status;
+    reply.headers = head.headers;
     reply.began_at = loop->Now();
     if (DeclaredLength(head) > limits.max_body_bytes) {
       Abort(HttpCallFailure::Reason::kTooLarge);
--- a/src/wasabiwall/transport/async_http_client.h
+++ b/src/wasabiwall/transport/async_http_client.h
@@ -14,6 +14,7 @@
 /// Response to a call of AsyncHttpClient.
 struct HttpReply {
   int status = 0;
+  HeaderList headers;
   std::string body;
   /// When its head arrived.
   coordination::TimePoint began_at;
--- /dev/null
+++ b/tests/platform/store_restore_test.cc
@@ -0,0 +1,144 @@
+// A store that comes back from an older copy.
+#include <catch2/catch.hpp>
+
+#include "fakes/followed_store.h"
+#include "fakes/gateway_fixture.h"
+#include "soak/store_emulator.h"
+
+namespace wasabiwall::platform {
+namespace {
+
+using fakes::FollowedStore;
+using fakes::GatewayFixture;
+using soak::StoreEmulator;
+using soak::StoreMode;
+using std::chrono::milliseconds;
+
+const std::string kConfigItem = "op/config";
+/// Changes that a restore loses.
+constexpr int kLostChanges = 12;
+/// Time for which the store is away.
+constexpr milliseconds kAbsence{300};
+/// Time in which an acknowledged configuration must be in force.
+constexpr milliseconds kConfigApplyTime{2000};
+
+std::string ConfigText(int version) {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"routes":[],"services":[],"limits":{}})";
+}
+
+/// A gateway that has followed a store from the first configuration on.
+class Fleet {
+ public:
+  Fleet() {
+    store.Put(kConfigItem, ConfigText(2));
+    REQUIRE(m_followed.RunUntilLoaded());
+  }
+
+  std::int64_t Version() const { return gateway.context.Config()->version; }
+
+  void PutConfig(int version) { store.Put(kConfigItem, ConfigText(version)); }
+
+  /// Writes configurations that the gateway applies and the copy lacks.
+  /// @return The last version.
+  int WriteLostConfigs() {
+    store.TakeCopy();
+    constexpr int first = 3;
+    constexpr int last = first + kLostChanges;
+    for (int version = first; version <= last; ++version) PutConfig(version);
+    REQUIRE(gateway.RunUntil([&] { return Version() == last; }));
+    return last;
+  }
+
+  /// Restores the copy.
+  /// @param rewrite Runs before the store answers again.
+  void Restore(const std::function<void()>& rewrite) {
+    store.SetMode(StoreMode::kReset);
+    gateway.RunFor(kAbsence);
+    store.Restore();
+    rewrite();
+    store.SetMode(StoreMode::kUp);
+  }
+
+  GatewayFixture gateway;
+  StoreEmulator store{&gateway.loop, 1};
+
+ private:
+  FollowedStore m_followed{&gateway, store.Address()};
+};
+
+TEST_CASE("a configuration is applied at a revision that a restore gave back") {
+  Fleet fleet;
+  const int newest = fleet.WriteLostConfigs();
+  fleet.Restore([&] { fleet.PutConfig(newest); });
+  fleet.gateway.RunFor(kConfigApplyTime);
+  fleet.PutConfig(newest + 1);
+  fleet.gateway.RunFor(kConfigApplyTime);
+  CHECK(fleet.Version() == newest + 1);
+}
+
+TEST_CASE("a restore is noticed when the watched revision exists again") {
+  Fleet fleet;
+  const int newest = fleet.WriteLostConfigs();
+  const auto watched = fleet.store.Revision();
+  fleet.Restore([&] {
+    fleet.PutConfig(newest + 1);
+    while (fleet.store.Revision() <= watched) fleet.store.Put("other", "x");
+  });
+  fleet.gateway.RunFor(kConfigApplyTime);
+  CHECK(fleet.Version() == newest + 1);
+}
+
+TEST_CASE("a configuration stays in force while a restored store has older") {
+  Fleet fleet;
+  const int newest = fleet.WriteLostConfigs();
+  fleet.Restore([] {});
+  fleet.gateway.RunFor(kConfigApplyTime);
+  CHECK(fleet.Version() == newest);
+}
+
+TEST_CASE("two restores in a row lose no configuration") {
+  Fleet fleet;
+  const int newest = fleet.WriteLostConfigs();
+  fleet.Restore([&] { fleet.PutConfig(newest); });
+  fleet.gateway.RunFor(milliseconds(20));
+  fleet.Restore([&] { fleet.PutConfig(newest + 1); });
+  fleet.gateway.RunFor(kConfigApplyTime);
+  CHECK(fleet.Version() == newest + 1);
+}
+
+TEST_CASE("an answer of an older era that arrives late is dropped") {
+  GatewayFixture fleet;
+  std::shared_ptr<fakes::ScriptedBackend::Session> late;
+  const auto answer = [](int era, const std::string& body) {
+    return fakes::PlainAnswer("", 200, body,
+                              "Store-Era: " + std::to_string(era) + "\r\n");
+  };
+  fakes::ScriptedBackend store(
+      &fleet.loop, [&](const fakes::ScriptedBackend::Received& call) {
+        const auto& target = call.head.target;
+        if (target.find("path_prefix=late") != std::string::npos) {
+          late = call.session;
+        } else if (target.find("kv-range") != std::string::npos) {
+          call.session->Write(answer(7, R"({"items":[],"at":5})"));
+        }
+      });
+  StoreClient client(&fleet.loop, store.Address());
+  std::optional<StoreError> error;
+  client.Range("late", "", milliseconds(1000),
+               [&](const tl::expected<StoreItems, StoreError>& reply) {
+                 if (!reply) error = reply.error();
+               });
+  bool is_read = false;
+  client.Range(
+      "", "", milliseconds(1000),
+      [&](const tl::expected<StoreItems, StoreError>&) { is_read = true; });
+  REQUIRE(fleet.RunUntil([&] { return is_read && late; }));
+  late->Write(answer(6, R"({"items":[],"at":9})"));
+  REQUIRE(fleet.RunUntil([&] { return error.has_value(); }));
+  CHECK(*error == StoreError::kSuperseded);
+  CHECK(client.Era() == 7);
+}
+
+}  // namespace
+}  // namespace wasabiwall::platform
