An older write of an entry does not bring a backend server back

Cause: the removal of an entry was forgotten at once, and the sequence of an entry was checked but not kept. A write that the store had left without an answer and carried out after the removal was taken for a new backend server.

Evidence: backend_seen with the same incarnation and sequence 2 after sequence 4 and backend_removed. Ruled out: a removal that is noticed late (noticed within 0.1 s), a late removal of the gateway's own state.

Fix: the registry keeps the last entry of each backend server for 30 min and ignores entries that are older: those of an earlier incarnation within 30 s (a clock that was set back must not hide a restart for longer), and those of the same incarnation with a sequence that is not later. Entries of another service or failure domain are those of other writers and are not compared. A missing entry within its grace time ends it only with a later write.

Related paths: an older write while the entry is there, an older incarnation after a restart under the same identifier, an older write in the grace time of an outage.

--- a/src/wasabiwall/state/backend_registry.cc
+++ b/src/wasabiwall/state/backend_registry.cc
@@ -5,15 +5,58 @@
 namespace wasabiwall::state {
 namespace {
 
-/// How long a leaving incarnation is remembered without an entry: longer than
-/// any outage of the registry after which its entry may appear again.
-constexpr std::chrono::minutes kLeavingRetention{30};
+/// How long an incarnation that leaves or was removed is remembered without an
+/// entry: longer than any outage of the registry after which its entry may
+/// appear again.
+constexpr std::chrono::minutes kRetention{30};
+/// Longest delay of a write that was not answered. An incarnation that started
+/// earlier than the one known may appear later than this only if the clock of
+/// its VM was set back.
+constexpr std::chrono::seconds kLongestWriteDelay{30};
+
+/// @return Whether one backend server may have written both entries, and its
+/// start time is known.
+bool AreComparable(const BackendServer& a, const BackendServer& b) {
+  return a.incarnation != 0 && b.incarnation != 0 && a.service == b.service &&
+         a.failure_domain == b.failure_domain;
+}
 
 }  // namespace
 
+bool BackendRegistry::IsOutdated(const BackendServer& server,
+                                 MonotonicTime now) const {
+  const auto* known = Find(server.id);
+  const auto removed = m_removed.find(server.id);
+  if (known == nullptr && removed == m_removed.end()) return false;
+  const BackendServer& last =
+      known != nullptr ? known->server : removed->second.server;
+  const auto known_since =
+      known != nullptr ? known->first_seen : removed->second.removed_at;
+  if (!AreComparable(server, last)) return false;
+  if (server.incarnation != last.incarnation) {
+    return server.incarnation < last.incarnation &&
+           now - known_since < kLongestWriteDelay;
+  }
+  if (server.address != last.address) return false;
+  // An entry that is back after it was missing or removed is another write.
+  const bool was_absent = known == nullptr || known->kept_until.has_value();
+  return was_absent ? server.sequence <= last.sequence
+                    : server.sequence < last.sequence;
+}
+
+void BackendRegistry::Erase(const BackendServerId& id, MonotonicTime now) {
+  const auto found = m_servers.find(id);
+  if (found == m_servers.end()) return;
+  ++m_revision;
+  m_removed[id] = {found->second.server, now};
+  m_servers.erase(found);
+}
+
 bool BackendRegistry::Put(const BackendServer& server, MonotonicTime now,
                           std::chrono::milliseconds cold_time, bool appeared) {
+  if (IsOutdated(server, now)) return false;
   ++m_revision;
+  m_removed.erase(server.id);
   // A write of the server that is carried out late must not bring it back.
   // Without a start time, a later run could not be told from this one.
   if (server.draining && server.incarnation != 0) MarkLeaving(server, now);
@@ -39,19 +82,19 @@
                                                      MonotonicTime now) {
   const auto found = m_servers.find(id);
   if (found == m_servers.end()) return {};
-  ++m_revision;
   const bool may_return = m_grace_end && now < *m_grace_end;
   const BackendServer& server = found->second.server;
   if (may_return && !server.draining && !IsLeaving(server)) {
+    ++m_revision;
     found->second.kept_until = m_grace_end;
     return m_grace_end;
   }
-  m_servers.erase(found);
+  Erase(id, now);
   return {};
 }
 
-void BackendRegistry::Drop(const BackendServerId& id) {
-  if (m_servers.erase(id) > 0) ++m_revision;
+void BackendRegistry::Drop(const BackendServerId& id, MonotonicTime now) {
+  Erase(id, now);
 }
 
 void BackendRegistry::OnContact(MonotonicTime now) {
@@ -110,15 +153,15 @@
   for (const auto& [id, known] : m_servers) {
     if (HasExpired(known, now)) expired.push_back(id);
   }
-  for (const BackendServerId& id : expired) {
-    ++m_revision;
-    m_servers.erase(id);
-  }
+  for (const BackendServerId& id : expired) Erase(id, now);
   for (auto& [id, mark] : m_leaving) {
     if (m_servers.contains(id)) mark.last_known = now;
   }
   std::erase_if(m_leaving, [now](const auto& entry) {
-    return now - entry.second.last_known > kLeavingRetention;
+    return now - entry.second.last_known > kRetention;
+  });
+  std::erase_if(m_removed, [now](const auto& entry) {
+    return now - entry.second.removed_at > kRetention;
   });
   return expired;
 }
--- a/src/wasabiwall/state/backend_registry.h
+++ b/src/wasabiwall/state/backend_registry.h
@@ -84,7 +84,12 @@
   explicit BackendRegistry(LapseTimes lapse_times)
       : m_lapse_times(lapse_times) {}
 
-  /// Adds or updates an entry.
+  /// @return Whether an entry is older than what is known of its backend
+  /// server: an earlier write that was carried out late, or one of a copy from
+  /// which the registry was restored.
+  bool IsOutdated(const BackendServer& server, MonotonicTime now) const;
+
+  /// Adds or updates an entry; ignores one that is outdated.
   /// @param cold_time Time for which new backend servers of its service stay
   /// cold.
   /// @param appeared Whether the entry was absent at the first full read, so
@@ -100,7 +105,7 @@
                                       MonotonicTime now);
 
   /// Removes an entry that cannot be read, which has not expired.
-  void Drop(const BackendServerId& id);
+  void Drop(const BackendServerId& id, MonotonicTime now);
 
   /// Removes the entries that a full read did not contain.
   /// @param present Identifiers that the read contained.
@@ -175,13 +180,22 @@
     MonotonicTime last_known;
   };
 
+  /// The last entry of a backend server that was removed.
+  struct RemovedEntry {
+    BackendServer server;
+    MonotonicTime removed_at;
+  };
+
   /// @return Whether the entry is missing and its grace time is over.
   bool HasExpired(const KnownBackendServer& known, MonotonicTime now) const;
   bool IsLeaving(const BackendServer& server) const;
+  /// Removes an entry and remembers how new it was.
+  void Erase(const BackendServerId& id, MonotonicTime now);
 
   LapseTimes m_lapse_times;
   std::unordered_map<BackendServerId, KnownBackendServer> m_servers;
   std::unordered_map<BackendServerId, LeavingMark> m_leaving;
+  std::unordered_map<BackendServerId, RemovedEntry> m_removed;
   std::set<FailureDomainId> m_evacuated;
   bool m_in_contact = true;
   std::optional<MonotonicTime> m_last_contact;
