Quarantine entries survive a restore of the store

A quarantine that only the store of before the restore had was gone for gateways that start later, and an answer that the copy lacks was undone at all.

--- a/tests/platform/quarantine_entries_test.cc
+++ b/tests/platform/quarantine_entries_test.cc
@@ -225,6 +225,44 @@
   }));
 }
 
+/// Restores the store's copy while the gateways run.
+void Restore(Members* all) {
+  all->store.SetMode(StoreMode::kReset);
+  all->fleet.RunFor(milliseconds(300));
+  all->store.Restore();
+  all->store.SetMode(StoreMode::kUp);
+}
+
+TEST_CASE("a quarantine that a restored store lacks is announced again") {
+  Members all;
+  all.fleet.RunFor(milliseconds(100));
+  all.store.TakeCopy();
+  all.members[0]->SeeCrashes();
+  REQUIRE(all.RunUntilAll(true));
+  Restore(&all);
+  REQUIRE(all.fleet.RunUntil([&] { return all.store.Has(kKey); }));
+  const Member late(&all.fleet, all.store.Address(), "g3");
+  CHECK(all.fleet.RunUntil([&] { return late.IsQuarantined(); }));
+}
+
+TEST_CASE("a restored store does not undo the answer to a request") {
+  Members all;
+  all.members[0]->SeeCrashes();
+  REQUIRE(all.RunUntilAll(true));
+  all.store.TakeCopy();
+  all.members[1]->quarantine.OnAnswered(kRequest);
+  REQUIRE(all.RunUntilAll(false));
+  Restore(&all);
+  const auto is_answered = [&] {
+    const auto value = all.store.Value(kKey);
+    return value && DecodeQuarantine(*value).is_answered;
+  };
+  REQUIRE_FALSE(is_answered());
+  CHECK(all.fleet.RunUntil(is_answered));
+  all.fleet.RunFor(std::chrono::seconds(1));
+  for (const auto& member : all.members) CHECK_FALSE(member->IsQuarantined());
+}
+
 TEST_CASE("an entry that cannot be read holds the request off") {
   Members all;
   all.store.Put(kKey, "g9");
