What a restored store lacks is kept until its writers have had their time

After a restore, a full read took what the copy lacks for removed: live backend servers that had registered since the copy, evacuations, and gateways, whose number divides the shared limits.

The grace time that follows an outage follows a restore as well, however short the store was away. Backend servers that had left are not brought back by the copy: that the older entry is ignored has a test.

--- a/src/wasabiwall/state/backend_registry.cc
+++ b/src/wasabiwall/state/backend_registry.cc
@@ -102,7 +102,12 @@
                        now - *m_last_contact >= m_lapse_times.shortest_outage;
   m_last_contact = now;
   m_in_contact = true;
-  if (!was_out) return;
+  if (was_out) BeginGrace(now);
+}
+
+void BackendRegistry::OnRestored(MonotonicTime now) { BeginGrace(now); }
+
+void BackendRegistry::BeginGrace(MonotonicTime now) {
   m_grace_end = now + m_lapse_times.grace;
   for (auto& [id, known] : m_servers) {
     if (known.kept_until) known.kept_until = m_grace_end;
--- a/src/wasabiwall/state/backend_registry.h
+++ b/src/wasabiwall/state/backend_registry.h
@@ -121,6 +121,10 @@
   /// contact was lost for long, the grace time begins.
   void OnContact(MonotonicTime now);
 
+  /// Records that the registry was restored from a copy, which may lack
+  /// entries of live backend servers. The grace time begins.
+  void OnRestored(MonotonicTime now);
+
   /// Records that an answer of the registry failed or is overdue. Missing
   /// entries are kept until there is one.
   void OnContactLost() { m_in_contact = false; }
@@ -186,6 +190,7 @@
     MonotonicTime removed_at;
   };
 
+  void BeginGrace(MonotonicTime now);
   /// @return Whether the entry is missing and its grace time is over.
   bool HasExpired(const KnownBackendServer& known, MonotonicTime now) const;
   bool IsLeaving(const BackendServer& server) const;
--- a/tests/platform/store_restore_test.cc
+++ b/tests/platform/store_restore_test.cc
@@ -107,6 +107,104 @@
   CHECK(fleet.Version() == newest + 1);
 }
 
+/// @return Text of a write of a backend server's entry.
+std::string EntryText(int sequence) {
+  return R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"1",)"
+         R"("capacity":4,"phase":"ready","cold_left_ms":0,"born":1000,)"
+         R"("sequence":)" +
+         std::to_string(sequence) + "}";
+}
+
+/// Time in which a live backend server has written its entry again.
+constexpr milliseconds kReturnTime{2000};
+const state::BackendServerId kBackend("b");
+const std::string kBackendItem = "servers/b";
+
+bool IsUsed(const GatewayFixture& gateway) {
+  const auto& registry = gateway.context.registry;
+  const auto* known = registry.Find(kBackend);
+  return known != nullptr && registry.IsEligible(*known, gateway.loop.Now());
+}
+
+TEST_CASE("a backend server that a restored store lacks is used on") {
+  Fleet fleet;
+  fleet.store.TakeCopy();
+  fleet.store.Put(kBackendItem, EntryText(1));
+  REQUIRE(fleet.gateway.RunUntil([&] { return IsUsed(fleet.gateway); }));
+  fleet.Restore([] {});
+  transport::Timer heartbeat(&fleet.gateway.loop);
+  bool was_used = true;
+  const auto is_over = [&, end = fleet.gateway.loop.Now() + 2 * kReturnTime] {
+    was_used = was_used && IsUsed(fleet.gateway);
+    return fleet.gateway.loop.Now() >= end;
+  };
+  SECTION("when it writes its entry again") {
+    heartbeat.Start(kReturnTime - milliseconds(100),
+                    [&] { fleet.store.Put(kBackendItem, EntryText(2)); });
+    REQUIRE(fleet.gateway.RunUntil(is_over));
+    CHECK(was_used);
+  }
+  SECTION("but not if it does not") {
+    REQUIRE(fleet.gateway.RunUntil(is_over));
+    CHECK_FALSE(IsUsed(fleet.gateway));
+  }
+}
+
+TEST_CASE(
+    "a restored store does not bring a backend server back that has left") {
+  Fleet fleet;
+  fleet.store.Put(kBackendItem, EntryText(1));
+  REQUIRE(fleet.gateway.RunUntil([&] { return IsUsed(fleet.gateway); }));
+  fleet.store.TakeCopy();
+  fleet.store.Remove(kBackendItem);
+  REQUIRE(fleet.gateway.RunUntil([&] { return !IsUsed(fleet.gateway); }));
+  fleet.Restore([] {});
+  fleet.gateway.RunFor(kReturnTime);
+  CHECK_FALSE(IsUsed(fleet.gateway));
+}
+
+TEST_CASE("an evacuation that a restored store lacks goes on") {
+  const state::FailureDomainId domain("z");
+  const std::string item = "op/evacuate/z";
+  Fleet fleet;
+  const auto is_evacuated = [&] {
+    return fleet.gateway.context.registry.IsEvacuated(domain);
+  };
+  fleet.store.TakeCopy();
+  fleet.store.Put(item, "{}");
+  REQUIRE(fleet.gateway.RunUntil(is_evacuated));
+  fleet.Restore([] {});
+  fleet.gateway.RunFor(kReturnTime);
+  CHECK(is_evacuated());
+  SECTION("also when the history is lost") {
+    fleet.store.Compact();
+    fleet.store.Put("other", "x");
+    fleet.gateway.RunFor(kReturnTime);
+    CHECK(is_evacuated());
+  }
+  SECTION("until the operators end it") {
+    fleet.store.Put(item, "{}");
+    fleet.gateway.RunFor(kReturnTime);
+    fleet.store.Remove(item);
+    REQUIRE(fleet.gateway.RunUntil([&] { return !is_evacuated(); }));
+  }
+}
+
+TEST_CASE("gateways that a restored store lacks are counted on") {
+  Fleet fleet;
+  fleet.store.TakeCopy();
+  for (const char* name : {"a", "b", "c"}) {
+    fleet.store.Put(std::string("wasabiwall/gateways/") + name, "");
+  }
+  const auto revision = fleet.gateway.context.GatewayListRevision();
+  REQUIRE(fleet.gateway.RunUntil(
+      [&] { return fleet.gateway.context.GatewayListRevision() > revision; }));
+  const auto before = fleet.gateway.context.GatewayListRevision();
+  fleet.Restore([] {});
+  fleet.gateway.RunFor(kReturnTime);
+  CHECK(fleet.gateway.context.GatewayListRevision() == before);
+}
+
 TEST_CASE("an answer of an older era that arrives late is dropped") {
   GatewayFixture fleet;
   std::shared_ptr<fakes::ScriptedBackend::Session> late;
