--- a/tests/platform/store_restore_test.cc
+++ b/tests/platform/store_restore_test.cc
@@ -3,6 +3,7 @@
 
 #include "fakes/followed_store.h"
 #include "fakes/gateway_fixture.h"
+#include "process_registration.h"
 #include "soak/store_emulator.h"
 
 namespace wasabiwall::platform {
@@ -205,6 +206,50 @@
   CHECK(fleet.gateway.context.GatewayListRevision() == before);
 }
 
+/// A gateway's registration in a store that it watches.
+class Registered {
+ public:
+  Registered() {
+    m_registration.Start();
+    REQUIRE(fleet.gateway.RunUntil([this] { return IsThere(); }));
+  }
+
+  bool IsThere() const { return fleet.store.Has("wasabiwall/gateways/g"); }
+  void Stop() { m_registration.Stop(); }
+
+  Fleet fleet;
+
+ private:
+  StoreClient m_client{&fleet.gateway.loop, fleet.store.Address()};
+  ProcessRegistration m_registration{&fleet.gateway.loop, &m_client, "g", "",
+                                     [] { return 1; }};
+};
+
+TEST_CASE("a gateway registers again when a restore has lost its entry") {
+  Registered gateway;
+  // An empty copy, in which the gateway's lease is free to be given out again.
+  gateway.fleet.Restore([] {});
+  StoreClient other(&gateway.fleet.gateway.loop, gateway.fleet.store.Address());
+  std::optional<StoreLease> lease;
+  other.GrantLease(milliseconds(10000),
+                   [&](const tl::expected<StoreLease, StoreError>& granted) {
+                     if (granted) lease = *granted;
+                   });
+  REQUIRE(gateway.fleet.gateway.RunUntil([&] { return lease.has_value(); }));
+  // Longer than the period of renewals, by which the gateway may first notice.
+  constexpr milliseconds patience{5500};
+  gateway.fleet.gateway.RunFor(patience);
+  CHECK(gateway.IsThere());
+  gateway.Stop();
+  REQUIRE(gateway.fleet.gateway.RunUntil([&] { return !gateway.IsThere(); }));
+  bool is_kept = false;
+  other.KeepLease(*lease, [&](const tl::expected<bool, StoreError>& kept) {
+    is_kept = kept.has_value();
+  });
+  gateway.fleet.gateway.RunUntil([&] { return is_kept; });
+  CHECK(is_kept);
+}
+
 TEST_CASE("an answer of an older era that arrives late is dropped") {
   GatewayFixture fleet;
   std::shared_ptr<fakes::ScriptedBackend::Session> late;
