An entry that expired in an outage may return with its last write

A live backend server may come back with the sequence that it had, which the comparison of sequences took for the same write again. Only an entry that was removed in contact must return with a later one; an entry that is missing or has expired after an outage may return with the same.

--- a/src/wasabiwall/state/backend_registry.cc
+++ b/src/wasabiwall/state/backend_registry.cc
@@ -38,17 +38,18 @@
            now - known_since < kLongestWriteDelay;
   }
   if (server.address != last.address) return false;
-  // An entry that is back after it was missing or removed is another write.
-  const bool was_absent = known == nullptr || known->kept_until.has_value();
-  return was_absent ? server.sequence <= last.sequence
-                    : server.sequence < last.sequence;
+  // The same write again: news only of an entry that may have expired.
+  const bool has_left = known == nullptr && !removed->second.may_live;
+  return has_left ? server.sequence <= last.sequence
+                  : server.sequence < last.sequence;
 }
 
-void BackendRegistry::Erase(const BackendServerId& id, MonotonicTime now) {
+void BackendRegistry::Erase(const BackendServerId& id, MonotonicTime now,
+                            bool may_live) {
   const auto found = m_servers.find(id);
   if (found == m_servers.end()) return;
   ++m_revision;
-  m_removed[id] = {found->second.server, now};
+  m_removed[id] = {found->second.server, now, may_live};
   m_servers.erase(found);
 }
 
@@ -158,7 +159,7 @@
   for (const auto& [id, known] : m_servers) {
     if (HasExpired(known, now)) expired.push_back(id);
   }
-  for (const BackendServerId& id : expired) Erase(id, now);
+  for (const BackendServerId& id : expired) Erase(id, now, true);
   for (auto& [id, mark] : m_leaving) {
     if (m_servers.contains(id)) mark.last_known = now;
   }
--- a/src/wasabiwall/state/backend_registry.h
+++ b/src/wasabiwall/state/backend_registry.h
@@ -188,6 +188,9 @@
   struct RemovedEntry {
     BackendServer server;
     MonotonicTime removed_at;
+    /// Whether it may have expired in an outage, so that the backend server may
+    /// live.
+    bool may_live = false;
   };
 
   void BeginGrace(MonotonicTime now);
@@ -195,7 +198,8 @@
   bool HasExpired(const KnownBackendServer& known, MonotonicTime now) const;
   bool IsLeaving(const BackendServer& server) const;
   /// Removes an entry and remembers how new it was.
-  void Erase(const BackendServerId& id, MonotonicTime now);
+  void Erase(const BackendServerId& id, MonotonicTime now,
+             bool may_live = false);
 
   LapseTimes m_lapse_times;
   std::unordered_map<BackendServerId, KnownBackendServer> m_servers;
