A registration that is carried out late keeps the lease that is renewed

A gateway whose registration got no answer took a new lease and registered again.

The emulated store can carry writes out late.

--- a/tests/platform/store_restore_test.cc
+++ b/tests/platform/store_restore_test.cc
@@ -250,6 +250,25 @@
   CHECK(is_kept);
 }
 
+TEST_CASE("a registration that is carried out late has the renewed lease") {
+  GatewayFixture fleet;
+  StoreEmulator store(&fleet.loop, 1);
+  // Longer than the client waits for an answer.
+  store.SetWriteDelay(milliseconds(1500));
+  StoreClient client(&fleet.loop, store.Address());
+  ProcessRegistration registration(&fleet.loop, &client, "g", "",
+                                   [] { return 1; });
+  registration.Start();
+  fleet.RunFor(milliseconds(1100));
+  store.SetWriteDelay(milliseconds(0));
+  const std::string item = "wasabiwall/gateways/g";
+  REQUIRE(fleet.RunUntil([&] { return store.Has(item); }));
+  fleet.RunFor(milliseconds(1000));
+  CHECK(store.LeasesGranted() == 1);
+  registration.Stop();
+  CHECK(fleet.RunUntil([&] { return !store.Has(item); }));
+}
+
 TEST_CASE("an answer of an older era that arrives late is dropped") {
   GatewayFixture fleet;
   std::shared_ptr<fakes::ScriptedBackend::Session> late;
