Responses without end leave room in the buffers for those of other services

Report of another operator: a faulty worker sent bytes without end until its caller closed, and requests of other clients ended with it. Memory held here, but all calls share 32 MB of response buffers, and a call that found no room was answered 502 after it had run.

A service may take half of the buffers, responses up to 64 KB need no room, and a response that finds none waits while its backend server is not read, instead of being thrown away. The largest buffer of a service goes on, so that a response without end reaches its own limit of 16 MB and is ended; all buffers together stay under 48 MB besides the small ones.

Also: a connection whose call ended while it was not being read goes back to the pool reading.

--- a/src/wasabiwall/transport/backend_pool.cc
+++ b/src/wasabiwall/transport/backend_pool.cc
@@ -72,6 +72,8 @@
     connection->Close();
     return;
   }
+  // The call may have ended while its response was not being read.
+  connection->ResumeReading();
   connection->SetIdleSince(m_loop->Now());
   m_connections[KeyOf(connection->Server())].idle.push_back(connection);
 }
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -241,7 +241,8 @@
   m_waiter_id = 0;
   const state::BackendServer& server = placement.server;
   m_tried_servers.push_back(server.id);
-  m_reply.StartAttempt();
+  m_reply.StartAttempt(m_call.service->id.value);
+  m_waits_for_room = false;
   m_attempt_has_events = false;
   std::vector<LogField> fields = {
       {"id", m_call.metadata.attempt_id},
@@ -351,12 +352,32 @@
     Fail({ErrorKind::kAnswerCut, "answer too large", {}});
     return;
   }
+  if (!m_reply.HasRoom()) WaitForRoom();
   if (events.empty()) return;
   // A backend server that sends nothing else may have stalled.
   if (protocol::HasContent(events)) OnEvents();
   ForwardEvents(events);
 }
 
+void Exchange::WaitForRoom() {
+  if (!std::exchange(m_waits_for_room, true)) {
+    LogInfo(
+        "response_waits_for_room",
+        {{"id", m_call.metadata.attempt_id},
+         {"backend", m_placement->server.id.value},
+         {"buffered_bytes", std::to_string(m_context->response_buffers.Used())},
+         {"waiting", std::to_string(m_context->response_buffers.Waiting())}});
+  }
+  // The backend server is not silent, it is not read.
+  m_attempt_timer.Stop();
+  m_connection->PauseReading();
+  m_reply.WaitForRoom([this] {
+    m_waits_for_room = false;
+    if (m_reading_paused || !m_connection) return;
+    m_connection->ResumeReading();
+  });
+}
+
 void Exchange::OnEvents() {
   const auto now = m_context->loop->Now();
   const state::BackendServerId& id = m_placement->server.id;
@@ -379,7 +400,7 @@
 
 void Exchange::OnOutputDrained() {
   if (!std::exchange(m_reading_paused, false)) return;
-  if (m_connection) m_connection->ResumeReading();
+  if (m_connection && !m_waits_for_room) m_connection->ResumeReading();
 }
 
 void Exchange::CountResponse(const char* end) {
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -102,6 +102,8 @@
   std::string EncodeRequest();
   void OnReplyHead(MessageHead head);
   void OnReplyBody(std::string_view data);
+  /// Stops reading until other calls have left room for the response.
+  void WaitForRoom();
   void OnReplyComplete();
   void OnAttemptFailed();
   void OnConnectTimeout();
@@ -153,7 +155,10 @@
   coordination::AttemptCounts m_counts;
   ReplyReader m_reply;
 
+  /// Whether the caller's socket is behind.
   bool m_reading_paused = false;
+  /// Whether the response waits for room in the buffers.
+  bool m_waits_for_room = false;
   bool m_ended = false;
   /// Whether the attempt ended unsent because of the quarantine.
   bool m_is_withdrawn = false;
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -14,9 +14,11 @@
 
 /// Capacity of the prompt cache index; an entry takes about 200 bytes.
 constexpr std::size_t kMaxPromptCacheEntries = 20000;
-/// Limit of all buffered responses. Buffers may be twice as large as what they
-/// hold; the smallest VMs have 160 MB.
-constexpr std::size_t kMaxBufferedResponseBytes = 32U << 20U;
+/// Limits of all buffered responses. Buffers may be twice as large as what they
+/// hold; the smallest VMs have 160 MB. One service, whose backend servers may
+/// all send without end, leaves half to the others.
+constexpr ByteLimits kResponseBufferLimits = {
+    .total = 32U << 20U, .group = 16U << 20U, .free_size = 64U << 10U};
 /// Calls that may be queued for a backend server.
 constexpr std::size_t kMaxQueuedCalls = 2000;
 /// Process count assumed before the first one is known, so that shares are
@@ -120,7 +122,7 @@
           }),
       queue(kMaxQueuedCalls),
       retry_after_scheduler(SeededRandom()),
-      response_buffers(kMaxBufferedResponseBytes),
+      response_buffers(kResponseBufferLimits),
       connections(event_loop),
       placement({.registry = &registry,
                  .loads = &loads,
--- a/src/wasabiwall/transport/reply_reader.cc
+++ b/src/wasabiwall/transport/reply_reader.cc
@@ -17,12 +17,13 @@
   m_resumes = resumes;
 }
 
-void ReplyReader::StartAttempt() {
+void ReplyReader::StartAttempt(const std::string& group) {
   m_head.reset();
   m_metadata = {};
   m_body.clear();
   m_events.DropPartialEvent();
-  m_buffered.Resize(0);
+  m_buffered.Reset(group);
+  m_has_room = true;
   m_ended = false;
 }
 
@@ -35,12 +36,14 @@
   if (!IsEventStream()) {
     if (m_body.size() + data.size() > kMaxBufferedBytes) return false;
     m_body.append(data);
-    return m_buffered.Resize(m_body.size());
+    m_has_room = m_buffered.Resize(m_body.size());
+    return true;
   }
   *events = m_events.Feed(data);
   m_resumes = m_resumes || protocol::HasContent(*events);
   const std::size_t partial = m_events.Partial().size();
-  return m_buffered.Resize(partial) && partial <= kMaxEventBytes;
+  m_has_room = m_buffered.Resize(partial);
+  return partial <= kMaxEventBytes;
 }
 
 bool ReplyReader::IsEventStream() const {
--- a/src/wasabiwall/transport/reply_reader.h
+++ b/src/wasabiwall/transport/reply_reader.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "wasabiwall/protocol/event_stream.h"
@@ -28,16 +30,24 @@
   void StartCall(bool expects_stream, bool resumes);
 
   /// Drops the response of the attempt before; keeps the last event identifier.
-  void StartAttempt();
+  /// @param group Group of calls that shares the limit of its buffers.
+  void StartAttempt(const std::string& group);
 
   void OnHead(MessageHead head, ReplyMetadata metadata);
 
   /// @param events Receives the events that are complete, if it is an event
   /// stream.
-  /// @return False if the response is too large to be buffered, by itself or
-  /// beside those of other calls.
+  /// @return False if the response is too large to be buffered.
   bool OnBody(std::string_view data, std::string* events);
 
+  /// @return Whether the limit of all buffers leaves room for more of the body.
+  bool HasRoom() const { return m_has_room; }
+
+  /// Waits until there is room.
+  void WaitForRoom(std::function<void()> on_room) {
+    m_buffered.WaitForRoom(std::move(on_room));
+  }
+
   /// Records that the message has ended as its framing says.
   void OnMessageEnd() { m_ended = true; }
 
@@ -82,6 +92,7 @@
   std::string m_body;
   protocol::EventStreamSplitter m_events;
   ByteBudget::Share m_buffered;
+  bool m_has_room = true;
   bool m_ended = false;
 };
 
--- a/tests/gateway/endless_response_test.cc
+++ b/tests/gateway/endless_response_test.cc
@@ -140,5 +140,117 @@
   CHECK(fleet.context.response_buffers.Used() == 0);
 }
 
+/// A configuration with a second service, whose route is /sound/.
+std::shared_ptr<state::ServiceConfig> ConfigWithSoundService() {
+  auto config = GatewayFixture::MakeConfig(2);
+  state::Route route = *config->FindRoute("host", "/safe/");
+  route.name = route.path_prefix = "/sound/";
+  route.services = {{state::ServiceId("sound"), 1}};
+  route.max_attempts = 1;
+  config->AddRoute(route);
+  state::Service service = config->services.at(state::ServiceId("s"));
+  service.id = state::ServiceId("sound");
+  config->services[service.id] = service;
+  config->Index();
+  return config;
+}
+
+/// A backend server that sends its responses piece by piece.
+class SteadyBackend {
+ public:
+  SteadyBackend(transport::EventLoop* loop, std::size_t bytes)
+      : m_bytes(bytes),
+        m_timer(loop),
+        m_server(loop, [this](const ScriptedBackend::Received& call) {
+          m_answers.push_back(
+              {call.session, PlainAnswer(*call.head.headers.Find("Attempt"),
+                                         200, std::string(m_bytes, 'y'))});
+        }) {
+    m_timer.StartRepeating(milliseconds(5), [this] { WriteMore(); });
+  }
+
+  std::string Address() const { return m_server.Address(); }
+
+ private:
+  static constexpr std::size_t kPieceBytes = 64U << 10U;
+
+  struct Answer {
+    std::shared_ptr<ScriptedBackend::Session> session;
+    std::string rest;
+  };
+
+  void WriteMore() {
+    std::erase_if(m_answers, [](const Answer& answer) {
+      return answer.rest.empty() || answer.session->Ended();
+    });
+    for (Answer& answer : m_answers) {
+      answer.session->Write(answer.rest.substr(0, kPieceBytes));
+      answer.rest.erase(0, kPieceBytes);
+    }
+  }
+
+  std::size_t m_bytes;
+  std::vector<Answer> m_answers;
+  transport::Timer m_timer;
+  ScriptedBackend m_server;
+};
+
+TEST_CASE("bytes without end take no buffers from calls of another service") {
+  constexpr int endless_calls = 60;
+  constexpr int sound_calls = 20;
+  constexpr std::size_t sound_bytes = 1U << 20U;
+  const bool is_stream = GENERATE(false, true);
+  CAPTURE(is_stream);
+  GatewayFixture fleet;
+  fleet.context.ApplyConfig(ConfigWithSoundService());
+  const std::string head = "HTTP/1.1 200 OK\r\nAttempt: ATTEMPT\r\n";
+  std::vector<std::unique_ptr<EndlessBackend>> endless;
+  for (const char* id : {"b0", "b1", "b2", "b3"}) {
+    endless.push_back(std::make_unique<EndlessBackend>(
+        &fleet, id,
+        head + (is_stream ? "Content-Type: text/event-stream\r\n\r\ndata: "
+                          : "\r\n"),
+        "x"));
+  }
+  SteadyBackend sound(&fleet.loop, sound_bytes);
+  state::BackendServer server;
+  server.id = state::BackendServerId("sound");
+  server.service = state::ServiceId("sound");
+  server.address = sound.Address();
+  server.failure_domain = state::FailureDomainId("z");
+  server.capacity = 10;
+  fleet.context.registry.Put(server, fleet.loop.Now(), milliseconds(0), false);
+  int faulty_calls = 0;
+  std::vector<TestClient*> faulty(endless_calls, nullptr);
+  const std::string route = is_stream ? "/talk/" : "/once/";
+  // Its callers call again as soon as they are answered.
+  const auto keep_calling = [&] {
+    for (TestClient*& client : faulty) {
+      if (client != nullptr && client->Status() == 0) continue;
+      client = &fleet.Call(route + "x", "e" + std::to_string(++faulty_calls));
+    }
+  };
+  int served = 0;
+  for (int i = 0; i < sound_calls; ++i) {
+    const TestClient& client = fleet.Call("/sound/x", "s" + std::to_string(i));
+    REQUIRE(fleet.RunUntil([&] {
+      keep_calling();
+      return client.Status() != 0;
+    }));
+    if (client.Status() == 200) ++served;
+  }
+  CHECK(faulty_calls > 2 * endless_calls);
+  CHECK(served == sound_calls);
+  for (const TestClient* client : faulty) {
+    REQUIRE(fleet.RunUntil([&] { return client->Status() != 0; }));
+    CHECK(client->Status() >= 500);
+  }
+  REQUIRE(fleet.RunUntil([&] {
+    return std::ranges::all_of(
+        endless, [](const auto& backend) { return backend->AllClosed(); });
+  }));
+  CHECK(fleet.context.response_buffers.Used() == 0);
+}
+
 }  // namespace
 }  // namespace wasabiwall::fakes
--- a/tests/gateway/reply_reader_test.cc
+++ b/tests/gateway/reply_reader_test.cc
@@ -5,7 +5,8 @@
 namespace wasabiwall::transport {
 namespace {
 
-constexpr std::size_t kBufferLimit = 32U << 20U;
+constexpr ByteLimits kBufferLimits = {
+    .total = 32U << 20U, .group = 32U << 20U, .free_size = 0};
 
 MessageHead Head(int status, BodyFraming framing, const std::string& type) {
   MessageHead head;
@@ -18,7 +19,7 @@
 /// @return Why a stream with this framing and body is truncated, or empty.
 std::string Truncation(BodyFraming framing, const std::string& body,
                        bool resumes = false) {
-  ByteBudget buffers(kBufferLimit);
+  ByteBudget buffers(kBufferLimits);
   ReplyReader reply(&buffers);
   reply.StartCall(true, resumes);
   reply.OnHead(Head(200, framing, "text/event-stream"), {});
@@ -57,7 +58,7 @@
       {false, 200, "text/event-stream", false},
   }));
   CAPTURE(row.status, row.type);
-  ByteBudget buffers(kBufferLimit);
+  ByteBudget buffers(kBufferLimits);
   ReplyReader reply(&buffers);
   reply.StartCall(row.expects_stream, false);
   CHECK_FALSE(reply.HasStarted());
@@ -71,7 +72,7 @@
 
 TEST_CASE("neither a body nor an unfinished event is buffered without bound") {
   const bool is_stream = GENERATE(true, false);
-  ByteBudget buffers(kBufferLimit);
+  ByteBudget buffers(kBufferLimits);
   ReplyReader reply(&buffers);
   reply.StartCall(is_stream, false);
   reply.OnHead(Head(200, BodyFraming::kChunked, ""), {});
@@ -82,33 +83,89 @@
   CHECK(parts == (is_stream ? 1 : 16));
 }
 
-TEST_CASE("the buffers of all calls have a common limit") {
-  ByteBudget buffers(1000);
-  std::string events;
+/// A reader of a plain response for a call of a group.
+class GroupedReader {
+ public:
+  GroupedReader(ByteBudget* buffers, const std::string& group)
+      : reply(buffers) {
+    reply.StartCall(false, false);
+    reply.StartAttempt(group);
+    reply.OnHead(Head(200, BodyFraming::kChunked, ""), {});
+  }
+
+  /// @return Whether there is room for more.
+  bool Receive(std::size_t size) {
+    std::string events;
+    REQUIRE(reply.OnBody(std::string(size, 'x'), &events));
+    return reply.HasRoom();
+  }
+
+  ReplyReader reply;
+};
+
+constexpr std::size_t kKilobyte = 1U << 10U;
+
+TEST_CASE("a response that finds no room in the buffers waits for it") {
+  ByteBudget buffers({.total = 200 * kKilobyte,
+                      .group = 200 * kKilobyte,
+                      .free_size = kKilobyte});
+  bool has_room = false;
   {
-    ReplyReader first(&buffers);
-    ReplyReader second(&buffers);
-    for (ReplyReader* reply : {&first, &second}) {
-      reply->StartCall(false, false);
-      reply->OnHead(Head(200, BodyFraming::kChunked, ""), {});
+    GroupedReader first(&buffers, "s");
+    GroupedReader second(&buffers, "s");
+    CHECK(first.Receive(150 * kKilobyte));
+    CHECK_FALSE(second.Receive(60 * kKilobyte));
+    second.reply.WaitForRoom([&] { has_room = true; });
+    CHECK(buffers.Waiting() == 1);
+    SECTION("and goes on when another one has ended") {
+      first.reply.StartAttempt("s");
+      CHECK(has_room);
+      CHECK(buffers.Used() == 60 * kKilobyte);
+    }
+    SECTION("and is forgotten when its own call ends") {
+      second.reply.StartAttempt("s");
+      first.reply.StartAttempt("s");
+      CHECK_FALSE(has_room);
     }
-    CHECK(first.OnBody(std::string(600, 'x'), &events));
-    CHECK_FALSE(second.OnBody(std::string(600, 'x'), &events));
-    first.StartAttempt();
-    CHECK(buffers.Used() == 600);
+    CHECK(buffers.Waiting() == 0);
   }
   CHECK(buffers.Used() == 0);
 }
 
+TEST_CASE("the buffers of one service leave room for those of others") {
+  ByteBudget buffers({.total = 200 * kKilobyte,
+                      .group = 100 * kKilobyte,
+                      .free_size = kKilobyte});
+  GroupedReader faulty(&buffers, "faulty");
+  GroupedReader sound(&buffers, "sound");
+  GroupedReader largest(&buffers, "faulty");
+  CHECK(largest.Receive(60 * kKilobyte));
+  CHECK_FALSE(faulty.Receive(50 * kKilobyte));
+  CHECK(sound.Receive(80 * kKilobyte));
+}
+
+TEST_CASE("a small response needs no room") {
+  ByteBudget buffers({.total = 100 * kKilobyte,
+                      .group = 100 * kKilobyte,
+                      .free_size = kKilobyte});
+  GroupedReader largest(&buffers, "s");
+  GroupedReader faulty(&buffers, "s");
+  GroupedReader sound(&buffers, "s");
+  CHECK(largest.Receive(60 * kKilobyte));
+  CHECK_FALSE(faulty.Receive(50 * kKilobyte));
+  CHECK(sound.Receive(kKilobyte));
+  CHECK_FALSE(sound.Receive(1));
+}
+
 TEST_CASE("a new attempt starts after the last event that was passed on") {
-  ByteBudget buffers(kBufferLimit);
+  ByteBudget buffers(kBufferLimits);
   ReplyReader reply(&buffers);
   reply.StartCall(true, false);
   std::string events;
   reply.OnHead(Head(200, BodyFraming::kChunked, ""), {});
   reply.OnBody("id: 1\n\nid: 2\nda", &events);
   CHECK(events == "id: 1\n\n");
-  reply.StartAttempt();
+  reply.StartAttempt("s");
   CHECK_FALSE(reply.HasStarted());
   CHECK(reply.LastEventId() == 1);
   reply.OnHead(Head(200, BodyFraming::kConnectionClose, ""), {});
