Bodies of requests that find no room are refused before they are read

Review, found without a case: memory of request bodies has no bound; 66 of 4 MB took a gateway over its memory, and all calls of the process ended with it. The same account now covers them: a gateway takes bodies up to a tenth of its memory, and one body more; a further one of over 64 KB is answered 503 with a Retry-After at its head, without a 100 Continue, or at the chunk that finds no room. The limits of the buffers follow from limits.memory_mb, which the platform states.

--- a/src/wasabiwall/protocol/gateway_settings.cc
+++ b/src/wasabiwall/protocol/gateway_settings.cc
@@ -29,7 +29,8 @@
            NumberSpec("retry_burst", FieldType::kNumber, 0, 100000),
            NumberSpec("registry_heartbeat_ms", FieldType::kInteger, 1, 60000),
            NumberSpec("lapse_grace_ms", FieldType::kInteger, 0, 60000),
-           NumberSpec("max_descriptors", FieldType::kInteger, 64, 10000000)}),
+           NumberSpec("max_descriptors", FieldType::kInteger, 64, 10000000),
+           NumberSpec("memory_mb", FieldType::kInteger, 32, 1000000)}),
   };
 }
 
@@ -64,6 +65,7 @@
   read_duration("lapse_grace_ms", &settings.lapse_grace);
   settings.max_descriptors =
       limits.value("max_descriptors", settings.max_descriptors);
+  settings.memory_mb = limits.value("memory_mb", settings.memory_mb);
   settings.load_factor = limits.value("load_factor", settings.load_factor);
   settings.retry_share = limits.value("retry_share", settings.retry_share);
   settings.retry_burst = limits.value("retry_burst", settings.retry_burst);
--- a/src/wasabiwall/protocol/gateway_settings.h
+++ b/src/wasabiwall/protocol/gateway_settings.h
@@ -40,6 +40,8 @@
   std::chrono::milliseconds lapse_grace{2200};
   /// Maximum number of open file descriptors.
   int max_descriptors = 4096;
+  /// Memory that the process may use, in megabytes.
+  int memory_mb = 256;
 };
 
 /// Parses and validates settings.
--- a/src/wasabiwall/transport/byte_budget.h
+++ b/src/wasabiwall/transport/byte_budget.h
@@ -51,6 +51,9 @@
     /// @return Whether it may grow.
     bool Resize(std::size_t size);
 
+    /// @return Size of the buffer.
+    std::size_t Size() const { return m_size; }
+
     /// Waits until the buffer may grow.
     void WaitForRoom(std::function<void()> on_room);
 
--- a/src/wasabiwall/transport/client_connection.cc
+++ b/src/wasabiwall/transport/client_connection.cc
@@ -38,6 +38,7 @@
                [this](MessageHead head) { return OnHead(std::move(head)); },
            .on_body = [this](std::string_view data) { OnBody(data); },
            .on_complete = [this] { OnRequestComplete(); }}),
+      m_body_share(&context->request_bodies),
       m_timer(context->loop) {}
 
 void ClientConnection::Accept(uv_stream_t* listener) {
@@ -120,6 +121,7 @@
     Reject(protocol::ErrorKind::kBodyTooLarge);
     return true;
   }
+  if (length && !TakeRoom(*length)) return true;
   if (expects_continue) m_tcp->Write("HTTP/1.1 100 Continue\r\n\r\n");
   return true;
 }
@@ -133,9 +135,21 @@
     Reject(protocol::ErrorKind::kBodyTooLarge);
     return;
   }
+  const std::size_t size = m_request.body.size() + data.size();
+  if (size > m_body_share.Size() && !TakeRoom(size)) return;
   m_request.body.append(data);
 }
 
+bool ClientConnection::TakeRoom(std::size_t body_bytes) {
+  if (m_body_share.Resize(body_bytes)) return true;
+  m_body_share.Resize(0);
+  LogInfo("request_without_room",
+          {{"body_bytes", std::to_string(body_bytes)},
+           {"held_bytes", std::to_string(m_context->request_bodies.Used())}});
+  Reject(protocol::ErrorKind::kOverloaded);
+  return false;
+}
+
 void ClientConnection::OnRequestComplete() {
   if (m_rejected) return;
   m_parser.Pause();
@@ -169,6 +183,7 @@
 
 void ClientConnection::ReadNextRequest() {
   m_exchange.reset();
+  m_body_share.Resize(0);
   if (m_closed) return;
   if (!m_keep_alive || m_context->stopping) {
     m_tcp->CloseAfterWrites();
--- a/src/wasabiwall/transport/client_connection.h
+++ b/src/wasabiwall/transport/client_connection.h
@@ -49,6 +49,9 @@
   /// Answers an invalid request with an error and closes the connection after a
   /// linger time.
   void Reject(protocol::ErrorKind kind);
+  /// Counts the body of the request.
+  /// @return False if there is no room for it; the request is then rejected.
+  bool TakeRoom(std::size_t body_bytes);
   void StartReadTimer();
   void Close();
   void NotifyClosed();
@@ -58,6 +61,8 @@
   std::unique_ptr<TcpConnection> m_tcp;
   Http1Parser m_parser;
   GatewayRequest m_request;
+  /// Counts the body of the request until it is answered.
+  ByteBudget::Share m_body_share;
   std::shared_ptr<Exchange> m_exchange;
   /// Pipelined bytes: received while a request is being answered.
   std::string m_pipelined;
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -14,11 +14,14 @@
 
 /// Capacity of the prompt cache index; an entry takes about 200 bytes.
 constexpr std::size_t kMaxPromptCacheEntries = 20000;
-/// Limits of all buffered responses. Buffers may be twice as large as what they
-/// hold; the smallest VMs have 160 MB. One service, whose backend servers may
-/// all send without end, leaves half to the others.
-constexpr ByteLimits kResponseBufferLimits = {
-    .total = 32U << 20U, .group = 16U << 20U, .free_size = 64U << 10U};
+/// Shares of the memory for buffered responses and for bodies of requests. Both
+/// may take twice as much as they hold, in copies and spare room. One service,
+/// whose backend servers may all send without end, leaves half of the response
+/// buffers to the others.
+constexpr std::size_t kResponseDivisor = 8;
+constexpr std::size_t kRequestDivisor = 20;
+/// Size up to which a body needs no room.
+constexpr std::size_t kFreeBodyBytes = 64U << 10U;
 /// Calls that may be queued for a backend server.
 constexpr std::size_t kMaxQueuedCalls = 2000;
 /// Process count assumed before the first one is known, so that shares are
@@ -45,6 +48,20 @@
 /// are left when one domain is lost.
 constexpr std::size_t kDomainCollectors = 5;
 
+std::size_t MemoryBytes(const GatewayOptions& options) {
+  return static_cast<std::size_t>(options.memory_mb) << 20U;
+}
+
+ByteLimits ResponseLimits(const GatewayOptions& options) {
+  const std::size_t total = MemoryBytes(options) / kResponseDivisor;
+  return {.total = total, .group = total / 2, .free_size = kFreeBodyBytes};
+}
+
+ByteLimits RequestLimits(const GatewayOptions& options) {
+  const std::size_t total = MemoryBytes(options) / kRequestDivisor;
+  return {.total = total, .group = total, .free_size = kFreeBodyBytes};
+}
+
 }  // namespace
 
 GatewayContext::GatewayContext(EventLoop* event_loop,
@@ -122,7 +139,8 @@
           }),
       queue(kMaxQueuedCalls),
       retry_after_scheduler(SeededRandom()),
-      response_buffers(kResponseBufferLimits),
+      response_buffers(ResponseLimits(options)),
+      request_bodies(RequestLimits(options)),
       connections(event_loop),
       placement({.registry = &registry,
                  .loads = &loads,
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -58,6 +58,9 @@
   state::LapseTimes lapse_times;
   /// File descriptors that the process may have open.
   int max_descriptors = 4096;
+  /// Memory that the process may use, in megabytes; sets the limits of its
+  /// buffers.
+  int memory_mb = 256;
 };
 
 /// Makes the quarantine of requests known to all gateways, those that start
@@ -154,6 +157,8 @@
   coordination::RetryAfterScheduler retry_after_scheduler;
   /// Responses that are buffered until they are complete.
   ByteBudget response_buffers;
+  /// Bodies of requests, from the first byte to the end of the call.
+  ByteBudget request_bodies;
   BackendPool connections;
   coordination::BackendPlacement placement;
   Metrics metrics;
--- a/tests/gateway/request_framing_test.cc
+++ b/tests/gateway/request_framing_test.cc
@@ -1,4 +1,5 @@
 // Requests of callers that break off.
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "fakes/gateway_fixture.h"
@@ -34,5 +35,59 @@
   CHECK(backend.Requests().front().body == "abcde");
 }
 
+TEST_CASE("bodies of requests that find no room are refused before they come") {
+  constexpr int callers = 20;
+  constexpr std::size_t body_bytes = 1U << 20U;
+  // Room for a tenth of it and one body more.
+  constexpr int memory_mb = 64;
+  constexpr std::size_t most_bytes = (memory_mb << 20U) / 10 + body_bytes;
+  auto options = GatewayFixture::DefaultOptions();
+  options.memory_mb = memory_mb;
+  GatewayFixture fixture(options);
+  fixture.AddBackend("b", [](const ScriptedBackend::Received& call) {
+    call.session->Write(
+        PlainAnswer(*call.head.headers.Find("Attempt"), 200, "served"));
+  });
+  const bool has_length = GENERATE(true, false);
+  const std::string framing =
+      has_length ? "Content-Length: " + std::to_string(body_bytes)
+                 : "Transfer-Encoding: chunked";
+  const std::string body(body_bytes, 'x');
+  const std::string begun =
+      has_length ? body.substr(1) : "100000\r\n" + body.substr(1);
+  const std::string rest = has_length ? "x" : "x\r\n0\r\n\r\n";
+  std::vector<TestClient*> clients;
+  for (int i = 0; i < callers; ++i) {
+    clients.push_back(&fixture.Connect());
+    clients.back()->Send("POST /once/x HTTP/1.1\r\nHost: host\r\nAttempt: a" +
+                         std::to_string(i) + "\r\n" + framing + "\r\n\r\n");
+  }
+  fixture.RunFor(milliseconds(50));
+  for (TestClient* client : clients) {
+    if (client->Status() == 0) client->Send(begun);
+  }
+  fixture.RunFor(milliseconds(100));
+  CHECK(fixture.context.request_bodies.Used() <= most_bytes);
+  int accepted = 0;
+  for (TestClient* client : clients) {
+    if (client->Status() == 0) {
+      ++accepted;
+      client->Send(rest);
+      continue;
+    }
+    CHECK(client->Status() == 503);
+    CHECK(client->Has("Retry-After"));
+  }
+  CHECK(accepted >= 2);
+  CHECK(accepted < callers);
+  REQUIRE(fixture.RunUntil([&] {
+    return std::ranges::count_if(clients, [](const TestClient* client) {
+             return client->Has("served");
+           }) == accepted;
+  }));
+  REQUIRE(fixture.RunUntil(
+      [&] { return fixture.context.request_bodies.Used() == 0; }));
+}
+
 }  // namespace
 }  // namespace wasabiwall::fakes
