--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -375,6 +375,7 @@
     m_waits_for_room = false;
     if (m_reading_paused || !m_connection) return;
     m_connection->ResumeReading();
+    if (m_reply.IsEventStream()) StartIdleTimer();
   });
 }
 
