--- a/tests/gateway/registry_order_test.cc
+++ b/tests/gateway/registry_order_test.cc
@@ -85,11 +85,11 @@
     return m_life;
   }
 
-  const Write& AnyOf(const std::vector<Write>& writes) {
+  Write AnyOf(const std::vector<Write>& writes) {
     return writes[m_random() % writes.size()];
   }
 
-  void Deliver(const Write& write) {
+  void Deliver(Write write) {
     m_delivered.push_back(write);
     BackendServer server;
     server.id = kId;
