--- a/src/wasabiwall/state/backend_registry.h
+++ b/src/wasabiwall/state/backend_registry.h
@@ -25,6 +25,8 @@
   /// `ip:port`.
   std::string address;
   FailureDomainId failure_domain;
+  /// Version of its software; empty if unknown.
+  std::string version;
   int capacity = 0;
   bool draining = false;
   /// Start time in Unix milliseconds, which distinguishes incarnations with the
