Exchange: split one attempt at one backend server into a class of its own

The class Attempt now owns the connection, the connect and idle timers, the response reader and the entries in the gateway's tables for one send. It reports what happens through hooks that name the attempt; the exchange decides what the call does next. A stream that resumes at another backend server copies the last event identifier from the reader of the attempt before (ReplyReader::ContinueAfter).

No change of behaviour, with one exception without effect for callers: whether reading is paused for a slow caller is kept for each attempt. A new attempt that waits for room in the buffers while the caller is behind reads one more event once there is room, and then pauses.

--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -9,7 +9,6 @@
 #include "wasabiwall/transport/forwarded_request.h"
 #include "wasabiwall/transport/local_reply.h"
 #include "wasabiwall/transport/logging.h"
-#include "wasabiwall/transport/server_notices.h"
 
 namespace wasabiwall::transport {
 namespace {
@@ -43,19 +42,6 @@
   return std::chrono::duration_cast<milliseconds>(time);
 }
 
-std::vector<LogField> LogFieldsOf(const coordination::Placement& placement) {
-  return {
-      {"backend", placement.server.id.value},
-      {"address", placement.server.address},
-      {"load", std::to_string(placement.load)},
-      {"mean_load", std::to_string(placement.mean_load)},
-      {"load_bound", std::to_string(placement.load_bound)},
-      {"rank", std::to_string(placement.rank)},
-      {"fetch_from",
-       placement.fetch_from ? placement.fetch_from->id.value : "-"},
-  };
-}
-
 }  // namespace
 
 Exchange::Exchange(GatewayContext* context, GatewayRequest request,
@@ -67,10 +53,8 @@
                  m_request.received),
       m_on_end(std::move(on_end)),
       m_deadline_timer(context->loop),
-      m_attempt_timer(context->loop),
       m_quarantine(context),
-      m_holder_lookup(context),
-      m_reply(&context->response_buffers) {}
+      m_holder_lookup(context) {}
 
 void Exchange::Start() {
   if (m_ended) return;
@@ -113,8 +97,6 @@
     return;
   }
   m_quarantine.Start(m_request.head, m_request.body, m_call);
-  const bool resumes = m_request.head.headers.Find(kLastEventId) != nullptr;
-  m_reply.StartCall(m_call.IsStream(), resumes);
   m_deadline_timer.Start(TimeLeft(), [this] { OnDeadline(); });
   m_context->RetryBudgetFor(m_call.service->id).OnFirstAttempt();
   const bool asks_for_holders = m_holder_lookup.Start(
@@ -239,289 +221,173 @@
 
 void Exchange::StartAttempt(coordination::Placement placement) {
   m_waiter_id = 0;
-  const state::BackendServer& server = placement.server;
-  m_tried_servers.push_back(server.id);
-  m_reply.StartAttempt(m_call.service->id.value);
-  m_waits_for_room = false;
-  m_attempt_has_events = false;
-  std::vector<LogField> fields = {
-      {"id", m_call.metadata.attempt_id},
-      {"part", std::to_string(m_call.metadata.shared_part)},
-      {"shared_tokens", std::to_string(m_call.metadata.shared_tokens)}};
-  std::ranges::move(m_context->RegistryLogFields(server.id),
-                    std::back_inserter(fields));
-  std::ranges::move(LogFieldsOf(placement), std::back_inserter(fields));
-  LogInfo("backend_selected", fields);
-  m_context->loads.OnSent(server.id);
-  m_context->health.OnSent(server.id, m_context->loop->Now());
-  m_context->cold_starts.OnSent(server.id, m_context->loop->Now());
-  m_context->hold_offs.OnSent(server, m_context->loop->Now());
+  const state::BackendServerId id = placement.server.id;
+  m_tried_servers.push_back(id);
   // A copy of the response to an earlier send of this call would be taken for
   // the response to this one.
-  const bool is_repeat = !m_contacted_servers.insert(server.id).second;
-  m_connection = m_context->connections.Acquire(
-      server,
+  const bool is_repeat = !m_contacted_servers.insert(id).second;
+  const bool caller_resumes =
+      m_request.head.headers.Find(kLastEventId) != nullptr;
+  const auto attempt = std::make_shared<Attempt>(
+      m_context, &m_call, std::move(placement), AttemptHooks());
+  attempt->SetStreamStart(caller_resumes, m_attempt.get());
+  m_attempt = attempt;
+  attempt->Start(
+      m_request.head.method != "HEAD",
       is_repeat ? BackendPool::kNewConnection : Policy().MaxConnectionIdle());
-  m_placement = std::move(placement);
-  if (!m_connection->IsConnected()) {
-    m_attempt_timer.Start(Policy().ConnectTimeout(),
-                          [this] { OnConnectTimeout(); });
-  }
+}
+
+Attempt::Hooks Exchange::AttemptHooks() {
   const auto guarded = [this](auto method) {
-    return [this, method] {
+    return [this, method](Attempt& attempt) {
       const auto self = shared_from_this();
-      (this->*method)();
+      (this->*method)(attempt);
     };
   };
-  m_connection->Send(
-      [this] { return EncodeRequest(); }, m_request.head.method != "HEAD",
-      {.belongs_to_call =
-           [this](const MessageHead& head) {
-             const auto reply = m_context->codec.decode_reply(head);
-             return reply.attempt_id == m_call.metadata.attempt_id ||
-                    (reply.attempt_id.empty() && !IsSuccess(head.status));
-           },
-       .on_head =
-           [this](MessageHead head) {
-             const auto self = shared_from_this();
-             OnReplyHead(std::move(head));
-           },
-       .on_body =
-           [this](std::string_view data) {
-             const auto self = shared_from_this();
-             OnReplyBody(data);
-           },
-       .on_complete = guarded(&Exchange::OnReplyComplete),
-       .on_failed = guarded(&Exchange::OnAttemptFailed)});
-}
-
-std::string Exchange::EncodeRequest() {
+  return {
+      .encode_request =
+          [this](Attempt& attempt) { return EncodeRequest(attempt); },
+      .may_run_again = [this] { return Policy().MayRunAgain(m_counts); },
+      .on_events =
+          [this](Attempt& attempt, const std::string& events) {
+            const auto self = shared_from_this();
+            OnEvents(attempt, events);
+          },
+      .on_complete = guarded(&Exchange::OnReplyComplete),
+      .on_failed = guarded(&Exchange::OnAttemptFailed),
+      .on_too_large = guarded(&Exchange::OnReplyTooLarge),
+      .on_connect_timeout = guarded(&Exchange::OnConnectTimeout),
+      .on_idle_timeout = guarded(&Exchange::OnIdleTimeout),
+  };
+}
+
+std::string Exchange::EncodeRequest(const Attempt& attempt) {
   // The connection may have taken a while to open.
-  m_is_withdrawn = m_quarantine.IsWithdrawn();
-  if (m_is_withdrawn) return "";
+  if (m_quarantine.IsWithdrawn()) return "";
   ++m_counts.sends;
   ++m_counts.runs;
-  m_sent_at = m_context->loop->Now();
-  StartIdleTimer();
   ForwardedCall call{.time_left = std::max(milliseconds{1}, TimeLeft()),
-                     .backend_server = m_placement->server.id,
+                     .backend_server = attempt.Server().id,
                      .priority = m_call.Priority()};
   if (m_call.workspace != nullptr) call.workspace = m_call.workspace->id;
-  call.last_event_id = m_reply.LastEventId();
-  if (m_placement->fetch_from) {
-    call.fetch_from = m_placement->fetch_from->address;
+  call.last_event_id = attempt.Reply().LastEventId();
+  if (const auto& holder = attempt.Placement().fetch_from) {
+    call.fetch_from = holder->address;
   }
   return EncodeForwardedRequest(m_request.head, m_request.body, call,
                                 m_context->codec);
 }
 
-void Exchange::StartIdleTimer() {
-  m_attempt_timer.Stop();
-  const bool is_stream = m_call.IsStream();
-  if (!is_stream && !Policy().MayRunAgain(m_counts)) return;
-  const auto idle_timeout = Policy().AttemptIdleTimeout(m_reply.HasStarted());
-  m_attempt_timer.Start(idle_timeout, [this] {
-    const auto self = shared_from_this();
-    OnIdleTimeout();
-  });
-}
-
-void Exchange::OnReplyHead(MessageHead head) {
-  const auto now = m_context->loop->Now();
-  ReplyMetadata metadata = m_context->codec.decode_reply(head);
-  m_reply.OnHead(std::move(head), std::move(metadata));
-  const ReplyMetadata& reply = m_reply.Metadata();
-  // Without the call's identifier, a late copy could not be told from the
-  // response to a later call on this connection.
-  if (reply.attempt_id.empty()) m_connection->CloseAfterResponse();
-  m_context->failure_domains.OnAnswer(m_placement->server.failure_domain, now);
-  ApplyServerNotices(*m_placement, reply, m_call.metadata.attempt_id,
-                     m_context);
-  if (!m_reply.IsEventStream()) return;
-  if (m_call.metadata.shared_part != 0) {
-    m_context->prompt_directory.OnRead(m_call.metadata.shared_part,
-                                       m_placement->server.id, now);
-  }
-  StartIdleTimer();
-}
-
-void Exchange::OnReplyBody(std::string_view data) {
-  std::string events;
-  if (!m_reply.OnBody(data, &events)) {
-    AbortAttempt(HealthSignal::kFailed);
-    Fail({ErrorKind::kAnswerCut, "answer too large", {}});
-    return;
-  }
-  if (!m_reply.HasRoom()) WaitForRoom();
-  if (events.empty()) return;
+void Exchange::OnEvents(Attempt& attempt, const std::string& events) {
   // A backend server that sends nothing else may have stalled.
-  if (protocol::HasContent(events)) OnEvents();
-  ForwardEvents(events);
-}
-
-void Exchange::WaitForRoom() {
-  if (!std::exchange(m_waits_for_room, true)) {
-    LogInfo(
-        "response_waits_for_room",
-        {{"id", m_call.metadata.attempt_id},
-         {"backend", m_placement->server.id.value},
-         {"buffered_bytes", std::to_string(m_context->response_buffers.Used())},
-         {"waiting", std::to_string(m_context->response_buffers.Waiting())}});
-  }
-  // The backend server is not silent, it is not read.
-  m_attempt_timer.Stop();
-  m_connection->PauseReading();
-  m_reply.WaitForRoom([this] {
-    m_waits_for_room = false;
-    if (m_reading_paused || !m_connection) return;
-    m_connection->ResumeReading();
-    if (m_reply.IsEventStream()) StartIdleTimer();
-  });
-}
-
-void Exchange::OnEvents() {
-  const auto now = m_context->loop->Now();
-  const state::BackendServerId& id = m_placement->server.id;
-  const auto gap = m_response.OnEvents(m_call.WorkspaceName());
-  if (std::exchange(m_attempt_has_events, true)) {
-    if (gap) m_context->event_intervals.OnEvent(id, *gap, now);
-  } else {
-    m_context->health.OnAnswerBegun(id, now);
+  if (protocol::HasContent(events)) {
+    attempt.OnProgress(m_response.OnEvents(m_call.WorkspaceName()));
   }
-  StartIdleTimer();
-}
-
-void Exchange::ForwardEvents(const std::string& events) {
-  if (!m_response.HasBegun()) WriteHead(std::nullopt);
+  if (!m_response.HasBegun()) WriteHead(attempt.Reply(), std::nullopt);
   m_response.Write(EncodeChunk(events));
-  if (m_ended || !m_response.IsBehind()) return;
-  m_reading_paused = true;
-  m_connection->PauseReading();
+  if (!m_ended && m_response.IsBehind()) attempt.PauseReading();
 }
 
 void Exchange::OnOutputDrained() {
-  if (!std::exchange(m_reading_paused, false)) return;
-  if (m_connection && !m_waits_for_room) m_connection->ResumeReading();
+  if (m_attempt) m_attempt->ResumeReading();
 }
 
-void Exchange::CountResponse(const char* end) {
-  m_context->metrics.CountBackendResponse(m_reply.FramingName(), end);
+void Exchange::OnReplyTooLarge(Attempt& attempt) {
+  attempt.Abort(HealthSignal::kFailed);
+  Fail({ErrorKind::kAnswerCut, "answer too large", {}});
 }
 
-void Exchange::OnReplyComplete() {
-  m_reply.OnMessageEnd();
-  const char* truncation = m_reply.TruncationReason();
-  CountResponse(truncation != nullptr ? truncation : "complete");
-  const ReplyMetadata& reply = m_reply.Metadata();
-  if (reply.wrong_backend) {
-    m_context->crash_monitor.OnGone(m_placement->server.id);
-  }
-  if (reply.not_run) {
-    EndAttempt(reply.wrong_backend ? HealthSignal::kReplaced
-                                   : HealthSignal::kRefused);
+void Exchange::OnReplyComplete(Attempt& attempt) {
+  const ReplyReader& reply = attempt.Reply();
+  const char* truncation = reply.TruncationReason();
+  attempt.CountResponse(truncation != nullptr ? truncation : "complete");
+  const bool wrong_backend = reply.Metadata().wrong_backend;
+  if (wrong_backend) m_context->crash_monitor.OnGone(attempt.Server().id);
+  if (reply.Metadata().not_run) {
+    attempt.End(wrong_backend ? HealthSignal::kReplaced
+                              : HealthSignal::kRefused);
     --m_counts.runs;
-    RetryOrFail(
-        true, ErrorKind::kOverloaded,
-        reply.wrong_backend ? "backend_replaced" : "refused_by_backend");
+    RetryOrFail(attempt, true, ErrorKind::kOverloaded,
+                wrong_backend ? "backend_replaced" : "refused_by_backend");
     return;
   }
   if (truncation != nullptr) {
-    m_quarantine.OnBroken(m_placement->server);
-    EndAttempt(HealthSignal::kFailed);
-    RetryOrFail(false, ErrorKind::kAnswerCut, truncation);
+    m_quarantine.OnBroken(attempt.Server());
+    attempt.End(HealthSignal::kFailed);
+    RetryOrFail(attempt, false, ErrorKind::kAnswerCut, truncation);
     return;
   }
-  m_quarantine.OnAnswered(m_reply.Head().status, m_sent_at);
-  const bool failed = m_reply.Head().status >= kFirstServerError;
-  EndAttempt(failed ? HealthSignal::kFailed : HealthSignal::kAnswered);
-  if (m_reply.IsEventStream()) {
-    FinishStream();
+  m_quarantine.OnAnswered(reply.Head().status, attempt.SentAt());
+  const bool failed = reply.Head().status >= kFirstServerError;
+  attempt.End(failed ? HealthSignal::kFailed : HealthSignal::kAnswered);
+  if (reply.IsEventStream()) {
+    FinishStream(reply);
     return;
   }
   if (m_response.HasBegun() || (failed && Policy().MayRunAgain(m_counts))) {
-    RetryOrFail(false, ErrorKind::kBackendServerFailed,
+    RetryOrFail(attempt, false, ErrorKind::kBackendServerFailed,
                 failed ? "error_answer" : "no_event_stream");
     return;
   }
-  WriteBufferedReply();
+  WriteBufferedReply(reply);
 }
 
-void Exchange::OnAttemptFailed() {
-  if (std::exchange(m_is_withdrawn, false)) {
-    EndAttempt(HealthSignal::kRefused);
+void Exchange::OnAttemptFailed(Attempt& attempt) {
+  if (attempt.IsWithdrawn()) {
+    attempt.End(HealthSignal::kRefused);
     Place();
     return;
   }
-  if (!m_connection->HasSent()) {
-    EndAttempt(HealthSignal::kUnreachable);
+  if (!attempt.HasSent()) {
+    attempt.End(HealthSignal::kUnreachable);
     ++m_counts.unreachable;
-    RetryOrFail(true, ErrorKind::kNoBackendServer, "unreachable");
+    RetryOrFail(attempt, true, ErrorKind::kNoBackendServer, "unreachable");
     return;
   }
   // An idle connection may have been dropped by the peer without notice.
-  const bool has_started = m_reply.HasStarted();
-  const bool stale = m_connection->WasUsedBefore() && !has_started;
-  CountResponse("connection_broken");
-  m_quarantine.OnBroken(m_placement->server);
-  EndAttempt(stale ? HealthSignal::kRefused : HealthSignal::kFailed);
-  RetryOrFail(
-      false,
-      has_started ? ErrorKind::kAnswerCut : ErrorKind::kBackendServerCrashed,
-      stale ? "idle_connection_dropped" : "connection_broken");
-}
-
-void Exchange::OnConnectTimeout() {
-  const auto self = shared_from_this();
-  const state::BackendServer& server = m_placement->server;
+  const bool stale = attempt.IsStale();
+  attempt.CountResponse("connection_broken");
+  m_quarantine.OnBroken(attempt.Server());
+  attempt.End(stale ? HealthSignal::kRefused : HealthSignal::kFailed);
+  RetryOrFail(attempt, false,
+              attempt.Reply().HasStarted() ? ErrorKind::kAnswerCut
+                                           : ErrorKind::kBackendServerCrashed,
+              stale ? "idle_connection_dropped" : "connection_broken");
+}
+
+void Exchange::OnConnectTimeout(Attempt& attempt) {
+  const state::BackendServer& server = attempt.Server();
   m_silent_domains.push_back(server.failure_domain);
   m_context->failure_domains.OnConnectTimeout(server, m_context->loop->Now());
-  AbortAttempt(HealthSignal::kUnreachable);
+  attempt.Abort(HealthSignal::kUnreachable);
   ++m_counts.unreachable;
-  RetryOrFail(true, ErrorKind::kNoBackendServer, "connect_timeout");
+  RetryOrFail(attempt, true, ErrorKind::kNoBackendServer, "connect_timeout");
 }
 
-void Exchange::OnIdleTimeout() {
+void Exchange::OnIdleTimeout(Attempt& attempt) {
   const bool will_retry = Policy().MayRunAgain(m_counts) &&
                           Policy().MayRetry(m_counts, false, TimeLeft()) &&
                           TakeRetryToken();
-  const state::BackendServerId id = m_placement->server.id;
+  const state::BackendServerId& id = attempt.Server().id;
   // The duration of plain calls varies too much for one call that times out to
   // indicate a failing backend server.
   const bool is_ejected =
       m_call.IsStream() && m_context->health.OnResponseTimeout(
-                               id, m_sent_at, m_context->loop->Now());
+                               id, attempt.SentAt(), m_context->loop->Now());
   LogInfo("attempt_idle_timeout",
           {{"id", m_call.metadata.attempt_id},
            {"backend", id.value},
-           {"begun", m_reply.HasStarted() ? "true" : "false"},
+           {"begun", attempt.Reply().HasStarted() ? "true" : "false"},
            {"spared", is_ejected ? "true" : "false"},
            {"repeats", will_retry ? "true" : "false"}});
   if (!will_retry) return;
-  AbortAttempt(m_call.IsStream() ? HealthSignal::kRefused
-                                 : HealthSignal::kFailed);
+  attempt.Abort(m_call.IsStream() ? HealthSignal::kRefused
+                                  : HealthSignal::kFailed);
   Place();
 }
 
-void Exchange::EndAttempt(HealthSignal signal) {
-  m_attempt_timer.Stop();
-  const auto connection = std::exchange(m_connection, nullptr);
-  if (!connection) return;
-  const state::BackendServerId& id = connection->Server().id;
-  m_context->loads.OnFinished(id);
-  if (m_context->health.OnSignal(id, signal, m_context->loop->Now())) {
-    LogWarn("backend_ejected",
-            {{"backend", id.value},
-             {"id", m_call.metadata.attempt_id},
-             {"failure_share",
-              std::to_string(m_context->health.FailureShare(id))}});
-  }
-  m_context->connections.Release(connection);
-}
-
 void Exchange::AbortAttempt(HealthSignal signal) {
-  if (!m_connection) return;
-  m_connection->Close();
-  EndAttempt(signal);
+  if (m_attempt) m_attempt->Abort(signal);
 }
 
 bool Exchange::TakeRetryToken() {
@@ -529,53 +395,56 @@
          m_context->RetryBudgetFor(m_call.service->id).Take();
 }
 
-void Exchange::RetryOrFail(bool not_run, ErrorKind kind, const char* reason) {
+void Exchange::RetryOrFail(const Attempt& attempt, bool not_run, ErrorKind kind,
+                           const char* reason) {
+  const ReplyReader& reply = attempt.Reply();
   const bool will_retry =
       Policy().MayRetry(m_counts, not_run, TimeLeft()) && TakeRetryToken();
   std::vector<LogField> fields = {
       {"id", m_call.metadata.attempt_id},
-      {"backend", m_placement->server.id.value},
+      {"backend", attempt.Server().id.value},
       {"fingerprint", m_quarantine.Fingerprint()},
       {"reason", reason},
       {"not_run", not_run ? "true" : "false"},
       {"repeats", will_retry ? "true" : "false"},
       {"left_ms", std::to_string(TimeLeft().count())}};
-  std::ranges::move(m_reply.LogFields(), std::back_inserter(fields));
+  std::ranges::move(reply.LogFields(), std::back_inserter(fields));
   LogInfo("attempt_failed", fields);
   if (will_retry) {
     Place();
     return;
   }
-  if (m_reply.IsCompletePlain() && !not_run && !m_response.HasBegun() &&
-      m_reply.Head().status >= kFirstServerError) {
-    WriteBufferedReply();
+  if (reply.IsCompletePlain() && !not_run && !m_response.HasBegun() &&
+      reply.Head().status >= kFirstServerError) {
+    WriteBufferedReply(reply);
     return;
   }
   Refuse(kind, reason);
 }
 
-void Exchange::WriteHead(std::optional<std::size_t> length) {
-  m_response.WriteHead(m_reply.Head(), length, m_call.WorkspaceName());
+void Exchange::WriteHead(const ReplyReader& reply,
+                         std::optional<std::size_t> length) {
+  m_response.WriteHead(reply.Head(), length, m_call.WorkspaceName());
 }
 
-void Exchange::WriteBufferedReply() {
-  WriteHead(m_reply.Body().size());
+void Exchange::WriteBufferedReply(const ReplyReader& reply) {
+  WriteHead(reply, reply.Body().size());
   if (m_ended) return;
-  m_response.Write(m_reply.Body());
-  FinishAnswered();
+  m_response.Write(reply.Body());
+  FinishAnswered(reply);
 }
 
-void Exchange::FinishStream() {
-  if (!m_response.HasBegun()) WriteHead(std::nullopt);
+void Exchange::FinishStream(const ReplyReader& reply) {
+  if (!m_response.HasBegun()) WriteHead(reply, std::nullopt);
   if (m_ended) return;
-  const std::string& rest = m_reply.Rest();
+  const std::string& rest = reply.Rest();
   std::string bytes = rest.empty() ? "" : EncodeChunk(rest);
   m_response.Write(bytes.append(kLastChunk));
-  FinishAnswered();
+  FinishAnswered(reply);
 }
 
-void Exchange::FinishAnswered() {
-  Finish(End::kComplete, "answered_" + std::to_string(m_reply.Head().status));
+void Exchange::FinishAnswered(const ReplyReader& reply) {
+  Finish(End::kComplete, "answered_" + std::to_string(reply.Head().status));
 }
 
 void Exchange::Fail(protocol::Error error) {
@@ -600,8 +469,8 @@
   if (m_waiter_id != 0) {
     m_context->queue.Remove(std::exchange(m_waiter_id, 0));
   }
-  AbortAttempt(m_reply.HasStarted() ? HealthSignal::kRefused
-                                    : HealthSignal::kFailed);
+  const bool has_started = m_attempt && m_attempt->Reply().HasStarted();
+  AbortAttempt(has_started ? HealthSignal::kRefused : HealthSignal::kFailed);
   Fail({m_counts.runs > 0 ? ErrorKind::kDeadlineExceeded
                           : ErrorKind::kDeadlineTooShort,
         "",
@@ -626,7 +495,6 @@
 void Exchange::Finish(End end, const std::string& outcome) {
   if (std::exchange(m_ended, true)) return;
   m_deadline_timer.Stop();
-  m_attempt_timer.Stop();
   m_quarantine.OnEnded(m_counts.runs > 0);
   m_holder_lookup.Cancel();
   if (m_waiter_id != 0) m_context->queue.Remove(std::exchange(m_waiter_id, 0));
@@ -651,7 +519,9 @@
       {"total_ms",
        std::to_string(ToMilliseconds(now - m_request.received).count())}};
   std::ranges::move(m_response.LogFields(), std::back_inserter(fields));
-  std::ranges::move(m_reply.LogFields(), std::back_inserter(fields));
+  const ReplyReader none(&m_context->response_buffers);
+  const ReplyReader& reply = m_attempt ? m_attempt->Reply() : none;
+  std::ranges::move(reply.LogFields(), std::back_inserter(fields));
   LogInfo("call", fields);
   m_on_end(end);
 }
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -10,11 +10,11 @@
 
 #include "wasabiwall/coordination/attempt_policy.h"
 #include "wasabiwall/protocol/error_kind.h"
+#include "wasabiwall/transport/attempt.h"
 #include "wasabiwall/transport/caller_response.h"
 #include "wasabiwall/transport/gateway_context.h"
 #include "wasabiwall/transport/prompt_holder_lookup.h"
 #include "wasabiwall/transport/quarantine_guard.h"
-#include "wasabiwall/transport/reply_reader.h"
 #include "wasabiwall/transport/resolved_call.h"
 
 namespace wasabiwall::transport {
@@ -97,38 +97,32 @@
 
   // One attempt.
   void StartAttempt(coordination::Placement placement);
-  /// Counts the send, starts the idle timer and encodes the request.
+  Attempt::Hooks AttemptHooks();
+  /// Counts the send and encodes the request.
   /// @return Nothing to send if the request has been quarantined meanwhile.
-  std::string EncodeRequest();
-  void OnReplyHead(MessageHead head);
-  void OnReplyBody(std::string_view data);
-  /// Stops reading until other calls have left room for the response.
-  void WaitForRoom();
-  void OnReplyComplete();
-  void OnAttemptFailed();
-  void OnConnectTimeout();
-  void OnIdleTimeout();
-  void StartIdleTimer();
-  /// Counts a response of a backend server by how it ended.
-  void CountResponse(const char* end);
-  void EndAttempt(coordination::HealthSignal signal);
+  std::string EncodeRequest(const Attempt& attempt);
+  void OnEvents(Attempt& attempt, const std::string& events);
+  void OnReplyComplete(Attempt& attempt);
+  void OnAttemptFailed(Attempt& attempt);
+  void OnReplyTooLarge(Attempt& attempt);
+  void OnConnectTimeout(Attempt& attempt);
+  void OnIdleTimeout(Attempt& attempt);
+  /// Aborts the attempt that is running, if there is one.
   void AbortAttempt(coordination::HealthSignal signal);
 
   // After an attempt.
-  void RetryOrFail(bool not_run, protocol::ErrorKind kind, const char* reason);
+  void RetryOrFail(const Attempt& attempt, bool not_run,
+                   protocol::ErrorKind kind, const char* reason);
   /// Takes a retry from the service's budget; a call that has not been sent yet
   /// needs none.
   bool TakeRetryToken();
 
   // Response to the caller.
-  /// Records that events of a stream have arrived.
-  void OnEvents();
-  void ForwardEvents(const std::string& events);
   /// Writes the head of the backend server's response.
-  void WriteHead(std::optional<std::size_t> length);
-  void WriteBufferedReply();
-  void FinishStream();
-  void FinishAnswered();
+  void WriteHead(const ReplyReader& reply, std::optional<std::size_t> length);
+  void WriteBufferedReply(const ReplyReader& reply);
+  void FinishStream(const ReplyReader& reply);
+  void FinishAnswered(const ReplyReader& reply);
   void Fail(protocol::Error error);
   void OnDeadline();
   void Finish(End end, const std::string& outcome);
@@ -141,31 +135,18 @@
   std::function<void(End)> m_on_end;
   ResolvedCall m_call;
   Timer m_deadline_timer;
-  Timer m_attempt_timer;
   QuarantineGuard m_quarantine;
   PromptHolderLookup m_holder_lookup;
   coordination::AdmissionQueue::WaiterId m_waiter_id = 0;
 
-  std::shared_ptr<BackendConnection> m_connection;
-  std::optional<coordination::Placement> m_placement;
+  /// The latest attempt; stays after its end until the next one starts.
+  std::shared_ptr<Attempt> m_attempt;
   std::vector<state::BackendServerId> m_tried_servers;
   /// Backend servers to which the call was sent, those before a wait too.
   std::set<state::BackendServerId> m_contacted_servers;
   std::vector<state::FailureDomainId> m_silent_domains;
   coordination::AttemptCounts m_counts;
-  ReplyReader m_reply;
-
-  /// Whether the caller's socket is behind.
-  bool m_reading_paused = false;
-  /// Whether the response waits for room in the buffers.
-  bool m_waits_for_room = false;
   bool m_ended = false;
-  /// Whether the attempt ended unsent because of the quarantine.
-  bool m_is_withdrawn = false;
-  /// When the request was last written to a backend server.
-  coordination::TimePoint m_sent_at;
-  /// Whether the current backend server has sent an event of the stream.
-  bool m_attempt_has_events = false;
 };
 
 }  // namespace wasabiwall::transport
--- a/src/wasabiwall/transport/reply_reader.cc
+++ b/src/wasabiwall/transport/reply_reader.cc
@@ -17,6 +17,12 @@
   m_resumes = resumes;
 }
 
+void ReplyReader::ContinueAfter(const ReplyReader& earlier) {
+  m_resumes = earlier.m_resumes;
+  m_events = earlier.m_events;
+  m_events.DropPartialEvent();
+}
+
 void ReplyReader::StartAttempt(const std::string& group) {
   m_head.reset();
   m_metadata = {};
--- a/src/wasabiwall/transport/reply_reader.h
+++ b/src/wasabiwall/transport/reply_reader.h
@@ -29,6 +29,9 @@
   /// part.
   void StartCall(bool expects_stream, bool resumes);
 
+  /// Continues the stream after the last event of an earlier reader.
+  void ContinueAfter(const ReplyReader& earlier);
+
   /// Drops the response of the attempt before; keeps the last event identifier.
   /// @param group Group of calls that shares the limit of its buffers.
   void StartAttempt(const std::string& group);
