A planned stop delivers responses that callers still read

A connection with bytes of a response that its caller's socket had not taken counted as idle. CloseIdle dropped the bytes 2.5 s after SIGTERM, FinishStopIfDrained ended the process, the idle timeout and EvictIdle closed such connections while their callers were reading, and a connection that was to be closed after its response left the gateway's list before it was delivered.

Such a connection is now busy until the bytes are taken, also when it closes after the response; while stopping it is closed as soon as they are. A timeout that expires meanwhile starts anew if the caller has acknowledged bytes since. The stop timeout still ends the wait.

--- a/src/wasabiwall/transport/client_connection.cc
+++ b/src/wasabiwall/transport/client_connection.cc
@@ -50,15 +50,13 @@
           .on_connected = nullptr,
           .on_data = [this](std::string_view data) { OnData(data); },
           .on_end = [this](ConnectionEnd) { OnEnd(); },
-          .on_drained =
-              [this] {
-                if (m_exchange) m_exchange->OnOutputDrained();
-              }});
+          .on_drained = [this] { OnDrained(); }});
   StartReadTimer();
 }
 
 bool ClientConnection::IsBusy() const {
-  return m_exchange || m_parser.InMessage() || !m_pipelined.empty();
+  return m_exchange || m_parser.InMessage() || !m_pipelined.empty() ||
+         IsDelivering();
 }
 
 void ClientConnection::CloseIfIdle() {
@@ -72,7 +70,7 @@
 
 void ClientConnection::OnData(std::string_view data) {
   const auto self = shared_from_this();
-  if (m_rejected) return;
+  if (m_rejected || m_closes_when_delivered) return;
   if (!m_exchange) {
     Parse(data);
     return;
@@ -186,8 +184,7 @@
   m_body_share.Resize(0);
   if (m_closed) return;
   if (!m_keep_alive || m_context->stopping) {
-    m_tcp->CloseAfterWrites();
-    NotifyClosed();
+    CloseWhenDelivered();
     return;
   }
   StartReadTimer();
@@ -197,6 +194,31 @@
   if (!pipelined.empty()) Parse(pipelined);
 }
 
+void ClientConnection::OnDrained() {
+  const auto self = shared_from_this();
+  if (m_exchange) {
+    m_exchange->OnOutputDrained();
+    return;
+  }
+  const bool is_closing =
+      m_closes_when_delivered || m_context->stop_deadline.has_value();
+  if (is_closing && !IsBusy()) {
+    Close();
+    return;
+  }
+  // The idle time begins once the response is delivered.
+  if (!IsBusy() && !m_rejected) StartReadTimer();
+}
+
+void ClientConnection::CloseWhenDelivered() {
+  m_closes_when_delivered = true;
+  if (IsDelivering()) {
+    StartReadTimer();
+  } else {
+    Close();
+  }
+}
+
 void ClientConnection::OnEnd() {
   const auto self = shared_from_this();
   if (m_exchange) m_exchange->Cancel();
@@ -210,6 +232,12 @@
   const auto timeout =
       m_parser.InMessage() ? limits.header_timeout : limits.idle_timeout;
   if (!m_parser.InMessage()) m_idle_since = m_context->loop->Now();
+  StartTimer(timeout);
+}
+
+void ClientConnection::StartTimer(std::chrono::milliseconds timeout) {
+  m_timeout = timeout;
+  m_unacknowledged_bytes = m_tcp->UnacknowledgedBytes();
   m_timer.Start(timeout, [this] { OnTimeout(); });
 }
 
@@ -219,6 +247,11 @@
     Reject(protocol::ErrorKind::kSlowRequest);
     return;
   }
+  // A caller that has taken bytes meanwhile is slow, not gone.
+  if (IsDelivering() && m_tcp->UnacknowledgedBytes() < m_unacknowledged_bytes) {
+    StartTimer(m_timeout);
+    return;
+  }
   Close();
 }
 
@@ -229,10 +262,7 @@
   const char* name = protocol::RowOf(kind).name;
   LogInfo("request_rejected", {{"reason", name}});
   m_context->metrics.CountCall("", name);
-  m_timer.Start(kLingerTime, [this] {
-    const auto self = shared_from_this();
-    Close();
-  });
+  StartTimer(kLingerTime);
 }
 
 void ClientConnection::Close() {
--- a/src/wasabiwall/transport/client_connection.h
+++ b/src/wasabiwall/transport/client_connection.h
@@ -24,13 +24,14 @@
   /// Accepts the pending connection of a listener.
   void Accept(uv_stream_t* listener);
 
-  /// Closes the connection if no request is in progress.
+  /// Closes the connection if it is not busy.
   void CloseIfIdle();
 
   /// Ends the call in progress because the process is about to exit.
   void OnProcessExit();
 
-  /// @return Whether a request is being read or answered.
+  /// @return Whether a request is being read or answered, or bytes of a
+  /// response wait for the caller.
   bool IsBusy() const;
 
   /// @return Since when there has been no request; only valid while not busy.
@@ -44,6 +45,7 @@
   void OnRequestComplete();
   void OnExchangeEnd(Exchange::End end);
   void ReadNextRequest();
+  void OnDrained();
   void OnEnd();
   void OnTimeout();
   /// Answers an invalid request with an error and closes the connection after a
@@ -53,6 +55,12 @@
   /// @return False if there is no room for it; the request is then rejected.
   bool TakeRoom(std::size_t body_bytes);
   void StartReadTimer();
+  void StartTimer(std::chrono::milliseconds timeout);
+  /// @return Whether bytes of a response wait for the caller.
+  bool IsDelivering() const { return m_tcp->QueuedBytes() > 0; }
+  /// Reads no further request, and closes once the response is delivered.
+  void CloseWhenDelivered();
+  /// Closes now; discards what has not been delivered.
   void Close();
   void NotifyClosed();
 
@@ -67,9 +75,14 @@
   /// Pipelined bytes: received while a request is being answered.
   std::string m_pipelined;
   Timer m_timer;
+  /// Timeout that the timer was started with, and the bytes that the caller had
+  /// not acknowledged then.
+  std::chrono::milliseconds m_timeout{0};
+  std::size_t m_unacknowledged_bytes = 0;
   coordination::TimePoint m_idle_since;
   bool m_keep_alive = true;
   bool m_rejected = false;
+  bool m_closes_when_delivered = false;
   bool m_closed = false;
 };
 
--- a/src/wasabiwall/transport/tcp_connection.cc
+++ b/src/wasabiwall/transport/tcp_connection.cc
@@ -1,7 +1,9 @@
 #include "wasabiwall/transport/tcp_connection.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -271,6 +273,19 @@
 
 std::size_t TcpConnection::QueuedBytes() const { return m_state->queued_bytes; }
 
+std::size_t TcpConnection::UnacknowledgedBytes() const {
+  const auto* handle = reinterpret_cast<const uv_handle_t*>(&m_state->handle);
+  const std::size_t queued = uv_stream_get_write_queue_size(
+      reinterpret_cast<const uv_stream_t*>(handle));
+  uv_os_fd_t socket = -1;
+  int sent = 0;
+  if (m_state->closing || uv_fileno(handle, &socket) != 0 ||
+      ioctl(socket, SIOCOUTQ, &sent) != 0) {
+    return queued;
+  }
+  return queued + static_cast<std::size_t>(sent);
+}
+
 struct TcpListener::State {
   uv_tcp_t handle;
   AcceptHandler on_accept;
--- a/src/wasabiwall/transport/tcp_connection.h
+++ b/src/wasabiwall/transport/tcp_connection.h
@@ -73,6 +73,10 @@
   /// @return Bytes queued until the kernel accepts them.
   std::size_t QueuedBytes() const;
 
+  /// @return Written bytes that the peer has not acknowledged yet, queued ones
+  /// included. Shrinks while the peer takes bytes.
+  std::size_t UnacknowledgedBytes() const;
+
  private:
   struct State;
 
--- a/tests/fakes/gateway_fixture.cc
+++ b/tests/fakes/gateway_fixture.cc
@@ -90,7 +90,11 @@
       transport::TcpOptions{},
       transport::TcpConnection::Handlers{
           .on_connected = nullptr,
-          .on_data = [this](std::string_view data) { m_received.append(data); },
+          .on_data =
+              [this](std::string_view data) {
+                m_received.append(data);
+                if (m_pauses_after_read) m_tcp->PauseReading();
+              },
           .on_end =
               [this](transport::ConnectionEnd end) {
                 m_ended = true;
--- a/tests/fakes/gateway_fixture.h
+++ b/tests/fakes/gateway_fixture.h
@@ -24,6 +24,14 @@
 
   void Send(const std::string& bytes) { m_tcp->Write(bytes); }
   void Reset() { m_tcp->Reset(); }
+  /// Takes no bytes from the socket until ResumeReading.
+  void PauseReading() { m_tcp->PauseReading(); }
+  void ResumeReading() { m_tcp->ResumeReading(); }
+  /// Takes the next bytes from the socket, 64 kB at most, and then pauses.
+  void ReadOnce() {
+    m_pauses_after_read = true;
+    m_tcp->ResumeReading();
+  }
   /// Closes the connection in order once all bytes are sent.
   void Close() { m_tcp->CloseAfterWrites(); }
 
@@ -44,6 +52,7 @@
  private:
   std::unique_ptr<transport::TcpConnection> m_tcp;
   std::string m_received;
+  bool m_pauses_after_read = false;
   bool m_ended = false;
   bool m_broken = false;
 };
