Gateways that stop are counted while they serve

The higher count that was to stay in effect for 20 s was counted from the last rise, so that after 20 s of a steady count a lower one took effect at once, at the stopping gateways too.

ProcessCountHistory tells the highest count of the last 20 s, counted from each drop; retry budgets also follow when a count goes out of effect. processes_counted has a field in_effect.

--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -27,8 +27,8 @@
 /// Process count assumed before the first one is known, so that shares are
 /// small at first.
 constexpr int kAssumedProcessCount = 8;
-/// How long a higher process count stays in effect: longer than a process that
-/// is cut off from the store keeps running.
+/// How long a higher process count stays in effect after it has dropped: longer
+/// than a process that is cut off from the store keeps running.
 constexpr std::chrono::seconds kProcessCountRetention{20};
 /// Shares of the file descriptors for connections of callers and to backend
 /// servers. The rest is for logs, the store, metrics and connections that are
@@ -162,7 +162,8 @@
                  .processes = [this] { return ProcessCount(); },
                  .random = SeededRandom()},
                 options.failure_domain, options.load_factor),
-      m_load_timer(event_loop) {}
+      m_load_timer(event_loop),
+      m_process_counts(kProcessCountRetention) {}
 
 void GatewayContext::ApplyConfig(
     std::shared_ptr<const state::ServiceConfig> config) {
@@ -190,15 +191,12 @@
   crash_monitor.SetMembers(m_peers);
   const auto now = loop->Now();
   const int count = static_cast<int>(addresses.size());
-  if (count >= m_peak_process_count || now >= m_peak_until) {
-    m_peak_process_count = count;
-    m_peak_until = now + kProcessCountRetention;
-  }
-  if (count == m_process_count) return;
+  const int before = m_process_counts.Registered();
+  if (count == before) return;
+  m_process_counts.Set(count, now);
   LogInfo("processes_counted", {{"count", std::to_string(count)},
-                                {"before", std::to_string(m_process_count)}});
-  m_process_count = count;
-  UpdateRetryBudgets();
+                                {"before", std::to_string(before)},
+                                {"in_effect", std::to_string(ProcessCount())}});
 }
 
 coordination::FailureDomainHealth::Hooks GatewayContext::FailureDomainHooks() {
@@ -313,12 +311,17 @@
 }
 
 int GatewayContext::ProcessCount() const {
-  if (m_process_count == 0) return kAssumedProcessCount;
-  return std::max(m_process_count, m_peak_process_count);
+  const int count = m_process_counts.Highest(loop->Now());
+  return count == 0 ? kAssumedProcessCount : count;
 }
 
 coordination::RetryBudget& GatewayContext::RetryBudgetFor(
     const state::ServiceId& service) {
+  // The count also changes when a higher one goes out of effect.
+  const int count = ProcessCount();
+  if (std::exchange(m_budgeted_process_count, count) != count) {
+    UpdateRetryBudgets();
+  }
   auto& budget = m_retry_budgets[service];
   if (!budget) {
     budget = std::make_unique<coordination::RetryBudget>(RetryLimits(),
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -16,6 +16,7 @@
 #include "wasabiwall/coordination/event_interval_table.h"
 #include "wasabiwall/coordination/failure_domain_health.h"
 #include "wasabiwall/coordination/load_announcer.h"
+#include "wasabiwall/coordination/process_count_history.h"
 #include "wasabiwall/coordination/prompt_cache_index.h"
 #include "wasabiwall/coordination/prompt_directory.h"
 #include "wasabiwall/coordination/request_quarantine.h"
@@ -200,9 +201,9 @@
   std::shared_ptr<const coordination::ProcessAddresses> m_peers =
       std::make_shared<coordination::ProcessAddresses>();
   std::int64_t m_gateway_list_revision = 0;
-  int m_process_count = 0;
-  int m_peak_process_count = 0;
-  coordination::TimePoint m_peak_until;
+  coordination::ProcessCountHistory m_process_counts;
+  /// Process count that the limits of the retry budgets follow from.
+  int m_budgeted_process_count = 0;
 };
 
 }  // namespace wasabiwall::transport
