A refusal that names no call is believed on a new connection only

An error without X-Attempt-Id was taken for the response to the call in flight on used connections too.

Such a response now counts only if it is the first one of its connection. Otherwise it is ignored with a log line (response_without_id_ignored), the call goes on waiting for its own response, and the connection is not used again.

--- a/src/wasabiwall/transport/attempt.cc
+++ b/src/wasabiwall/transport/attempt.cc
@@ -79,11 +79,7 @@
 
 BackendConnection::CallHandlers Attempt::ConnectionHandlers() {
   return {.belongs_to_call =
-              [this](const MessageHead& head) {
-                const auto reply = m_context->codec.decode_reply(head);
-                return reply.attempt_id == m_call->metadata.attempt_id ||
-                       (reply.attempt_id.empty() && !IsSuccess(head.status));
-              },
+              [this](const MessageHead& head) { return BelongsToCall(head); },
           .on_head =
               [this](MessageHead head) {
                 const auto self = shared_from_this();
@@ -126,6 +122,23 @@
   });
 }
 
+bool Attempt::BelongsToCall(const MessageHead& head) {
+  const auto reply = m_context->codec.decode_reply(head);
+  const std::string& id = m_call->metadata.attempt_id;
+  if (reply.attempt_id == id) return true;
+  if (!reply.attempt_id.empty() || IsSuccess(head.status)) return false;
+  // Backend servers name the call in their responses. Without its identifier,
+  // an error may be extra bytes that follow the response to an earlier call;
+  // there is none before the first response of a connection.
+  if (m_connection->IsFirstResponse()) return true;
+  m_connection->CloseAfterResponse();
+  LogInfo("response_without_id_ignored",
+          {{"id", id},
+           {"backend", Server().id.value},
+           {"status", std::to_string(head.status)}});
+  return false;
+}
+
 void Attempt::OnHead(MessageHead head) {
   const auto now = m_context->loop->Now();
   ReplyMetadata metadata = m_context->codec.decode_reply(head);
--- a/src/wasabiwall/transport/attempt.h
+++ b/src/wasabiwall/transport/attempt.h
@@ -113,6 +113,8 @@
   void LogStart() const;
   BackendConnection::CallHandlers ConnectionHandlers();
   std::string EncodeRequest();
+  /// @return Whether a response is one to this call.
+  bool BelongsToCall(const MessageHead& head);
   void OnHead(MessageHead head);
   void OnBody(std::string_view data);
   /// Stops reading until other calls have left room for the response.
--- a/src/wasabiwall/transport/backend_connection.cc
+++ b/src/wasabiwall/transport/backend_connection.cc
@@ -133,7 +133,10 @@
   }
   m_discarding = !m_call->belongs_to_call(head);
   m_keep_alive = m_keep_alive && head.keep_alive;
-  if (m_discarding) return true;
+  if (m_discarding) {
+    m_has_discarded = true;
+    return true;
+  }
   m_head_received = true;
   if (const auto idle_timeout =
           ParseIdleTimeout(head.headers.Find("Keep-Alive"))) {
--- a/src/wasabiwall/transport/backend_connection.h
+++ b/src/wasabiwall/transport/backend_connection.h
@@ -61,6 +61,12 @@
   /// one.
   bool WasUsedBefore() const { return m_completed_calls > 0; }
 
+  /// @return Whether no response, to whichever call, came on the connection
+  /// before the one that is arriving.
+  bool IsFirstResponse() const {
+    return m_completed_calls == 0 && !m_has_discarded;
+  }
+
   /// @return Idle timeout that the backend server stated in a Keep-Alive
   /// header.
   std::optional<std::chrono::seconds> IdleTimeout() const {
@@ -94,6 +100,8 @@
   bool m_request_sent = false;
   bool m_head_received = false;
   bool m_discarding = false;
+  /// Whether a response has been discarded.
+  bool m_has_discarded = false;
   bool m_response_complete = false;
   bool m_keep_alive = true;
   bool m_unusable = false;
--- a/tests/gateway/refusal_test.cc
+++ b/tests/gateway/refusal_test.cc
@@ -2,6 +2,7 @@
 // is reported truthfully.
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 #include <set>
 
 #include "fakes/gateway_fixture.h"
@@ -136,6 +137,66 @@
   CHECK(runs == 1);
 }
 
+TEST_CASE(
+    "a refusal without identifier on a used connection does not repeat a "
+    "call") {
+  // Guards against stray bytes that are taken for the response to the call in
+  // flight: a call that may run once then ran at two backend servers.
+  const std::string stray =
+      GENERATE(PlainAnswer("", 503, "", "Not-Run: 1\r\n"),
+               PlainAnswer("", 421, "", "Wrong-Backend: 1\r\n"),
+               PlainAnswer("", 500, "other"));
+  GatewayFixture fixture;
+  std::set<std::shared_ptr<ScriptedBackend::Session>> used;
+  std::map<std::string, int> runs;
+  int strays = 0;
+  std::vector<std::unique_ptr<transport::Timer>> work;
+  for (const char* id : {"b1", "b2"}) {
+    fixture.AddBackend(id, [&](const ScriptedBackend::Received& call) {
+      const std::string attempt = *call.head.headers.Find("Attempt");
+      ++runs[attempt];
+      if (!used.insert(call.session).second) {
+        ++strays;
+        call.session->Write(stray);
+      }
+      work.push_back(std::make_unique<transport::Timer>(&fixture.loop));
+      work.back()->Start(milliseconds(20), [session = call.session, attempt] {
+        session->Write(PlainAnswer(attempt, 200, "booked"));
+      });
+    });
+  }
+  constexpr int calls = 10;
+  for (int i = 0; i < calls; ++i) {
+    const std::string attempt = "a" + std::to_string(i);
+    TestClient& client = fixture.Call("/once/x", attempt);
+    REQUIRE(fixture.RunUntil([&] { return client.Status() != 0; }));
+    CHECK(client.Status() == 200);
+    CHECK(client.Has("booked"));
+    CHECK(runs[attempt] == 1);
+  }
+  CHECK(strays > 0);
+}
+
+TEST_CASE(
+    "a refusal without identifier is trusted only as the first response of its "
+    "connection") {
+  GatewayFixture fixture;
+  std::map<std::string, int> runs;
+  for (const char* id : {"b1", "b2"}) {
+    fixture.AddBackend(id, [&](const ScriptedBackend::Received& call) {
+      const std::string attempt = *call.head.headers.Find("Attempt");
+      ++runs[attempt];
+      call.session->Write(PlainAnswer("other", 200, "stray") +
+                          PlainAnswer("", 503, "", "Not-Run: 1\r\n") +
+                          PlainAnswer(attempt, 200, "booked"));
+    });
+  }
+  TestClient& client = fixture.Call("/once/x", "a1");
+  REQUIRE(fixture.RunUntil([&] { return client.Status() != 0; }));
+  CHECK(client.Status() == 200);
+  CHECK(runs["a1"] == 1);
+}
+
 TEST_CASE("connections left idle after a burst are evicted for new callers") {
   auto options = GatewayFixture::DefaultOptions();
   options.max_descriptors = 20;  // Half of it for callers.
