--- a/src/wasabiwall/protocol/rollout_message.h
+++ b/src/wasabiwall/protocol/rollout_message.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -48,6 +49,22 @@
   std::vector<RouteCounts> routes;
 };
 
+/// Largest encoded message in bytes; it then fits into one packet of any
+/// network.
+constexpr std::size_t kMaxRolloutMessageBytes = 1200;
+
+/// @return Bucket of a time: bucket 0 ends at 4 ms and each further one is 1.4
+/// times as wide, so that the last begins at 6.5 s and that a time three times
+/// as long is at least three buckets further.
+std::size_t TimeBucket(std::chrono::microseconds time);
+
+/// @return End of a bucket; for the last bucket, twice its beginning.
+std::chrono::microseconds TimeBucketEnd(std::size_t bucket);
+
+/// Divides the routes among messages that are small enough for one packet each.
+/// @return At least one message.
+std::vector<RolloutMessage> SplitByRoutes(const RolloutMessage& message);
+
 /// @return The message as CBOR.
 std::string EncodeRolloutMessage(const RolloutMessage& message);
 
--- a/src/wasabiwall/rollout/rollout_controller.h
+++ b/src/wasabiwall/rollout/rollout_controller.h
@@ -55,6 +55,8 @@
     kIgnored,
   };
   Outcome outcome = Outcome::kIgnored;
+  /// Time to the first byte of the response, also of one that failed; nothing
+  /// if none came.
   std::optional<std::chrono::microseconds> first_byte;
   /// Mean gap between the events of a stream.
   std::optional<std::chrono::microseconds> event_gap;
@@ -138,11 +140,20 @@
  private:
   struct Rollout;
 
+  Rollout* Find(const state::ServiceId& service) const;
+  /// @return The service's state; null if there are too many services.
+  Rollout* FindOrAdd(const state::ServiceId& service);
+  void Begin(Rollout* rollout, const state::RolloutOrder& order,
+             coordination::TimePoint now);
+  void Ignore(const state::RolloutOrder& order, const std::string& reason);
+
   std::string m_name;
   RolloutLimits m_limits;
   const state::BackendRegistry* m_registry;
   Hooks m_hooks;
   std::vector<std::unique_ptr<Rollout>> m_rollouts;
+  /// A decision asks for the same service many times. Entries are not removed.
+  mutable Rollout* m_last_found = nullptr;
 };
 
 }  // namespace wasabiwall::rollout
