--- a/tests/fakes/rollout_fleet.cc
+++ b/tests/fakes/rollout_fleet.cc
@@ -74,9 +74,9 @@
                             : i < 2 * old_servers ? kTarget
                                                   : kThird;
     server->entry.incarnation = 1;
-    m_registry.Put(server->entry, m_now, milliseconds(0), false);
     m_servers.push_back(std::move(server));
   }
+  StartServers(kOld);
   double total = 0;
   for (int i = 0; i < m_options.gateways; ++i) {
     auto gateway = std::make_unique<Gateway>();
@@ -237,6 +237,13 @@
       {m_era, m_next_revision++}, m_service, target, m_options.duration};
 }
 
+void RolloutFleet::StartServers(const std::string& version) {
+  for (const auto& server : m_servers) {
+    if (server->entry.version != version) continue;
+    m_registry.Put(server->entry, m_now, milliseconds(0), false);
+  }
+}
+
 bool RolloutFleet::IsBad(int index, const std::string& route) {
   Server& server = *m_servers[index];
   if (server.entry.version != kTarget) return false;
@@ -492,6 +499,7 @@
   while (m_now < m_order_time) Step();
   m_result = {};
   PutOrder(kTarget);
+  StartServers(kTarget);
   // The backup is from the time of the order or some seconds before the end.
   const milliseconds failure_at(500 + m_random() %
                                           (m_options.duration.count() - 1000));
@@ -499,7 +507,10 @@
      [this] { m_saved_record = m_record; });
   At(failure_at, [this] { BeginFailure(); });
   if (m_options.replaced_at.count() > 0) {
-    At(m_options.replaced_at, [this] { PutOrder(kThird); });
+    At(m_options.replaced_at, [this] {
+      PutOrder(kThird);
+      StartServers(kThird);
+    });
   }
   while (m_now < end) Step();
   return m_result;
--- a/tests/fakes/rollout_fleet.h
+++ b/tests/fakes/rollout_fleet.h
@@ -108,6 +108,8 @@
   void Write(int gateway, state::RolloutRecord record);
   void Apply(const state::RolloutRecord& record, std::int64_t condition);
   void Poll(int gateway);
+  /// Registers the backend servers of a version.
+  void StartServers(const std::string& version);
   void PutOrder(const std::string& target);
   void BeginFailure();
   void Restore();
