Placement: restrict a call to versions, with a fallback

A roll-out sends some calls to the version on trial only and all others elsewhere. The query holds the rule, a hook tells which backend servers are on trial, and a rule that may fall back gets a second pass over the other versions. Mean load and load bound are those of the backend servers that the rule allows: idle ones of the new version would halve the bound. While a rule restricts the call, prompts are copied within one version only.

The list of a service's backend servers is now built once for a decision instead of three times. Without a rule the result is the same.

--- a/src/wasabiwall/coordination/backend_placement.cc
+++ b/src/wasabiwall/coordination/backend_placement.cc
@@ -45,9 +45,31 @@
   if (!m_inputs.registry->IsComplete()) {
     return tl::make_unexpected(PlacementRefusal::kRegistryIncomplete);
   }
-  UpdateOwnLoad(*query.service, now);
+  auto placement = ChooseAllowed(query, now);
+  if (placement || !query.versions.may_fall_back ||
+      query.versions.kind == state::VersionRule::Kind::kAny) {
+    return placement;
+  }
+  // Backend servers that are not on trial stay out.
+  PlacementQuery others = query;
+  others.versions.kind = query.versions.kind == state::VersionRule::Kind::kOnly
+                             ? state::VersionRule::Kind::kExcept
+                             : state::VersionRule::Kind::kOnly;
+  const auto fallback = ChooseAllowed(others, now);
+  if (fallback) return fallback;
+  // What is full or cold may take the call soon; what does not exist may not.
+  return placement.error() == PlacementRefusal::kNoneEligible ? fallback
+                                                              : placement;
+}
+
+tl::expected<Placement, PlacementRefusal> BackendPlacement::ChooseAllowed(
+    const PlacementQuery& query, TimePoint now) {
+  // The mean is that of the backend servers that the rule allows. Those of a
+  // version that gets few calls would lower the bound for the others.
+  const KnownServers servers = Allowed(query);
+  UpdateOwnLoad(*query.service, servers, now);
   PlacementRefusal refusal = PlacementRefusal::kNoneEligible;
-  std::vector<Candidate> candidates = Candidates(query, now, &refusal);
+  std::vector<Candidate> candidates = Candidates(query, servers, now, &refusal);
   if (candidates.empty()) return tl::make_unexpected(refusal);
   if (std::ranges::any_of(candidates,
                           [](const auto& c) { return !c.is_domain_silent; })) {
@@ -68,7 +90,7 @@
               return std::tie(a.cost, a.known->server.id) <
                      std::tie(b.cost, b.known->server.id);
             });
-  const double mean = MeanLoad(*query.service, now);
+  const double mean = MeanLoad(*query.service, servers, now);
   const double bound =
       std::max(1.0, m_load_factor * kLoadFactorMargin) * mean + kLoadSlack;
   auto chosen = std::find_if(
@@ -87,12 +109,23 @@
                    static_cast<int>(chosen - candidates.begin())};
 }
 
+BackendPlacement::KnownServers BackendPlacement::Allowed(
+    const PlacementQuery& query) const {
+  KnownServers servers = m_inputs.registry->Of(query.service->id);
+  if (query.versions.kind == state::VersionRule::Kind::kAny) return servers;
+  std::erase_if(servers, [&](const auto* known) {
+    return !query.versions.Allows(known->server.version) ||
+           (m_inputs.is_in_trial && !m_inputs.is_in_trial(known->server));
+  });
+  return servers;
+}
+
 std::vector<BackendPlacement::Candidate> BackendPlacement::Candidates(
-    const PlacementQuery& query, TimePoint now,
+    const PlacementQuery& query, const KnownServers& servers, TimePoint now,
     PlacementRefusal* refusal) const {
   std::vector<Candidate> candidates;
   const double usual_others = UsualOthers(*query.service);
-  for (const auto* known : m_inputs.registry->Of(query.service->id)) {
+  for (const auto* known : servers) {
     const state::BackendServer& server = known->server;
     if (!m_inputs.registry->IsEligible(*known, now)) continue;
     if (m_inputs.hold_offs->IsHeldOff(server, now)) {
@@ -194,11 +227,12 @@
 }
 
 double BackendPlacement::MeanLoad(const state::Service& service,
+                                  const KnownServers& servers,
                                   TimePoint now) const {
   const double usual_others = UsualOthers(service);
   double sum = 0;
   int count = 0;
-  for (const auto* known : m_inputs.registry->Of(service.id)) {
+  for (const auto* known : servers) {
     // Those that get no new calls count too, so that taking some out does not
     // raise the bound for the others.
     if (m_inputs.health->IsEjected(known->server.id, now)) continue;
@@ -209,8 +243,8 @@
 }
 
 void BackendPlacement::UpdateOwnLoad(const state::Service& service,
+                                     const KnownServers& servers,
                                      TimePoint now) {
-  const auto& servers = m_inputs.registry->Of(service.id);
   if (servers.empty()) return;
   double sum = 0;
   for (const auto* known : servers) {
@@ -266,7 +300,15 @@
   if (query.shared_part == 0 || query.shared_tokens < kMinFetchTokens)
     return {};
   const state::BackendServerId& target_id = target.server.id;
-  const auto holders = Holders(query, now);
+  // What one version has cached need not fit another.
+  const bool is_restricted =
+      query.versions.kind != state::VersionRule::Kind::kAny;
+  const auto is_usable = [&](const state::BackendServer& server) {
+    return !is_restricted || server.version == target.server.version;
+  };
+  auto holders = Holders(query, now);
+  std::erase_if(holders,
+                [&](const auto* holder) { return !is_usable(holder->server); });
   const bool is_held = std::any_of(
       holders.begin(), holders.end(),
       [&](const auto* holder) { return holder->server.id == target_id; });
@@ -276,7 +318,7 @@
   // order, before the target appeared or while it was at its bound.
   const state::KnownBackendServer* next = nullptr;
   for (const auto* known : m_inputs.registry->Of(query.service->id)) {
-    if (known->server.id == target_id) continue;
+    if (known->server.id == target_id || !is_usable(known->server)) continue;
     if (m_inputs.health->IsUnreachable(known->server.id, now) ||
         IsSilent(known->server.failure_domain, query, now)) {
       continue;
--- a/src/wasabiwall/coordination/backend_placement.h
+++ b/src/wasabiwall/coordination/backend_placement.h
@@ -18,6 +18,7 @@
 #include "wasabiwall/coordination/prompt_cache_index.h"
 #include "wasabiwall/state/backend_registry.h"
 #include "wasabiwall/state/service_config.h"
+#include "wasabiwall/state/version_rule.h"
 
 namespace wasabiwall::coordination {
 
@@ -32,6 +33,8 @@
   std::vector<state::BackendServerId> tried;
   /// Failure domains in which connection attempts of this call got no reply.
   std::vector<state::FailureDomainId> silent_domains;
+  /// Versions of backend servers that may serve the call.
+  state::VersionRule versions;
 };
 
 /// Why no backend server was chosen.
@@ -87,6 +90,9 @@
     /// servers.
     std::function<int()> processes;
     RandomHook random;
+    /// @return Whether a backend server of a service whose versions are
+    /// restricted may get calls. If it is not set, all may.
+    std::function<bool(const state::BackendServer&)> is_in_trial;
   };
 
   /// @param failure_domain Failure domain of this process.
@@ -112,6 +118,8 @@
   bool NeedsHolderLookup(const PlacementQuery& query, TimePoint now) const;
 
  private:
+  using KnownServers = std::vector<const state::KnownBackendServer*>;
+
   struct Candidate {
     const state::KnownBackendServer* known;
     /// As far as it is known.
@@ -125,7 +133,13 @@
     bool is_domain_silent;
   };
 
-  std::vector<Candidate> Candidates(const PlacementQuery& query, TimePoint now,
+  /// Chooses among the backend servers that the query's rule allows.
+  tl::expected<Placement, PlacementRefusal> ChooseAllowed(
+      const PlacementQuery& query, TimePoint now);
+  /// @return Backend servers that the query's rule allows.
+  KnownServers Allowed(const PlacementQuery& query) const;
+  std::vector<Candidate> Candidates(const PlacementQuery& query,
+                                    const KnownServers& servers, TimePoint now,
                                     PlacementRefusal* refusal) const;
   /// Marks candidates that are slow compared with the others as ejected.
   void EjectSlow(std::vector<Candidate>* candidates, TimePoint now) const;
@@ -137,9 +151,11 @@
   double AffinityCost(const state::KnownBackendServer& known,
                       std::uint64_t shared_part) const;
   double LoadCost(const Candidate& candidate) const;
-  double MeanLoad(const state::Service& service, TimePoint now) const;
+  double MeanLoad(const state::Service& service, const KnownServers& servers,
+                  TimePoint now) const;
   /// Updates the averages that UsualOthers uses.
-  void UpdateOwnLoad(const state::Service& service, TimePoint now);
+  void UpdateOwnLoad(const state::Service& service, const KnownServers& servers,
+                     TimePoint now);
   /// @return Usual load of other processes at a backend server: each is assumed
   /// to send as many calls as this one.
   double UsualOthers(const state::Service& service) const;
