--- a/src/wasabiwall/protocol/gateway_settings.cc
+++ b/src/wasabiwall/protocol/gateway_settings.cc
@@ -31,9 +31,28 @@
            NumberSpec("lapse_grace_ms", FieldType::kInteger, 0, 60000),
            NumberSpec("max_descriptors", FieldType::kInteger, 64, 10000000),
            NumberSpec("memory_mb", FieldType::kInteger, 32, 1000000)}),
+      TableSpec("rollout", false,
+                {{.name = "exposure_ratio",
+                  .type = FieldType::kNumber,
+                  .required = true,
+                  .min = 0,
+                  .max = 1},
+                 NumberSpec("exposure_tolerance", FieldType::kNumber, 0, 1e9),
+                 NumberSpec("rollback_ms", FieldType::kNumber, 100, 3600000)}),
   };
 }
 
+RolloutSettings ReadRollout(const nlohmann::json& table) {
+  RolloutSettings rollout;
+  rollout.exposure_ratio = table.at("exposure_ratio");
+  rollout.exposure_tolerance =
+      table.value("exposure_tolerance", rollout.exposure_tolerance);
+  rollout.rollback_time =
+      std::chrono::milliseconds(static_cast<std::int64_t>(table.value(
+          "rollback_ms", static_cast<double>(rollout.rollback_time.count()))));
+  return rollout;
+}
+
 }  // namespace
 
 tl::expected<GatewaySettings, std::vector<TomlProblem>> ParseGatewaySettings(
@@ -69,6 +88,9 @@
   settings.load_factor = limits.value("load_factor", settings.load_factor);
   settings.retry_share = limits.value("retry_share", settings.retry_share);
   settings.retry_burst = limits.value("retry_burst", settings.retry_burst);
+  if (const auto rollout = root->find("rollout"); rollout != root->end()) {
+    settings.rollout = ReadRollout(*rollout);
+  }
   return settings;
 }
 
--- a/src/wasabiwall/protocol/gateway_settings.h
+++ b/src/wasabiwall/protocol/gateway_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -10,6 +11,16 @@
 
 namespace wasabiwall::protocol {
 
+/// Bounds of roll-outs, which move a service to another version.
+struct RolloutSettings {
+  /// Share of a service's calls that a bad version may get.
+  double exposure_ratio = 0;
+  /// Calls that a bad version may get beyond the share.
+  double exposure_tolerance = 0;
+  /// Time after the 50th bad response of a version from which it gets no calls.
+  std::chrono::milliseconds rollback_time{5000};
+};
+
 /// Settings of a gateway process, read from TOML at start and on reload.
 struct GatewaySettings {
   std::string name;
@@ -42,6 +53,8 @@
   int max_descriptors = 4096;
   /// Memory that the process may use, in megabytes.
   int memory_mb = 256;
+  /// Without it, orders to roll a version out are ignored.
+  std::optional<RolloutSettings> rollout;
 };
 
 /// Parses and validates settings.
