Roll-outs: orders, records and status in the store, placement and exchange

GatewayRollouts connects the controller with datagrams, timer, logs and metrics. RolloutObserver tells it of each attempt; attempts at cold backend servers, unconnected, refused, cancelled, suspect or slowly read ones are reported as ignored. A send is counted when its connection is asked for, so that calls that connect at the same time cannot exceed the exposure together and a call that cannot be repeated is known to run before it is sent.

Without the section [rollout] orders are logged and ignored.

--- a/src/wasabiwall/transport/attempt.cc
+++ b/src/wasabiwall/transport/attempt.cc
@@ -35,7 +35,8 @@
       m_placement(std::move(placement)),
       m_hooks(std::move(hooks)),
       m_timer(context->loop),
-      m_reply(&context->response_buffers) {}
+      m_reply(&context->response_buffers),
+      m_rollout(context) {}
 
 coordination::AttemptPolicy Attempt::Policy() const {
   return coordination::AttemptPolicy(*m_call->route);
@@ -55,6 +56,7 @@
   m_context->health.OnSent(server.id, now);
   m_context->cold_starts.OnSent(server.id, now);
   m_context->hold_offs.OnSent(server, now);
+  m_rollout.OnStart(*m_call, server);
   m_connection = m_context->connections.Acquire(server, max_connection_idle);
   if (!m_connection->IsConnected()) {
     m_timer.Start(Policy().ConnectTimeout(), [this] {
@@ -108,10 +110,13 @@
 }
 
 std::string Attempt::EncodeRequest() {
-  std::string request = m_hooks.encode_request(*this);
+  std::string request;
+  // The connection may have taken a while to open.
+  if (!m_rollout.IsWithdrawn()) request = m_hooks.encode_request(*this);
   m_is_withdrawn = request.empty();
   if (m_is_withdrawn) return request;
   m_sent_at = m_context->loop->Now();
+  m_rollout.OnWritten();
   StartIdleTimer();
   return request;
 }
@@ -130,6 +135,7 @@
   const auto now = m_context->loop->Now();
   ReplyMetadata metadata = m_context->codec.decode_reply(head);
   m_reply.OnHead(std::move(head), std::move(metadata));
+  m_rollout.OnHead();
   const ReplyMetadata& reply = m_reply.Metadata();
   // Without the call's identifier, a late copy could not be told from the
   // response to a later call on this connection.
@@ -164,6 +170,7 @@
          {"buffered_bytes", std::to_string(m_context->response_buffers.Used())},
          {"waiting", std::to_string(m_context->response_buffers.Waiting())}});
   }
+  m_rollout.Ignore();
   // The backend server is not silent, it is not read.
   m_timer.Stop();
   m_connection->PauseReading();
@@ -182,6 +189,7 @@
 
 void Attempt::PauseReading() {
   m_reading_paused = true;
+  m_rollout.Ignore();
   if (m_connection) m_connection->PauseReading();
 }
 
@@ -198,6 +206,7 @@
   } else {
     m_context->health.OnAnswerBegun(id, now);
   }
+  m_rollout.OnEvents();
   StartIdleTimer();
 }
 
@@ -211,6 +220,7 @@
   if (!connection) return;
   const state::BackendServerId& id = connection->Server().id;
   m_context->loads.OnFinished(id);
+  m_rollout.OnEnded(signal);
   if (m_context->health.OnSignal(id, signal, m_context->loop->Now())) {
     LogWarn("backend_ejected",
             {{"backend", id.value},
--- a/src/wasabiwall/transport/attempt.h
+++ b/src/wasabiwall/transport/attempt.h
@@ -11,6 +11,7 @@
 #include "wasabiwall/transport/gateway_context.h"
 #include "wasabiwall/transport/reply_reader.h"
 #include "wasabiwall/transport/resolved_call.h"
+#include "wasabiwall/transport/rollout_observer.h"
 
 namespace wasabiwall::transport {
 
@@ -99,6 +100,9 @@
   /// @return Whether the request was withdrawn instead of being sent.
   bool IsWithdrawn() const { return m_is_withdrawn; }
 
+  /// @return What the roll-outs are told of this attempt.
+  RolloutObserver& Rollout() { return m_rollout; }
+
   const state::BackendServer& Server() const { return m_placement.server; }
   const coordination::Placement& Placement() const { return m_placement; }
 
@@ -126,6 +130,7 @@
   Hooks m_hooks;
   Timer m_timer;
   ReplyReader m_reply;
+  RolloutObserver m_rollout;
   std::shared_ptr<BackendConnection> m_connection;
   coordination::TimePoint m_sent_at;
   /// Whether the caller's socket is behind.
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -112,13 +112,16 @@
 }
 
 coordination::PlacementQuery Exchange::Query() const {
-  return {.service = m_call.service,
-          .shared_part = m_call.route->prefers_cached_prompt
-                             ? m_call.metadata.shared_part
-                             : 0,
-          .shared_tokens = m_call.metadata.shared_tokens,
-          .tried = m_tried_servers,
-          .silent_domains = m_silent_domains};
+  return {
+      .service = m_call.service,
+      .shared_part =
+          m_call.route->prefers_cached_prompt ? m_call.metadata.shared_part : 0,
+      .shared_tokens = m_call.metadata.shared_tokens,
+      .tried = m_tried_servers,
+      .silent_domains = m_silent_domains,
+      .versions =
+          VersionsFor(*m_context, m_call,
+                      m_attempt ? m_attempt->Server().version : std::string())};
 }
 
 bool Exchange::RefuseIfQuarantined() {
@@ -313,6 +316,7 @@
   }
   if (truncation != nullptr) {
     m_quarantine.OnBroken(attempt.Server());
+    if (m_quarantine.IsSuspect()) attempt.Rollout().Ignore();
     attempt.End(HealthSignal::kFailed);
     RetryOrFail(attempt, false, ErrorKind::kAnswerCut, truncation);
     return;
@@ -348,6 +352,7 @@
   const bool stale = attempt.IsStale();
   attempt.CountResponse("connection_broken");
   m_quarantine.OnBroken(attempt.Server());
+  if (m_quarantine.IsSuspect()) attempt.Rollout().Ignore();
   attempt.End(stale ? HealthSignal::kRefused : HealthSignal::kFailed);
   RetryOrFail(attempt, false,
               attempt.Reply().HasStarted() ? ErrorKind::kAnswerCut
@@ -381,6 +386,7 @@
            {"spared", is_ejected ? "true" : "false"},
            {"repeats", will_retry ? "true" : "false"}});
   if (!will_retry) return;
+  attempt.Rollout().OnSilent();
   attempt.Abort(m_call.IsStream() ? HealthSignal::kRefused
                                   : HealthSignal::kFailed);
   Place();
@@ -470,6 +476,7 @@
     m_context->queue.Remove(std::exchange(m_waiter_id, 0));
   }
   const bool has_started = m_attempt && m_attempt->Reply().HasStarted();
+  if (m_attempt) m_attempt->Rollout().OnDeadline();
   AbortAttempt(has_started ? HealthSignal::kRefused : HealthSignal::kFailed);
   Fail({m_counts.runs > 0 ? ErrorKind::kDeadlineExceeded
                           : ErrorKind::kDeadlineTooShort,
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -44,6 +44,10 @@
 constexpr milliseconds kProbeJitterPerProcess{20};
 constexpr milliseconds kMaxProbeJitter{10000};
 
+/// Age of the store's last answer before the first one: longer than any limit
+/// on it.
+constexpr milliseconds kUnknownStoreAge = std::chrono::hours(24);
+
 /// Gateways that collect the reports about a failure domain. With as many, some
 /// are left when one domain is lost.
 constexpr std::size_t kDomainCollectors = 5;
@@ -160,8 +164,13 @@
                            has_descriptors ? ConnectionLimit(service) : 0);
                      },
                  .processes = [this] { return ProcessCount(); },
-                 .random = SeededRandom()},
+                 .random = SeededRandom(),
+                 .is_in_trial =
+                     [this](const state::BackendServer& server) {
+                       return !rollouts || rollouts->IsInTrial(server);
+                     }},
                 options.failure_domain, options.load_factor),
+      rollouts(MakeRollouts()),
       m_load_timer(event_loop) {}
 
 void GatewayContext::ApplyConfig(
@@ -188,6 +197,7 @@
   m_peers = std::move(peers);
   prompt_directory.SetMembers(m_peers);
   crash_monitor.SetMembers(m_peers);
+  if (rollouts) rollouts->SetPeers(m_peers);
   const auto now = loop->Now();
   const int count = static_cast<int>(addresses.size());
   if (count >= m_peak_process_count || now >= m_peak_until) {
@@ -243,6 +253,24 @@
           .random = SeededRandom()};
 }
 
+std::unique_ptr<GatewayRollouts> GatewayContext::MakeRollouts() {
+  if (!options.rollout) return nullptr;
+  return std::make_unique<GatewayRollouts>(
+      loop, options.name, *options.rollout, &registry, &metrics,
+      GatewayRollouts::Hooks{
+          .send =
+              [this](const std::string& to, const std::string& bytes) {
+                peer_socket.Send(to, bytes);
+              },
+          .announce = [this](const std::string& bytes) { SendToPeers(bytes); },
+          .store_age =
+              [this] {
+                if (!store_confirmed_at) return kUnknownStoreAge;
+                return std::chrono::duration_cast<milliseconds>(
+                    loop->Now() - *store_confirmed_at);
+              }});
+}
+
 void GatewayContext::SendToPeers(const std::string& bytes) {
   for (const auto& [name, address] : *m_peers) {
     if (name != options.name) peer_socket.Send(address, bytes);
@@ -297,6 +325,7 @@
     crash_monitor.OnMessage(from, *crash);
     return;
   }
+  if (rollouts && rollouts->OnPeerMessage(from, data)) return;
   LogWarn("peer_message_ignored",
           {{"from", from}, {"bytes", std::to_string(data.size())}});
 }
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -29,6 +29,7 @@
 #include "wasabiwall/transport/crash_monitor.h"
 #include "wasabiwall/transport/datagram_socket.h"
 #include "wasabiwall/transport/event_loop.h"
+#include "wasabiwall/transport/gateway_rollouts.h"
 #include "wasabiwall/transport/logging.h"
 #include "wasabiwall/transport/metrics.h"
 
@@ -61,6 +62,8 @@
   /// Memory that the process may use, in megabytes; sets the limits of its
   /// buffers.
   int memory_mb = 256;
+  /// Bounds of roll-outs; without them orders are ignored.
+  std::optional<rollout::RolloutLimits> rollout;
 };
 
 /// Makes the quarantine of requests known to all gateways, those that start
@@ -133,6 +136,9 @@
   /// Logs engines that have become slow, or fast again, since the last call.
   void LogSlowEngineChanges();
 
+  /// @return Whether a service is being moved to another version.
+  bool IsRolloutActive() const { return rollouts && rollouts->IsActive(); }
+
   /// Applies the settings that may change while the process runs.
   void ApplyOptions(const GatewayOptions& options);
 
@@ -162,6 +168,8 @@
   BackendPool connections;
   coordination::BackendPlacement placement;
   Metrics metrics;
+  /// Null if roll-outs are disabled.
+  const std::unique_ptr<GatewayRollouts> rollouts;
   /// When the store last answered a read or watch.
   std::optional<coordination::TimePoint> store_confirmed_at;
   /// Whether the first read of the store goes on and has not failed so far, so
@@ -181,6 +189,7 @@
   void OnPeerMessage(const std::string& from, std::string_view data);
   coordination::FailureDomainHealth::Hooks FailureDomainHooks();
   coordination::LoadAnnouncer::Hooks LoadAnnouncerHooks();
+  std::unique_ptr<GatewayRollouts> MakeRollouts();
   /// Sends to all other gateways.
   void SendToPeers(const std::string& bytes);
   void SendDueLoads();
--- a/src/wasabiwall/transport/metrics.cc
+++ b/src/wasabiwall/transport/metrics.cc
@@ -55,7 +55,17 @@
                             .Name("wasabiwall_announced_loads_total")
                             .Help("Loads of backend servers in messages "
                                   "between gateways.")
-                            .Register(registry)) {}
+                            .Register(registry)),
+        rollout_attempts(prometheus::BuildCounter()
+                             .Name("wasabiwall_rollout_attempts_total")
+                             .Help("Attempts during roll-outs by service, "
+                                   "version and outcome.")
+                             .Register(registry)),
+        rollout_stage(prometheus::BuildGauge()
+                          .Name("wasabiwall_rollout_stage")
+                          .Help("Stage of a roll-out: 0 canary, 1 shifting, "
+                                "2 completed, 3 rolled back.")
+                          .Register(registry)) {}
 
   prometheus::Registry registry;
   prometheus::Family<prometheus::Counter>& calls;
@@ -64,6 +74,8 @@
   prometheus::Counter& attempts;
   prometheus::Family<prometheus::Counter>& backend_responses;
   prometheus::Family<prometheus::Counter>& announced_loads;
+  prometheus::Family<prometheus::Counter>& rollout_attempts;
+  prometheus::Family<prometheus::Gauge>& rollout_stage;
 };
 
 Metrics::Metrics() : m_families(std::make_unique<Families>()) {}
@@ -112,6 +124,20 @@
       .Increment(static_cast<double>(loads));
 }
 
+void Metrics::CountRolloutAttempt(const std::string& service,
+                                  const std::string& version,
+                                  const std::string& outcome) {
+  m_families->rollout_attempts
+      .Add({{"service", service}, {"version", version}, {"outcome", outcome}})
+      .Increment();
+}
+
+void Metrics::SetRolloutStage(const std::string& service,
+                              const std::string& target, int stage) {
+  m_families->rollout_stage.Add({{"service", service}, {"target", target}})
+      .Set(stage);
+}
+
 void Metrics::SetGauge(const std::string& name, double value) {
   prometheus::BuildGauge()
       .Name(name)
--- a/src/wasabiwall/transport/metrics.h
+++ b/src/wasabiwall/transport/metrics.h
@@ -41,6 +41,18 @@
   void CountLoadsSent(std::size_t loads);
   void CountLoadsReceived(std::size_t loads);
 
+  /// Counts one attempt of a service that is being moved to another version.
+  /// @param outcome How it counts for the version; a name that the operations
+  /// page lists.
+  void CountRolloutAttempt(const std::string& service,
+                           const std::string& version,
+                           const std::string& outcome);
+
+  /// Sets the stage of a roll-out, counted from 0 in the order of
+  /// state::RolloutStage.
+  void SetRolloutStage(const std::string& service, const std::string& target,
+                       int stage);
+
   /// Sets a gauge without labels.
   void SetGauge(const std::string& name, double value);
 
--- a/src/wasabiwall/transport/quarantine_guard.h
+++ b/src/wasabiwall/transport/quarantine_guard.h
@@ -37,6 +37,9 @@
   /// @return Whether a content has been quarantined since the call was placed.
   bool IsWithdrawn() const;
 
+  /// @return Whether a content is quarantined, also if the call is its probe.
+  bool IsSuspect() const { return !Quarantined().empty(); }
+
   /// @return Time after which a caller should repeat the request.
   std::chrono::milliseconds RetryAfter() const;
 
