Roll-outs: writes of a collector whose store is silent, end of one backend server

A collector that the store doesn't answer asks three other gateways to write (new field of the message). Seen with all three collectors cut off: completed 0.5 s after the deadline. Failures by the end of one backend server are dropped: counted once by each gateway they rolled back 5 of 80 good versions.

--- a/src/wasabiwall/protocol/rollout_message.cc
+++ b/src/wasabiwall/protocol/rollout_message.cc
@@ -13,7 +13,9 @@
 // First field of the message, which tells it from others between gateways.
 constexpr const char* kType = "rollout";
 /// Fields of the message.
-constexpr std::size_t kFields = 9;
+constexpr std::size_t kFields = 10;
+/// Stands for a message without a proposal.
+constexpr int kNoProposal = -1;
 /// Longest accepted name; longer ones don't fit into a message with counts.
 constexpr std::size_t kMaxNameBytes = 200;
 /// Most routes that fit into a message.
@@ -51,6 +53,14 @@
   return static_cast<std::uint32_t>(value);
 }
 
+state::RolloutStage ReadStage(const json& field) {
+  const std::uint32_t stage = ReadCount(field);
+  if (stage > static_cast<std::uint32_t>(state::RolloutStage::kRolledBack)) {
+    throw json::out_of_range::create(401, "stage", &field);
+  }
+  return static_cast<state::RolloutStage>(stage);
+}
+
 std::string ReadName(const json& field) {
   auto name = field.get<std::string>();
   if (name.size() > kMaxNameBytes) {
@@ -129,15 +139,17 @@
 std::string EncodeRolloutMessage(const RolloutMessage& message) {
   json routes = json::array();
   for (const auto& route : message.routes) routes.push_back(EncodeRoute(route));
-  const json fields = {kType,
-                       message.order.era,
-                       message.order.revision,
-                       message.service.value,
-                       message.target_version,
-                       static_cast<int>(message.stage),
-                       message.order_age.count(),
-                       message.running_on_old,
-                       std::move(routes)};
+  const json fields = {
+      kType,
+      message.order.era,
+      message.order.revision,
+      message.service.value,
+      message.target_version,
+      static_cast<int>(message.stage),
+      message.order_age.count(),
+      message.running_on_old,
+      message.proposal ? static_cast<int>(*message.proposal) : kNoProposal,
+      std::move(routes)};
   std::string bytes;
   json::to_cbor(fields, bytes);
   return bytes;
@@ -152,17 +164,14 @@
     message.order.revision = fields.at(2).get<std::int64_t>();
     message.service = state::ServiceId(ReadName(fields.at(3)));
     message.target_version = ReadName(fields.at(4));
-    const std::uint32_t stage = ReadCount(fields.at(5));
-    if (stage > static_cast<std::uint32_t>(state::RolloutStage::kRolledBack)) {
-      return std::nullopt;
-    }
-    message.stage = static_cast<state::RolloutStage>(stage);
+    message.stage = ReadStage(fields.at(5));
     message.order_age = milliseconds(fields.at(6).get<std::int64_t>());
     if (message.order_age.count() < 0 || message.order_age > kMaxAge) {
       return std::nullopt;
     }
     message.running_on_old = ReadCount(fields.at(7));
-    const json& routes = fields.at(8);
+    if (fields.at(8) != kNoProposal) message.proposal = ReadStage(fields[8]);
+    const json& routes = fields.at(9);
     if (!routes.is_array() || routes.size() > kMaxRoutes) return std::nullopt;
     for (const json& route : routes) {
       message.routes.push_back({ReadName(route.at(0)), ReadCounts(route.at(1)),
--- a/src/wasabiwall/protocol/rollout_message.h
+++ b/src/wasabiwall/protocol/rollout_message.h
@@ -40,6 +40,9 @@
   /// Calls of the sender that cannot be repeated and still run on backend
   /// servers of other versions than the target.
   std::uint32_t running_on_old = 0;
+  /// Stage that the sender has decided on and asks the receiver to write, since
+  /// the store doesn't answer the sender.
+  std::optional<state::RolloutStage> proposal;
   /// Cumulative counts by route. A message may hold some of the routes only.
   struct RouteCounts {
     std::string route;
--- a/src/wasabiwall/rollout/failure_filter.cc
+++ b/src/wasabiwall/rollout/failure_filter.cc
@@ -1,5 +1,7 @@
 #include "wasabiwall/rollout/failure_filter.h"
 
+#include <utility>
+
 namespace wasabiwall::rollout {
 namespace {
 
@@ -50,7 +52,7 @@
   if (found == m_servers.end()) return;
   Server& server = found->second;
   if (m_hooks.incarnation(id) != server.incarnation) {
-    CountOne(server);
+    OnGone(server);
     m_servers.erase(found);
     return;
   }
@@ -72,7 +74,7 @@
       continue;
     }
     if (is_gone) {
-      CountOne(server);
+      OnGone(server);
     } else {
       for (const Failure& failure : server.failures) {
         m_hooks.count(failure.route, failure.is_target, 1);
@@ -82,8 +84,11 @@
   }
 }
 
-void FailureFilter::CountOne(const Server& server) {
+void FailureFilter::OnGone(const Server& server) {
   const Failure& failure = server.failures.front();
+  const bool was_gone =
+      std::exchange(m_has_gone[failure.is_target ? 1 : 0], true);
+  if (!was_gone) return;
   m_hooks.count(failure.route, failure.is_target, 1);
 }
 
--- a/src/wasabiwall/rollout/failure_filter.h
+++ b/src/wasabiwall/rollout/failure_filter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -15,8 +16,8 @@
 namespace wasabiwall::rollout {
 
 /// Holds back failures until it is known whether their backend server still
-/// runs, so that the end of one backend server counts as at most one failure at
-/// a gateway.
+/// runs, and drops those by the end of one backend server. They are not counted
+/// as one failure, since each of 300 gateways would count one.
 class FailureFilter {
  public:
   struct Hooks {
@@ -61,11 +62,15 @@
 
   /// Counts the failures before a time at which the backend server ran.
   void Confirm(const state::BackendServerId& id, coordination::TimePoint now);
-  /// Counts one of the failures.
-  void CountOne(const Server& server);
+  /// Drops the failures of a backend server that has ended; of further ones of
+  /// the same version, one failure counts.
+  void OnGone(const Server& server);
 
   Hooks m_hooks;
   std::map<state::BackendServerId, Server> m_servers;
+  /// Whether a backend server of the others, and of the target version, has
+  /// ended with calls in flight.
+  std::array<bool, 2> m_has_gone{};
 };
 
 }  // namespace wasabiwall::rollout
--- a/src/wasabiwall/rollout/service_rollout.cc
+++ b/src/wasabiwall/rollout/service_rollout.cc
@@ -47,6 +47,12 @@
 constexpr milliseconds kRankDelay{300};
 /// Time after which an unanswered write is repeated; the store takes 4 ms.
 constexpr milliseconds kWriteInterval{500};
+/// Time without an answer of the store after which a collector asks others to
+/// write: half of the time after which it doesn't write itself.
+constexpr milliseconds kDelegationAge{1000};
+/// Gateways that are asked; with half of all cut off, 7 in 8 times one of them
+/// can write.
+constexpr int kDeputies = 3;
 /// After a restore of the store, operators write orders again within that time;
 /// until then a deleted order is only paused.
 constexpr milliseconds kWithdrawalGrace{3000};
@@ -209,6 +215,7 @@
     m_evidence.Add(from, counts, message.order_age);
   }
   if (m_stages.OnReport(message.stage)) OnStageChange(false, now);
+  TakeProposal(from, message, now);
   const bool is_behind =
       message.stage < Stage() && !(IsFinal(message.stage) && IsFinal(Stage()));
   if (now - m_answers_since >= kAnswerInterval) {
@@ -221,6 +228,17 @@
   }
 }
 
+void ServiceRollout::TakeProposal(const std::string& from,
+                                  const protocol::RolloutMessage& message,
+                                  TimePoint now) {
+  // A collector decides on the step from its own stage only.
+  if (!message.proposal || message.stage != Stage()) return;
+  m_writes_until = now + kWriteInterval;
+  if (*message.proposal > Stage()) {
+    m_stages.Propose(*message.proposal, "decided by " + from);
+  }
+}
+
 bool ServiceRollout::NeedsWrite() const {
   return m_stages.NeedsWrite() || m_has_old_id;
 }
@@ -382,7 +400,28 @@
     if (!was_paused || m_verdict.BadReason()) Decide(*rank, now);
   }
   AnnounceIfDue(now);
-  if (rank && !was_paused) WriteIfDue(*rank, now);
+  if (was_paused) return;
+  if (rank || (m_writes_until && now < *m_writes_until)) {
+    WriteIfDue(rank.value_or(0), now);
+  }
+  if (rank) DelegateIfDue(now);
+}
+
+void ServiceRollout::DelegateIfDue(TimePoint now) {
+  if (!m_has_read_record || m_is_superseded || !NeedsWrite() ||
+      now < m_next_delegation ||
+      m_environment.hooks->store_age() < kDelegationAge) {
+    return;
+  }
+  m_next_delegation = now + kWriteInterval;
+  protocol::RolloutMessage message = Message(now);
+  message.proposal = m_stages.Wanted();
+  const auto gateways = m_environment.hooks->gateways();
+  for (int i = 0; i < kDeputies && !gateways.empty(); ++i) {
+    const std::string& to =
+        gateways[m_environment.hooks->random() % gateways.size()];
+    if (to != m_environment.name) m_environment.hooks->send(to, message);
+  }
 }
 
 void ServiceRollout::Report(TimePoint now) {
--- a/src/wasabiwall/rollout/service_rollout.h
+++ b/src/wasabiwall/rollout/service_rollout.h
@@ -100,8 +100,13 @@
   void DecideShifting(int rank, coordination::TimePoint now);
   bool HaveAllShifted(coordination::TimePoint now) const;
   std::chrono::milliseconds ShiftTime() const;
+  /// Asks other gateways to write what the store doesn't take from this one.
+  void DelegateIfDue(coordination::TimePoint now);
   void WriteIfDue(int rank, coordination::TimePoint now);
   void OnStageChange(bool is_own_decision, coordination::TimePoint now);
+  void TakeProposal(const std::string& from,
+                    const protocol::RolloutMessage& message,
+                    coordination::TimePoint now);
   void AnnounceIfDue(coordination::TimePoint now);
 
   Environment m_environment;
@@ -141,6 +146,9 @@
   coordination::TimePoint m_next_heartbeat;
   coordination::TimePoint m_next_widening;
   coordination::TimePoint m_next_write;
+  coordination::TimePoint m_next_delegation;
+  /// Until when this gateway writes for a collector.
+  std::optional<coordination::TimePoint> m_writes_until;
   std::optional<state::RolloutStage> m_last_wanted;
   int m_announcements_left = 0;
   coordination::TimePoint m_next_announcement;
