Roll-outs: failures with a whole response count at once

Failures were held back until their backend server was known to run, and answers were not. In a run of bad versions under a failure that was stopped half-way, 22 versions that fail 5 in 100 were completed, all of them at 68 gateways and 400 calls per second. Observations now say whether a response broke off; only those are held back.

--- a/src/wasabiwall/rollout/rollout_controller.h
+++ b/src/wasabiwall/rollout/rollout_controller.h
@@ -55,6 +55,10 @@
     kIgnored,
   };
   Outcome outcome = Outcome::kIgnored;
+  /// Whether the connection ended before the response. The end of a backend
+  /// server may be the cause, so that it counts only once that one is known to
+  /// run on.
+  bool broke_off = false;
   /// Time to the first byte of the response, also of one that failed; nothing
   /// if none came.
   std::optional<std::chrono::microseconds> first_byte;
--- a/src/wasabiwall/rollout/service_rollout.cc
+++ b/src/wasabiwall/rollout/service_rollout.cc
@@ -350,6 +350,15 @@
   RouteEvidence& route = m_own[observation.route];
   const bool is_target = observation.version == m_order.target_version;
   protocol::VersionCounts& counts = is_target ? route.target : route.others;
+  if (observation.outcome == Outcome::kFailed && observation.first_byte &&
+      !observation.broke_off) {
+    // A whole response was sent by a backend server that runs. To hold these
+    // failures back, but not the answers, would make a version look good.
+    m_filter.OnAnswer(observation.server, now);
+    ++counts.failures;
+    m_has_changed = true;
+    return;
+  }
   if (observation.outcome == Outcome::kFailed) {
     m_filter.OnFailure(observation.server, observation.route, is_target,
                        observation.first_byte.has_value(), now);
--- a/tests/fakes/rollout_fleet.cc
+++ b/tests/fakes/rollout_fleet.cc
@@ -255,6 +255,7 @@
     case VersionKind::kFails5:
       return roll < 5;
     case VersionKind::kFails20:
+    case VersionKind::kBreaksOff20:
       return roll < 20;
     case VersionKind::kFails100:
       return true;
@@ -377,6 +378,10 @@
                                  server.entry.id, call->is_idempotent};
   observation.outcome = is_failed ? AttemptObservation::Outcome::kFailed
                                   : AttemptObservation::Outcome::kAnswered;
+  observation.broke_off =
+      is_failed &&
+      (!has_response || m_options.kind == VersionKind::kBreaksOff20);
+  if (observation.broke_off) has_response = m_random() % 2 == 0;
   if (has_response) {
     double time_ms = 15;
     if (!is_failed) {
--- a/tests/fakes/rollout_fleet.h
+++ b/tests/fakes/rollout_fleet.h
@@ -26,6 +26,8 @@
   kBadFromHalf,
   kBadUnderLoad,
   kBadOnOneRoute,
+  /// Breaks off 20 of 100 responses, or sends none at all.
+  kBreaksOff20,
 };
 
 /// The failure during a roll-out.
--- a/tests/rollout/rollout_fleet_test.cc
+++ b/tests/rollout/rollout_fleet_test.cc
@@ -13,10 +13,10 @@
 using std::chrono::milliseconds;
 
 const std::vector<VersionKind> kBadKinds = {
-    VersionKind::kFails5,       VersionKind::kFails20,
-    VersionKind::kFails100,     VersionKind::kSlow,
-    VersionKind::kBadFromHalf,  VersionKind::kBadUnderLoad,
-    VersionKind::kBadOnOneRoute};
+    VersionKind::kFails5,        VersionKind::kFails20,
+    VersionKind::kFails100,      VersionKind::kSlow,
+    VersionKind::kBadFromHalf,   VersionKind::kBadUnderLoad,
+    VersionKind::kBadOnOneRoute, VersionKind::kBreaksOff20};
 const std::vector<FleetFailure> kFailures = {
     FleetFailure::kDeciderKilled,       FleetFailure::kDeciderFrozen,
     FleetFailure::kHalfCutOffFromStore, FleetFailure::kDatagramsLost,
@@ -135,6 +135,22 @@
   CHECK(completed >= 0.99 * runs);
 }
 
+// Load: 400 calls per second at one gateway, which alone decides. Guards
+// against a decision that needs other gateways.
+TEST_CASE("one gateway alone carries out a roll-out", "[rollout]") {
+  FleetOptions options;
+  options.gateways = 1;
+  for (int seed = 1; seed <= Seeds(); ++seed) {
+    options.seed = static_cast<std::uint64_t>(seed);
+    options.kind = VersionKind::kGood;
+    CHECK(CheckGood(options));
+    for (const VersionKind kind : kBadKinds) {
+      options.kind = kind;
+      CheckBad(options);
+    }
+  }
+}
+
 // Load: the design target, 3,000 calls per second at 300 gateways. Guards
 // against bounds that grow with the gateways.
 TEST_CASE("300 gateways keep the bounds of a roll-out", "[rollout]") {
