--- a/tests/rollout/sequential_test_test.cc
+++ b/tests/rollout/sequential_test_test.cc
@@ -82,7 +82,7 @@
     if (RunTest(kRates.good, &random) == Verdict::kBad) ++false_bad;
     if (RunTest(kRates.bad, &random) == Verdict::kGood) ++missed;
   }
-  WARN("false bad " << false_bad << ", missed " << missed << " of 20000");
+  INFO("false bad " << false_bad << ", missed " << missed << " of 20000");
   CHECK(false_bad <= 20);
   CHECK(missed <= 200);
 }
@@ -114,7 +114,7 @@
     if (is_bad) ++bad;
     if (is_good) ++good;
   }
-  WARN("bad " << bad << ", good " << good << " of 5000");
+  INFO("bad " << bad << ", good " << good << " of 5000");
   CHECK(bad <= 5);
   CHECK(good >= 4950);
 }
@@ -127,7 +127,7 @@
     if (TwoVersions(seed).Run(0.05, 1, 100).second) ++missed_failures;
     if (TwoVersions(seed).Run(0, 3, 100).second) ++missed_slow;
   }
-  WARN("missed " << missed_failures << " that fail 5 in 100, " << missed_slow
+  INFO("missed " << missed_failures << " that fail 5 in 100, " << missed_slow
                  << " that are slow, of 2000 each");
   CHECK(missed_failures <= 20);
   CHECK(missed_slow == 0);
