--- a/src/wasabiwall/rollout/service_rollout.cc
+++ b/src/wasabiwall/rollout/service_rollout.cc
@@ -19,15 +19,13 @@
 constexpr milliseconds kMaxStoreAge{2000};
 /// Four reports per second while the counts change, from the design page.
 constexpr milliseconds kReportInterval{250};
-/// A report at least that often, so that three may be lost in kHeardTime.
+/// A report at least that often, so that three may be lost in the 2 s in which
+/// a gateway must be heard from.
 constexpr milliseconds kHeartbeatInterval{500};
-/// Gateways heard from within that time must have shifted, from the design
-/// page.
-constexpr milliseconds kHeardTime{2000};
-/// Most gateways that are followed: the design target.
-constexpr std::size_t kMaxPeers = 1024;
-/// Time from the shift to the deadline at least: kMinShifting, kHeardTime for a
-/// gateway that stops meanwhile.
+/// Most gateways that are answered in kAnswerInterval: the design target.
+constexpr std::size_t kMaxAnswers = 1024;
+/// Time from the shift to the deadline at least: kMinShifting, and 2 s in which
+/// a gateway that stops is waited for.
 constexpr milliseconds kMinShiftTime{3000};
 /// Time that remains after the longest attempt has ended.
 constexpr milliseconds kShiftMargin{1000};
@@ -196,21 +194,7 @@
                                const protocol::RolloutMessage& message,
                                TimePoint now) {
   LearnAge(message.order_age, now);
-  const auto found = m_peers.find(from);
-  if (found == m_peers.end() && m_peers.size() < kMaxPeers) {
-    m_peers[from] = {now, message.stage, message.running_on_old,
-                     message.order_age};
-  } else if (found != m_peers.end()) {
-    Peer& peer = found->second;
-    peer.heard_at = now;
-    // Of messages in another order than they were sent, the newest counts.
-    if (message.order_age >= peer.age ||
-        peer.age - message.order_age > kHeardTime) {
-      peer.stage = message.stage;
-      peer.running_on_old = message.running_on_old;
-      peer.age = message.order_age;
-    }
-  }
+  m_peers.OnMessage(from, message, now);
   for (const auto& counts : message.routes) {
     m_evidence.Add(from, counts, message.order_age);
   }
@@ -222,7 +206,7 @@
     m_answered_peers.clear();
     m_answers_since = now;
   }
-  if (is_behind && m_answered_peers.size() < kMaxPeers &&
+  if (is_behind && m_answered_peers.size() < kMaxAnswers &&
       m_answered_peers.insert(from).second) {
     m_environment.hooks->send(from, Message(now));
   }
@@ -543,21 +527,10 @@
 }
 
 bool ServiceRollout::HaveAllShifted(TimePoint now) const {
-  for (const auto& [name, peer] : m_peers) {
-    if (now - peer.heard_at > kHeardTime) continue;
-    if (peer.stage == RolloutStage::kCanary || peer.running_on_old > 0) {
-      return false;
-    }
-  }
-  if (Age(now) >= m_order.duration - kSilentMargin) return true;
-  const auto gateways = m_environment.hooks->gateways();
-  return std::all_of(gateways.begin(), gateways.end(),
-                     [&](const std::string& name) {
-                       if (name == m_environment.name) return true;
-                       const auto found = m_peers.find(name);
-                       return found != m_peers.end() &&
-                              now - found->second.heard_at <= kHeardTime;
-                     });
+  if (!m_peers.HaveShifted(now)) return false;
+  return Age(now) >= m_order.duration - kSilentMargin ||
+         m_peers.HaveHeardFrom(m_environment.hooks->gateways(),
+                               m_environment.name, now);
 }
 
 void ServiceRollout::WriteIfDue(int rank, TimePoint now) {
--- a/src/wasabiwall/rollout/service_rollout.h
+++ b/src/wasabiwall/rollout/service_rollout.h
@@ -10,6 +10,7 @@
 
 #include "wasabiwall/rollout/exposure_limiter.h"
 #include "wasabiwall/rollout/failure_filter.h"
+#include "wasabiwall/rollout/peer_stages.h"
 #include "wasabiwall/rollout/rollout_controller.h"
 #include "wasabiwall/rollout/rollout_stages.h"
 #include "wasabiwall/rollout/trial_servers.h"
@@ -77,13 +78,6 @@
   std::set<std::string> Abandoned() const;
 
  private:
-  struct Peer {
-    coordination::TimePoint heard_at;
-    state::RolloutStage stage = state::RolloutStage::kCanary;
-    std::uint32_t running_on_old = 0;
-    std::chrono::milliseconds age{0};
-  };
-
   std::chrono::milliseconds Age(coordination::TimePoint now) const;
   void LearnAge(std::chrono::milliseconds age, coordination::TimePoint now);
   bool NeedsWrite() const;
@@ -138,7 +132,7 @@
   bool m_has_changed = true;
   VersionEvidence m_evidence;
   VersionVerdict m_verdict;
-  std::map<std::string, Peer> m_peers;
+  PeerStages m_peers;
   std::set<std::string> m_answered_peers;
   coordination::TimePoint m_answers_since;
 
