Roll-outs: longest attempts, returning orders, incomplete registries

The shift begins early enough for the longest attempt seen that cannot be repeated; observations have a duration for it. An order that returns cancels the roll-back that its absence caused. With an incomplete registry no calls beyond the exposure go to the target. [rollout] passes.

--- a/src/wasabiwall/rollout/rollout_controller.h
+++ b/src/wasabiwall/rollout/rollout_controller.h
@@ -59,6 +59,8 @@
   /// server may be the cause, so that it counts only once that one is known to
   /// run on.
   bool broke_off = false;
+  /// Time from the sending of the call to the end of the attempt.
+  std::chrono::milliseconds duration{0};
   /// Time to the first byte of the response, also of one that failed; nothing
   /// if none came.
   std::optional<std::chrono::microseconds> first_byte;
--- a/src/wasabiwall/rollout/rollout_stages.h
+++ b/src/wasabiwall/rollout/rollout_stages.h
@@ -53,6 +53,9 @@
   /// Proposes the next stage, which takes effect once the record shows it.
   void Propose(state::RolloutStage stage, const std::string& reason);
 
+  /// Takes back what was proposed and not read in the record yet.
+  void CancelProposal() { m_proposed.reset(); }
+
   /// Rolls back at once.
   /// @return Whether the stage has changed; not if it is final.
   bool RollBack(const std::string& reason);
--- a/src/wasabiwall/rollout/service_rollout.cc
+++ b/src/wasabiwall/rollout/service_rollout.cc
@@ -149,6 +149,9 @@
 
 void ServiceRollout::SetWithdrawn(bool is_withdrawn, TimePoint now) {
   if (!is_withdrawn) {
+    // What was proposed because of the withdrawal does not hold any more; other
+    // proposals are made again.
+    if (m_withdrawn_at) m_stages.CancelProposal();
     m_withdrawn_at.reset();
   } else if (!m_withdrawn_at) {
     m_withdrawn_at = now;
@@ -264,8 +267,12 @@
   return state::ToUnitInterval(hash) < m_candidate_share;
 }
 
+bool ServiceRollout::HasOnlyTarget() const {
+  return m_trial.OtherVersions().empty() && m_trial.TargetCount() > 0 &&
+         m_environment.registry->IsComplete();
+}
+
 VersionRule ServiceRollout::BaseRule() const {
-  if (m_trial.OtherVersions().empty()) return {};
   // Of several other versions only one that was not abandoned serves.
   if (!m_abandoned.empty()) {
     const std::string* base = nullptr;
@@ -288,11 +295,11 @@
 VersionRule ServiceRollout::Choose(const VersionQuery& query, TimePoint now) {
   if (now - m_trial_updated_at >= kCountInterval) UpdateTrial(now);
   const std::string& target = m_order.target_version;
-  const VersionRule only_target{VersionRule::Kind::kOnly, target,
-                                query.is_idempotent};
+  VersionRule only_target{VersionRule::Kind::kOnly, target,
+                          query.is_idempotent};
   switch (Stage()) {
     case RolloutStage::kRolledBack:
-      return {VersionRule::Kind::kExcept, target, false};
+      return BaseRule();
     case RolloutStage::kCompleted:
       return m_trial.TargetCount() > 0 ? only_target : VersionRule{};
     case RolloutStage::kShifting:
@@ -304,6 +311,7 @@
     case RolloutStage::kCanary:
       break;
   }
+  if (HasOnlyTarget()) return {};
   if (query.tried_version == target || !MayTry(now) || !m_limiter.MayExpose()) {
     return BaseRule();
   }
@@ -316,7 +324,7 @@
 bool ServiceRollout::IsInTrial(const state::BackendServer& server) const {
   if (server.version != m_order.target_version) return true;
   if (Stage() != RolloutStage::kCanary) return true;
-  return m_trial.OtherVersions().empty() || m_trial.Contains(server.id);
+  return HasOnlyTarget() || m_trial.Contains(server.id);
 }
 
 void ServiceRollout::OnSent(const std::string& version) {
@@ -326,6 +334,10 @@
 void ServiceRollout::OnEnded(const AttemptObservation& observation,
                              TimePoint now) {
   using Outcome = AttemptObservation::Outcome;
+  if (!observation.is_idempotent &&
+      observation.version != m_order.target_version) {
+    m_longest_attempt = std::max(m_longest_attempt, observation.duration);
+  }
   if (observation.outcome == Outcome::kIgnored) return;
   if (!m_own.contains(observation.route) &&
       m_own.size() >= VersionEvidence::kMaxRoutes) {
@@ -476,15 +488,15 @@
     }
   }
   const auto attempt =
-      duration_cast<milliseconds>(protocol::TimeBucketEnd(longest));
+      std::max(m_longest_attempt,
+               duration_cast<milliseconds>(protocol::TimeBucketEnd(longest)));
   return std::min(std::max(kMinShiftTime, attempt + kShiftMargin),
                   m_order.duration / kMaxShiftPart);
 }
 
 void ServiceRollout::DecideCanary(int rank, TimePoint now) {
   const milliseconds age = Age(now);
-  if (m_trial.OtherVersions().empty() && m_trial.TargetCount() > 0 &&
-      m_environment.registry->IsComplete()) {
+  if (HasOnlyTarget()) {
     if (!m_others_gone_at) m_others_gone_at = now;
     if (now - *m_others_gone_at > kOthersGoneTime + rank * kRankDelay) {
       m_stages.Propose(RolloutStage::kCompleted,
--- a/src/wasabiwall/rollout/service_rollout.h
+++ b/src/wasabiwall/rollout/service_rollout.h
@@ -84,7 +84,10 @@
   void UpdateTrial(coordination::TimePoint now);
   bool MayTry(coordination::TimePoint now) const;
   bool IsCandidate(std::uint64_t session) const;
+  /// @return Rule of calls that are not on trial.
   state::VersionRule BaseRule() const;
+  /// @return Whether nothing but the target can serve calls.
+  bool HasOnlyTarget() const;
   protocol::RolloutMessage Message(coordination::TimePoint now) const;
   void Report(coordination::TimePoint now);
   /// @return Position among the collectors; nothing if it is none.
@@ -129,6 +132,9 @@
   FailureFilter m_filter;
   RolloutStages m_stages;
   std::map<std::string, RouteEvidence> m_own;
+  /// Longest attempt here, on another version, of a call that cannot be
+  /// repeated.
+  std::chrono::milliseconds m_longest_attempt{0};
   bool m_has_changed = true;
   VersionEvidence m_evidence;
   VersionVerdict m_verdict;
--- a/tests/rollout/rollout_controller_test.cc
+++ b/tests/rollout/rollout_controller_test.cc
@@ -464,6 +464,56 @@
   CHECK(fixture.Stage() == RolloutStage::kCompleted);
 }
 
+// Guards against calls that can't be repeated and still run at the deadline.
+TEST_CASE("the shift begins early enough for the longest attempts",
+          "[rollout]") {
+  Fixture fixture;
+  fixture.Begin();
+  AttemptObservation observation{kService, "v1", "a",
+                                 state::BackendServerId("s1"), false};
+  observation.outcome = AttemptObservation::Outcome::kAnswered;
+  observation.duration = milliseconds(4000);
+  fixture.controller.OnSent(kService, "v1", false, fixture.now);
+  fixture.controller.OnEnded(observation, fixture.now);
+  fixture.ServeFor(milliseconds(6600));
+  CHECK(fixture.Stage() == RolloutStage::kCanary);
+  fixture.ServeFor(milliseconds(700));
+  CHECK(fixture.Stage() == RolloutStage::kShifting);
+}
+
+// Guards against a roll-back that was decided on while the order was missing
+// and is written after it has returned.
+TEST_CASE("an order that returns cancels the roll-back", "[rollout]") {
+  Fixture fixture;
+  fixture.Begin();
+  fixture.takes_writes = false;
+  fixture.controller.OnOrderWithdrawn(kService, fixture.now);
+  fixture.Run(milliseconds(3500));
+  CHECK(fixture.writes.back().stage == RolloutStage::kRolledBack);
+  fixture.Order(2, 3, "v2");
+  fixture.takes_writes = true;
+  fixture.Run(milliseconds(1000));
+  CHECK(fixture.Stage() == RolloutStage::kCanary);
+}
+
+// Guards against all calls on the target while the registry is read anew and
+// has no backend server of another version yet.
+TEST_CASE("an incomplete registry exposes no calls", "[rollout]") {
+  Fixture fixture;
+  fixture.Begin();
+  fixture.RemoveServers(0, 20);
+  fixture.registry.SetComplete(false);
+  fixture.Run(milliseconds(100));
+  int exposed = 0;
+  for (int i = 0; i < 500; ++i) {
+    const bool is_exposed = fixture.Choose().Allows("v2");
+    if (is_exposed) ++exposed;
+    fixture.controller.OnSent(kService, is_exposed ? "v2" : "v1", true,
+                              fixture.now);
+  }
+  CHECK(exposed <= 40);
+}
+
 // Guards against a shift that holds before it is written: another decider may
 // have written the opposite.
 TEST_CASE("no stage but rolled_back holds while the store is silent",
