Roll-outs: fewer wrong verdicts; who decides writes the reason

Times are compared from 200 on, rates of the other versions are taken at their upper bound, and good needs the answers of the whole trial. [rollout] passes.

--- a/src/wasabiwall/rollout/sequential_test.cc
+++ b/src/wasabiwall/rollout/sequential_test.cc
@@ -13,9 +13,11 @@
 
 void SequentialTest::Add(std::uint64_t good, std::uint64_t bad,
                          const Rates& rates) {
-  m_log_ratio +=
+  const double change =
       static_cast<double>(good) * std::log((1 - rates.bad) / (1 - rates.good)) +
       static_cast<double>(bad) * std::log(rates.bad / rates.good);
+  m_log_ratio += change;
+  m_log_ratio_of_all += change;
   if (m_log_ratio >= m_upper) m_is_bad = true;
   m_log_ratio = std::max(m_log_ratio, m_lower);
 }
@@ -23,7 +25,9 @@
 SequentialTest::Verdict SequentialTest::Result() const {
   if (m_is_bad) return Verdict::kBad;
   // The boundary itself is where the ratio is held.
-  return m_log_ratio <= m_lower ? Verdict::kGood : Verdict::kUndecided;
+  return m_log_ratio <= m_lower && m_log_ratio_of_all <= m_lower
+             ? Verdict::kGood
+             : Verdict::kUndecided;
 }
 
 }  // namespace wasabiwall::rollout
--- a/src/wasabiwall/rollout/sequential_test.h
+++ b/src/wasabiwall/rollout/sequential_test.h
@@ -14,7 +14,9 @@
 
 /// Wald's sequential probability ratio test (1945) of a bad rate against a good
 /// rate. Continues after the verdict good, from its boundary, so that a version
-/// that turns bad later is found. `bad` is final.
+/// that turns bad later is found. `good` needs all answers together as well:
+/// with a long trial, any version has a time without bad answers. `bad` is
+/// final.
 class SequentialTest {
  public:
   enum class Verdict { kUndecided, kGood, kBad };
@@ -41,6 +43,8 @@
   double m_upper;
   /// Logarithm of the likelihood of bad over that of good.
   double m_log_ratio = 0;
+  /// The same without the boundary.
+  double m_log_ratio_of_all = 0;
   bool m_is_bad = false;
 };
 
--- a/src/wasabiwall/rollout/service_rollout.cc
+++ b/src/wasabiwall/rollout/service_rollout.cc
@@ -553,6 +553,9 @@
   }
   if (m_last_wanted != m_stages.Wanted()) {
     m_last_wanted = m_stages.Wanted();
+    // Who has decided knows the reason and writes a roll-back first.
+    const bool is_asked = m_writes_until && now < *m_writes_until;
+    if (IsFinal(Stage())) rank = m_decided_here || is_asked ? 0 : rank + 1;
     m_next_write = now + rank * kRankDelay;
   }
   if (now < m_next_write || m_environment.hooks->store_age() > kMaxStoreAge) {
@@ -570,6 +573,7 @@
   if (Stage() == RolloutStage::kShifting) m_shifting_since = now;
   m_has_changed = true;
   m_next_report = now;
+  m_decided_here = is_own_decision;
   if (is_own_decision) {
     m_announcements_left = kAnnouncements;
     m_next_announcement = now;
--- a/src/wasabiwall/rollout/service_rollout.h
+++ b/src/wasabiwall/rollout/service_rollout.h
@@ -150,6 +150,8 @@
   /// Until when this gateway writes for a collector.
   std::optional<coordination::TimePoint> m_writes_until;
   std::optional<state::RolloutStage> m_last_wanted;
+  /// Whether this gateway has decided on the present stage.
+  bool m_decided_here = false;
   int m_announcements_left = 0;
   coordination::TimePoint m_next_announcement;
 };
--- a/src/wasabiwall/rollout/version_verdict.cc
+++ b/src/wasabiwall/rollout/version_verdict.cc
@@ -1,6 +1,7 @@
 #include "wasabiwall/rollout/version_verdict.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace wasabiwall::rollout {
 namespace {
@@ -32,7 +33,11 @@
 /// that took three times the median is at least three buckets further.
 constexpr std::size_t kSlowBuckets = 3;
 /// Times of the other versions from which their median is known.
-constexpr std::uint64_t kFewestTimes = 20;
+/// With 20, chance rolled back 1 of some 2,000 good versions.
+constexpr std::uint64_t kFewestTimes = 200;
+/// Answers of the other versions from which their failures are known: with
+/// fewer, failures of all versions alike may be missed in 1 of 10 attempts.
+constexpr std::uint64_t kFewestAnswers = 50;
 /// Time within which the version must have answered to be good.
 constexpr std::chrono::milliseconds kRecent{2000};
 /// Answers of the other versions on a route from which the version must have
@@ -45,13 +50,24 @@
   return {kProbabilities.false_bad / kTests, kProbabilities.missed_bad};
 }
 
-Rates FailureRates(const VersionCounts& others) {
-  const double total = static_cast<double>(others.answers) +
-                       static_cast<double>(others.failures);
-  const double rate =
-      total > 0 ? static_cast<double>(others.failures) / total : 0;
-  const double good = std::min(kGoodFailures + rate, 0.5);
-  return {good, good + kExcessFailures};
+/// @return Upper bound, two standard deviations higher, of the rate of which a
+/// count is a sample.
+double UpperRate(std::uint64_t count, std::uint64_t total) {
+  const auto value = static_cast<double>(count);
+  return (value + 2 * std::sqrt(value)) / static_cast<double>(total);
+}
+
+/// Adds answers and failures of the version.
+/// @return Whether they were compared; there may be too few of the others.
+bool AddFailures(const VersionCounts& since, const VersionCounts& others,
+                 SequentialTest* test) {
+  const std::uint64_t total =
+      static_cast<std::uint64_t>(others.answers) + others.failures;
+  if (total < kFewestAnswers) return false;
+  const double good =
+      std::min(kGoodFailures + UpperRate(others.failures, total), 0.5);
+  test->Add(since.answers, since.failures, {good, good + kExcessFailures});
+  return true;
 }
 
 std::uint64_t Total(const TimeHistogram& histogram) {
@@ -83,10 +99,8 @@
   const std::uint64_t total = Total(others);
   if (total < kFewestTimes) return false;
   const std::size_t slow_from = MedianBucket(others, total) + kSlowBuckets;
-  const double rate =
-      (static_cast<double>(CountFrom(others, slow_from)) + 0.5) /
-      (static_cast<double>(total) + 1);
-  const double good = std::min(std::max(kGoodSlow, rate * 1.2), 0.9);
+  const double rate = UpperRate(CountFrom(others, slow_from), total);
+  const double good = std::min(std::max(kGoodSlow, rate), 0.9);
   const std::uint64_t slow = CountFrom(since, slow_from);
   test->Add(Total(since) - slow, slow, {good, good + kExcessSlow * (1 - good)});
   return true;
@@ -101,38 +115,40 @@
 
 void VersionVerdict::Update(const VersionEvidence& evidence,
                             coordination::TimePoint now) {
-  RouteEvidence before;
   RouteEvidence total;
   for (const auto& [name, route] : evidence.Routes()) {
     RouteTests& tests = m_routes[name];
-    AddCounts(tests.seen.target, &before.target);
     AddCounts(route.target, &total.target);
     AddCounts(route.others, &total.others);
     UpdateRoute(name, route, &tests);
   }
-  const VersionCounts since = CountsSince(before.target, total.target);
-  if (since.answers > 0) m_last_answer = now;
-  m_total.Add(since.answers, since.failures, FailureRates(total.others));
+  const VersionCounts since = CountsSince(m_seen_in_total, total.target);
+  if (AddFailures(since, total.others, &m_total)) {
+    if (since.answers > 0) m_last_answer = now;
+    m_seen_in_total = total.target;
+  }
   if (m_total.Result() == Verdict::kBad) SetBad("failures in total", total);
 }
 
 void VersionVerdict::UpdateRoute(const std::string& name,
                                  const RouteEvidence& evidence,
                                  RouteTests* tests) {
-  const VersionCounts since = CountsSince(tests->seen.target, evidence.target);
-  tests->failures.Add(since.answers, since.failures,
-                      FailureRates(evidence.others));
-  // Times that cannot be compared yet are compared later.
+  const VersionCounts since = CountsSince(tests->seen, evidence.target);
+  // What cannot be compared yet is compared later.
   VersionCounts seen = evidence.target;
+  if (!AddFailures(since, evidence.others, &tests->failures)) {
+    seen.answers = tests->seen.answers;
+    seen.failures = tests->seen.failures;
+  }
   if (!AddTimes(since.first_byte, evidence.others.first_byte,
                 &tests->first_byte)) {
-    seen.first_byte = tests->seen.target.first_byte;
+    seen.first_byte = tests->seen.first_byte;
   }
   if (!AddTimes(since.event_gap, evidence.others.event_gap,
                 &tests->event_gap)) {
-    seen.event_gap = tests->seen.target.event_gap;
+    seen.event_gap = tests->seen.event_gap;
   }
-  tests->seen = {seen, evidence.others};
+  tests->seen = seen;
   if (tests->failures.Result() == Verdict::kBad) {
     SetBad("failures on route " + name, evidence);
   }
--- a/src/wasabiwall/rollout/version_verdict.h
+++ b/src/wasabiwall/rollout/version_verdict.h
@@ -37,7 +37,8 @@
  private:
   struct RouteTests {
     RouteTests();
-    RouteEvidence seen;
+    /// Counts of the version that have been compared.
+    protocol::VersionCounts seen;
     SequentialTest failures;
     SequentialTest first_byte;
     SequentialTest event_gap;
@@ -49,6 +50,7 @@
 
   std::map<std::string, RouteTests> m_routes;
   SequentialTest m_total;
+  protocol::VersionCounts m_seen_in_total;
   std::optional<coordination::TimePoint> m_last_answer;
   std::optional<std::string> m_bad_reason;
 };
