--- a/tests/fakes/rollout_fleet.cc
+++ b/tests/fakes/rollout_fleet.cc
@@ -172,7 +172,7 @@
   if (message) gateway.controller->OnMessage(from, *message, m_now);
 }
 
-void RolloutFleet::Write(int gateway, RolloutRecord record) {
+void RolloutFleet::Write(int gateway, const RolloutRecord& record) {
   if (IsCutOff(gateway)) return;
   const std::int64_t condition = m_gateways[gateway]->known_revision;
   const bool is_lost = m_loses_replies && m_random() % 2 == 0;
--- a/tests/fakes/rollout_fleet.h
+++ b/tests/fakes/rollout_fleet.h
@@ -107,7 +107,7 @@
   bool IsBad(int server, const std::string& route);
   void Send(int from, int to, const protocol::RolloutMessage& message);
   void Deliver(int to, const std::string& from, const std::string& bytes);
-  void Write(int gateway, state::RolloutRecord record);
+  void Write(int gateway, const state::RolloutRecord& record);
   void Apply(const state::RolloutRecord& record, std::int64_t condition);
   void Poll(int gateway);
   /// Registers the backend servers of a version.
