--- a/src/wasabiwall/rollout/rollout_stages.cc
+++ b/src/wasabiwall/rollout/rollout_stages.cc
@@ -23,7 +23,7 @@
   return Enter(RolloutStage::kShifting, reason);
 }
 
-bool RolloutStages::OnReport(RolloutStage reported) {
+bool RolloutStages::OnReport(RolloutStage reported, const std::string& from) {
   if (m_is_settled || reported == RolloutStage::kCanary) return false;
   if (reported == RolloutStage::kShifting && m_stage != RolloutStage::kCanary) {
     return false;
@@ -36,7 +36,7 @@
   }
   if (m_stage == reported) return false;
   m_proposed.reset();
-  return Enter(reported, "reported by another gateway");
+  return Enter(reported, "reported by " + from);
 }
 
 void RolloutStages::Propose(RolloutStage stage, const std::string& reason) {
--- a/src/wasabiwall/rollout/rollout_stages.h
+++ b/src/wasabiwall/rollout/rollout_stages.h
@@ -47,8 +47,9 @@
                 const std::string& reason);
 
   /// Takes the stage that another gateway reports.
+  /// @param from Name of the gateway.
   /// @return Whether the stage has changed.
-  bool OnReport(state::RolloutStage reported);
+  bool OnReport(state::RolloutStage reported, const std::string& from);
 
   /// Proposes the next stage, which takes effect once the record shows it.
   void Propose(state::RolloutStage stage, const std::string& reason);
--- a/src/wasabiwall/rollout/service_rollout.cc
+++ b/src/wasabiwall/rollout/service_rollout.cc
@@ -201,7 +201,7 @@
   for (const auto& counts : message.routes) {
     m_evidence.Add(from, counts, message.order_age);
   }
-  if (m_stages.OnReport(message.stage)) OnStageChange(false, now);
+  if (m_stages.OnReport(message.stage, from)) OnStageChange(false, now);
   TakeProposal(from, message, now);
   const bool is_behind =
       message.stage < Stage() && !(IsFinal(message.stage) && IsFinal(Stage()));
--- a/tests/rollout/rollout_parts_test.cc
+++ b/tests/rollout/rollout_parts_test.cc
@@ -203,7 +203,7 @@
     for (const RolloutStage second :
          {RolloutStage::kCanary, RolloutStage::kShifting, finals[0],
           finals[1]}) {
-      CHECK(!stages.OnReport(second));
+      CHECK(!stages.OnReport(second, "g1"));
       CHECK(!stages.OnRecord(second, ""));
       CHECK(!stages.RollBack("bad"));
       CHECK(stages.Stage() == first);
@@ -222,7 +222,7 @@
   stages.RollBack("bad");
   CHECK(stages.OnRecord(RolloutStage::kCompleted, ""));
   CHECK(stages.Stage() == RolloutStage::kCompleted);
-  CHECK(!stages.OnReport(RolloutStage::kRolledBack));
+  CHECK(!stages.OnReport(RolloutStage::kRolledBack, "g1"));
 }
 
 // Guards against gateways that try different backend servers, so that each has
