Roll-outs: a smaller chance of a false verdict by slow answers

The tests of times get a tenth of their part of the stated chance; versions that are slow are found some two answers later. [rollout] passes.

--- a/src/wasabiwall/rollout/version_verdict.cc
+++ b/src/wasabiwall/rollout/version_verdict.cc
@@ -17,6 +17,10 @@
 /// The chance of a false `bad` is divided among the tests: one in total and
 /// three for each of up to five routes.
 constexpr double kTests = 16;
+/// Part of that chance for the tests of times: shares of slow answers of good
+/// and bad versions are so far apart that it costs two answers more, and the
+/// share of a good version is not known, but a sample.
+constexpr double kSlowPart = 0.1;
 /// Failures of a good version in addition to those of the others: 1 in 200.
 constexpr double kGoodFailures = 0.005;
 /// Further failures of the least bad version that must be found: in sum 5 in
@@ -46,8 +50,8 @@
 /// Answers of the version that are then required.
 constexpr std::uint32_t kFewestOnRoute = 2;
 
-ErrorProbabilities Divided() {
-  return {kProbabilities.false_bad / kTests, kProbabilities.missed_bad};
+ErrorProbabilities Divided(double part = 1) {
+  return {kProbabilities.false_bad / kTests * part, kProbabilities.missed_bad};
 }
 
 /// @return Upper bound, two standard deviations higher, of the rate of which a
@@ -109,7 +113,9 @@
 }  // namespace
 
 VersionVerdict::RouteTests::RouteTests()
-    : failures(Divided()), first_byte(Divided()), event_gap(Divided()) {}
+    : failures(Divided()),
+      first_byte(Divided(kSlowPart)),
+      event_gap(Divided(kSlowPart)) {}
 
 VersionVerdict::VersionVerdict() : m_total(Divided()) {}
 
