--- a/src/wasabiwall/rollout/trial_servers.h
+++ b/src/wasabiwall/rollout/trial_servers.h
@@ -19,12 +19,13 @@
   /// Chooses anew if the registry has changed.
   void Update(const state::BackendRegistry& registry);
 
-  bool Contains(const state::BackendServerId& server) const {
-    return m_members.contains(server);
-  }
+  /// Costs one short hash, since a decision asks for each backend server.
+  /// @param server One of the target version.
+  /// @return Whether it gets calls.
+  bool Contains(const state::BackendServerId& server) const;
 
   /// @return Number of backend servers that get calls.
-  std::size_t Size() const { return m_members.size(); }
+  std::size_t Size() const { return m_size; }
 
   /// @return Number of backend servers of the version that are not draining.
   std::size_t TargetCount() const { return m_target_count; }
@@ -40,7 +41,10 @@
   std::string m_target_version;
   double m_share;
   std::int64_t m_revision = -1;
-  std::set<state::BackendServerId> m_members;
+  std::uint64_t m_seed;
+  std::size_t m_size = 0;
+  /// Largest hash of a member.
+  std::uint64_t m_last_rank = 0;
   std::size_t m_target_count = 0;
   std::set<std::string> m_other_versions;
 };
--- a/tests/rollout/rollout_controller_test.cc
+++ b/tests/rollout/rollout_controller_test.cc
@@ -169,6 +169,17 @@
   fixture.Order(1, 10, "v2");
   CHECK(fixture.Serve(500, "v2") == 0);
   fixture.controller.OnRecord(kService, std::nullopt, fixture.now);
+  fixture.Run(milliseconds(100));
+  int on_trial = 0;
+  for (int i = 0; i < 40; ++i) {
+    const auto* known =
+        fixture.registry.Find(state::BackendServerId("s" + std::to_string(i)));
+    const bool is_in_trial = fixture.controller.IsInTrial(known->server);
+    if (i < 20) CHECK(is_in_trial);
+    if (i >= 20 && is_in_trial) ++on_trial;
+  }
+  // 0.08 of 20 old backend servers.
+  CHECK(on_trial == 2);
   const int exposed = fixture.Serve(500, "v2");
   CHECK(exposed > 20);
   CHECK(exposed <= 80);
