--- a/src/wasabiwall/rollout/rollout_stages.h
+++ b/src/wasabiwall/rollout/rollout_stages.h
@@ -47,12 +47,16 @@
                 const std::string& reason);
 
   /// Takes the stage that another gateway reports.
+  /// @param from Name of the gateway.
   /// @return Whether the stage has changed.
-  bool OnReport(state::RolloutStage reported);
+  bool OnReport(state::RolloutStage reported, const std::string& from);
 
   /// Proposes the next stage, which takes effect once the record shows it.
   void Propose(state::RolloutStage stage, const std::string& reason);
 
+  /// Takes back what was proposed and not read in the record yet.
+  void CancelProposal() { m_proposed.reset(); }
+
   /// Rolls back at once.
   /// @return Whether the stage has changed; not if it is final.
   bool RollBack(const std::string& reason);
--- a/src/wasabiwall/rollout/service_rollout.cc
+++ b/src/wasabiwall/rollout/service_rollout.cc
@@ -19,15 +19,13 @@
 constexpr milliseconds kMaxStoreAge{2000};
 /// Four reports per second while the counts change, from the design page.
 constexpr milliseconds kReportInterval{250};
-/// A report at least that often, so that three may be lost in kHeardTime.
+/// A report at least that often, so that three may be lost in the 2 s in which
+/// a gateway must be heard from.
 constexpr milliseconds kHeartbeatInterval{500};
-/// Gateways heard from within that time must have shifted, from the design
-/// page.
-constexpr milliseconds kHeardTime{2000};
-/// Most gateways that are followed: the design target.
-constexpr std::size_t kMaxPeers = 1024;
-/// Time from the shift to the deadline at least: kMinShifting, kHeardTime for a
-/// gateway that stops meanwhile.
+/// Most gateways that are answered in kAnswerInterval: the design target.
+constexpr std::size_t kMaxAnswers = 1024;
+/// Time from the shift to the deadline at least: kMinShifting, and 2 s in which
+/// a gateway that stops is waited for.
 constexpr milliseconds kMinShiftTime{3000};
 /// Time that remains after the longest attempt has ended.
 constexpr milliseconds kShiftMargin{1000};
@@ -47,6 +45,12 @@
 constexpr milliseconds kRankDelay{300};
 /// Time after which an unanswered write is repeated; the store takes 4 ms.
 constexpr milliseconds kWriteInterval{500};
+/// Time without an answer of the store after which a collector asks others to
+/// write: half of the time after which it doesn't write itself.
+constexpr milliseconds kDelegationAge{1000};
+/// Gateways that are asked; with half of all cut off, 7 in 8 times one of them
+/// can write.
+constexpr int kDeputies = 3;
 /// After a restore of the store, operators write orders again within that time;
 /// until then a deleted order is only paused.
 constexpr milliseconds kWithdrawalGrace{3000};
@@ -145,6 +149,9 @@
 
 void ServiceRollout::SetWithdrawn(bool is_withdrawn, TimePoint now) {
   if (!is_withdrawn) {
+    // What was proposed because of the withdrawal does not hold any more; other
+    // proposals are made again.
+    if (m_withdrawn_at) m_stages.CancelProposal();
     m_withdrawn_at.reset();
   } else if (!m_withdrawn_at) {
     m_withdrawn_at = now;
@@ -190,37 +197,35 @@
                                const protocol::RolloutMessage& message,
                                TimePoint now) {
   LearnAge(message.order_age, now);
-  const auto found = m_peers.find(from);
-  if (found == m_peers.end() && m_peers.size() < kMaxPeers) {
-    m_peers[from] = {now, message.stage, message.running_on_old,
-                     message.order_age};
-  } else if (found != m_peers.end()) {
-    Peer& peer = found->second;
-    peer.heard_at = now;
-    // Of messages in another order than they were sent, the newest counts.
-    if (message.order_age >= peer.age ||
-        peer.age - message.order_age > kHeardTime) {
-      peer.stage = message.stage;
-      peer.running_on_old = message.running_on_old;
-      peer.age = message.order_age;
-    }
-  }
+  m_peers.OnMessage(from, message, now);
   for (const auto& counts : message.routes) {
     m_evidence.Add(from, counts, message.order_age);
   }
-  if (m_stages.OnReport(message.stage)) OnStageChange(false, now);
+  if (m_stages.OnReport(message.stage, from)) OnStageChange(false, now);
+  TakeProposal(from, message, now);
   const bool is_behind =
       message.stage < Stage() && !(IsFinal(message.stage) && IsFinal(Stage()));
   if (now - m_answers_since >= kAnswerInterval) {
     m_answered_peers.clear();
     m_answers_since = now;
   }
-  if (is_behind && m_answered_peers.size() < kMaxPeers &&
+  if (is_behind && m_answered_peers.size() < kMaxAnswers &&
       m_answered_peers.insert(from).second) {
     m_environment.hooks->send(from, Message(now));
   }
 }
 
+void ServiceRollout::TakeProposal(const std::string& from,
+                                  const protocol::RolloutMessage& message,
+                                  TimePoint now) {
+  // A collector decides on the step from its own stage only.
+  if (!message.proposal || message.stage != Stage()) return;
+  m_writes_until = now + kWriteInterval;
+  if (*message.proposal > Stage()) {
+    m_stages.Propose(*message.proposal, "decided by " + from);
+  }
+}
+
 bool ServiceRollout::NeedsWrite() const {
   return m_stages.NeedsWrite() || m_has_old_id;
 }
@@ -262,8 +267,12 @@
   return state::ToUnitInterval(hash) < m_candidate_share;
 }
 
+bool ServiceRollout::HasOnlyTarget() const {
+  return m_trial.OtherVersions().empty() && m_trial.TargetCount() > 0 &&
+         m_environment.registry->IsComplete();
+}
+
 VersionRule ServiceRollout::BaseRule() const {
-  if (m_trial.OtherVersions().empty()) return {};
   // Of several other versions only one that was not abandoned serves.
   if (!m_abandoned.empty()) {
     const std::string* base = nullptr;
@@ -286,11 +295,11 @@
 VersionRule ServiceRollout::Choose(const VersionQuery& query, TimePoint now) {
   if (now - m_trial_updated_at >= kCountInterval) UpdateTrial(now);
   const std::string& target = m_order.target_version;
-  const VersionRule only_target{VersionRule::Kind::kOnly, target,
-                                query.is_idempotent};
+  VersionRule only_target{VersionRule::Kind::kOnly, target,
+                          query.is_idempotent};
   switch (Stage()) {
     case RolloutStage::kRolledBack:
-      return {VersionRule::Kind::kExcept, target, false};
+      return BaseRule();
     case RolloutStage::kCompleted:
       return m_trial.TargetCount() > 0 ? only_target : VersionRule{};
     case RolloutStage::kShifting:
@@ -302,6 +311,7 @@
     case RolloutStage::kCanary:
       break;
   }
+  if (HasOnlyTarget()) return {};
   if (query.tried_version == target || !MayTry(now) || !m_limiter.MayExpose()) {
     return BaseRule();
   }
@@ -314,7 +324,7 @@
 bool ServiceRollout::IsInTrial(const state::BackendServer& server) const {
   if (server.version != m_order.target_version) return true;
   if (Stage() != RolloutStage::kCanary) return true;
-  return m_trial.OtherVersions().empty() || m_trial.Contains(server.id);
+  return HasOnlyTarget() || m_trial.Contains(server.id);
 }
 
 void ServiceRollout::OnSent(const std::string& version) {
@@ -324,6 +334,10 @@
 void ServiceRollout::OnEnded(const AttemptObservation& observation,
                              TimePoint now) {
   using Outcome = AttemptObservation::Outcome;
+  if (!observation.is_idempotent &&
+      observation.version != m_order.target_version) {
+    m_longest_attempt = std::max(m_longest_attempt, observation.duration);
+  }
   if (observation.outcome == Outcome::kIgnored) return;
   if (!m_own.contains(observation.route) &&
       m_own.size() >= VersionEvidence::kMaxRoutes) {
@@ -332,6 +346,15 @@
   RouteEvidence& route = m_own[observation.route];
   const bool is_target = observation.version == m_order.target_version;
   protocol::VersionCounts& counts = is_target ? route.target : route.others;
+  if (observation.outcome == Outcome::kFailed && observation.first_byte &&
+      !observation.broke_off) {
+    // A whole response was sent by a backend server that runs. To hold these
+    // failures back, but not the answers, would make a version look good.
+    m_filter.OnAnswer(observation.server, now);
+    ++counts.failures;
+    m_has_changed = true;
+    return;
+  }
   if (observation.outcome == Outcome::kFailed) {
     m_filter.OnFailure(observation.server, observation.route, is_target,
                        observation.first_byte.has_value(), now);
@@ -382,7 +405,28 @@
     if (!was_paused || m_verdict.BadReason()) Decide(*rank, now);
   }
   AnnounceIfDue(now);
-  if (rank && !was_paused) WriteIfDue(*rank, now);
+  if (was_paused) return;
+  if (rank || (m_writes_until && now < *m_writes_until)) {
+    WriteIfDue(rank.value_or(0), now);
+  }
+  if (rank) DelegateIfDue(now);
+}
+
+void ServiceRollout::DelegateIfDue(TimePoint now) {
+  if (!m_has_read_record || m_is_superseded || !NeedsWrite() ||
+      now < m_next_delegation ||
+      m_environment.hooks->store_age() < kDelegationAge) {
+    return;
+  }
+  m_next_delegation = now + kWriteInterval;
+  protocol::RolloutMessage message = Message(now);
+  message.proposal = m_stages.Wanted();
+  const auto gateways = m_environment.hooks->gateways();
+  for (int i = 0; i < kDeputies && !gateways.empty(); ++i) {
+    const std::string& to =
+        gateways[m_environment.hooks->random() % gateways.size()];
+    if (to != m_environment.name) m_environment.hooks->send(to, message);
+  }
 }
 
 void ServiceRollout::Report(TimePoint now) {
@@ -444,15 +488,15 @@
     }
   }
   const auto attempt =
-      duration_cast<milliseconds>(protocol::TimeBucketEnd(longest));
+      std::max(m_longest_attempt,
+               duration_cast<milliseconds>(protocol::TimeBucketEnd(longest)));
   return std::min(std::max(kMinShiftTime, attempt + kShiftMargin),
                   m_order.duration / kMaxShiftPart);
 }
 
 void ServiceRollout::DecideCanary(int rank, TimePoint now) {
   const milliseconds age = Age(now);
-  if (m_trial.OtherVersions().empty() && m_trial.TargetCount() > 0 &&
-      m_environment.registry->IsComplete()) {
+  if (HasOnlyTarget()) {
     if (!m_others_gone_at) m_others_gone_at = now;
     if (now - *m_others_gone_at > kOthersGoneTime + rank * kRankDelay) {
       m_stages.Propose(RolloutStage::kCompleted,
@@ -495,21 +539,10 @@
 }
 
 bool ServiceRollout::HaveAllShifted(TimePoint now) const {
-  for (const auto& [name, peer] : m_peers) {
-    if (now - peer.heard_at > kHeardTime) continue;
-    if (peer.stage == RolloutStage::kCanary || peer.running_on_old > 0) {
-      return false;
-    }
-  }
-  if (Age(now) >= m_order.duration - kSilentMargin) return true;
-  const auto gateways = m_environment.hooks->gateways();
-  return std::all_of(gateways.begin(), gateways.end(),
-                     [&](const std::string& name) {
-                       if (name == m_environment.name) return true;
-                       const auto found = m_peers.find(name);
-                       return found != m_peers.end() &&
-                              now - found->second.heard_at <= kHeardTime;
-                     });
+  if (!m_peers.HaveShifted(now)) return false;
+  return Age(now) >= m_order.duration - kSilentMargin ||
+         m_peers.HaveHeardFrom(m_environment.hooks->gateways(),
+                               m_environment.name, now);
 }
 
 void ServiceRollout::WriteIfDue(int rank, TimePoint now) {
@@ -520,6 +553,9 @@
   }
   if (m_last_wanted != m_stages.Wanted()) {
     m_last_wanted = m_stages.Wanted();
+    // Who has decided knows the reason and writes a roll-back first.
+    const bool is_asked = m_writes_until && now < *m_writes_until;
+    if (IsFinal(Stage())) rank = m_decided_here || is_asked ? 0 : rank + 1;
     m_next_write = now + rank * kRankDelay;
   }
   if (now < m_next_write || m_environment.hooks->store_age() > kMaxStoreAge) {
@@ -537,6 +573,7 @@
   if (Stage() == RolloutStage::kShifting) m_shifting_since = now;
   m_has_changed = true;
   m_next_report = now;
+  m_decided_here = is_own_decision;
   if (is_own_decision) {
     m_announcements_left = kAnnouncements;
     m_next_announcement = now;
--- a/src/wasabiwall/rollout/service_rollout.h
+++ b/src/wasabiwall/rollout/service_rollout.h
@@ -10,6 +10,7 @@
 
 #include "wasabiwall/rollout/exposure_limiter.h"
 #include "wasabiwall/rollout/failure_filter.h"
+#include "wasabiwall/rollout/peer_stages.h"
 #include "wasabiwall/rollout/rollout_controller.h"
 #include "wasabiwall/rollout/rollout_stages.h"
 #include "wasabiwall/rollout/trial_servers.h"
@@ -77,20 +78,16 @@
   std::set<std::string> Abandoned() const;
 
  private:
-  struct Peer {
-    coordination::TimePoint heard_at;
-    state::RolloutStage stage = state::RolloutStage::kCanary;
-    std::uint32_t running_on_old = 0;
-    std::chrono::milliseconds age{0};
-  };
-
   std::chrono::milliseconds Age(coordination::TimePoint now) const;
   void LearnAge(std::chrono::milliseconds age, coordination::TimePoint now);
   bool NeedsWrite() const;
   void UpdateTrial(coordination::TimePoint now);
   bool MayTry(coordination::TimePoint now) const;
   bool IsCandidate(std::uint64_t session) const;
+  /// @return Rule of calls that are not on trial.
   state::VersionRule BaseRule() const;
+  /// @return Whether nothing but the target can serve calls.
+  bool HasOnlyTarget() const;
   protocol::RolloutMessage Message(coordination::TimePoint now) const;
   void Report(coordination::TimePoint now);
   /// @return Position among the collectors; nothing if it is none.
@@ -100,8 +97,13 @@
   void DecideShifting(int rank, coordination::TimePoint now);
   bool HaveAllShifted(coordination::TimePoint now) const;
   std::chrono::milliseconds ShiftTime() const;
+  /// Asks other gateways to write what the store doesn't take from this one.
+  void DelegateIfDue(coordination::TimePoint now);
   void WriteIfDue(int rank, coordination::TimePoint now);
   void OnStageChange(bool is_own_decision, coordination::TimePoint now);
+  void TakeProposal(const std::string& from,
+                    const protocol::RolloutMessage& message,
+                    coordination::TimePoint now);
   void AnnounceIfDue(coordination::TimePoint now);
 
   Environment m_environment;
@@ -130,10 +132,13 @@
   FailureFilter m_filter;
   RolloutStages m_stages;
   std::map<std::string, RouteEvidence> m_own;
+  /// Longest attempt here, on another version, of a call that cannot be
+  /// repeated.
+  std::chrono::milliseconds m_longest_attempt{0};
   bool m_has_changed = true;
   VersionEvidence m_evidence;
   VersionVerdict m_verdict;
-  std::map<std::string, Peer> m_peers;
+  PeerStages m_peers;
   std::set<std::string> m_answered_peers;
   coordination::TimePoint m_answers_since;
 
@@ -141,7 +146,12 @@
   coordination::TimePoint m_next_heartbeat;
   coordination::TimePoint m_next_widening;
   coordination::TimePoint m_next_write;
+  coordination::TimePoint m_next_delegation;
+  /// Until when this gateway writes for a collector.
+  std::optional<coordination::TimePoint> m_writes_until;
   std::optional<state::RolloutStage> m_last_wanted;
+  /// Whether this gateway has decided on the present stage.
+  bool m_decided_here = false;
   int m_announcements_left = 0;
   coordination::TimePoint m_next_announcement;
 };
