--- a/tests/fakes/placement_fixture.h
+++ b/tests/fakes/placement_fixture.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <random>
+#include <set>
 #include <string>
 #include <tl/expected.hpp>
 
@@ -30,7 +31,11 @@
              .prompt_cache = &prompt_cache,
              .has_connection = [](const auto&, const auto&) { return true; },
              .processes = [this] { return processes; },
-             .random = [this] { return m_engine(); }},
+             .random = [this] { return m_engine(); },
+             .is_in_trial =
+                 [this](const state::BackendServer& server) {
+                   return !not_on_trial.contains(server.id);
+                 }},
             state::FailureDomainId("z0"), 2.0),
         m_engine(seed) {
     service.id = state::ServiceId("s");
@@ -39,8 +44,10 @@
     service.cold_calls_per_second = 20;
   }
 
-  void Add(const std::string& id, bool appeared = false) {
+  void Add(const std::string& id, bool appeared = false,
+           const std::string& version = "") {
     state::BackendServer server;
+    server.version = version;
     server.id = state::BackendServerId(id);
     server.service = service.id;
     server.address = "10.0.0.1:" + std::to_string(++m_port);
@@ -51,10 +58,12 @@
   }
 
   tl::expected<coordination::Placement, coordination::PlacementRefusal> Choose(
-      std::uint64_t part) {
-    return placement.Choose(
-        {.service = &service, .shared_part = part, .shared_tokens = 10000},
-        now);
+      std::uint64_t part, const state::VersionRule& versions = {}) {
+    return placement.Choose({.service = &service,
+                             .shared_part = part,
+                             .shared_tokens = 10000,
+                             .versions = versions},
+                            now);
   }
 
   /// Places a call and records that it was sent.
@@ -70,6 +79,8 @@
 
   coordination::TimePoint now{std::chrono::seconds(100)};
   int processes = 4;
+  /// Backend servers that get no calls whose versions are restricted.
+  std::set<state::BackendServerId> not_on_trial;
   state::Service service;
   state::BackendRegistry registry;
   coordination::BackendLoadTable loads;
