--- a/src/wasabiwall/coordination/backend_placement.cc
+++ b/src/wasabiwall/coordination/backend_placement.cc
@@ -55,7 +55,7 @@
   others.versions.kind = query.versions.kind == state::VersionRule::Kind::kOnly
                              ? state::VersionRule::Kind::kExcept
                              : state::VersionRule::Kind::kOnly;
-  const auto fallback = ChooseAllowed(others, now);
+  auto fallback = ChooseAllowed(others, now);
   if (fallback) return fallback;
   // What is full or cold may take the call soon; what does not exist may not.
   return placement.error() == PlacementRefusal::kNoneEligible ? fallback
