--- a/tests/gateway/slow_reader_test.cc
+++ b/tests/gateway/slow_reader_test.cc
@@ -22,7 +22,7 @@
   explicit SlowReaderFixture(
       transport::GatewayOptions options = GatewayFixture::DefaultOptions())
       : GatewayFixture(std::move(options)) {
-    AddBackend("b", [this](const ScriptedBackend::Received& call) {
+    AddBackend("b", [](const ScriptedBackend::Received& call) {
       call.session->Write(PlainAnswer(*call.head.headers.Find("Attempt"), 200,
                                       std::string(kBodyBytes, 'x')));
     });
@@ -124,6 +124,7 @@
   TestClient& slow = fixture.CallAndPause();
   std::vector<TestClient*> idle;
   constexpr int others = 9;
+  idle.reserve(others);
   for (int i = 0; i < others; ++i) idle.push_back(&fixture.Connect());
   // Longer than a connection must be idle to be evicted.
   fixture.RunFor(milliseconds(400));
