Without room one buffer of a service grows, not one after the other

When there is no room, the largest buffer of a service was to grow alone. It was asked for after each read, and addresses decided between equal ones, so that buffers could overtake each other and many grew in turn, up to the limit of the process.

--- a/src/wasabiwall/transport/byte_budget.cc
+++ b/src/wasabiwall/transport/byte_budget.cc
@@ -30,6 +30,7 @@
     group.used = group.used - m_size + size;
     group.shares.insert(this);
     if (size == 0) group.shares.erase(this);
+    if (has_shrunk && group.exceeding == this) group.exceeding = nullptr;
     if (group.shares.empty()) m_budget->m_groups.erase(m_group);
     m_size = size;
   }
@@ -59,9 +60,17 @@
          });
 }
 
-bool ByteBudget::MayGrow(const Share& share) const {
+bool ByteBudget::MayExceed(const Share& share) {
+  const auto group = m_groups.find(share.m_group);
+  if (group == m_groups.end()) return true;
+  const Share*& exceeding = group->second.exceeding;
+  if (exceeding == nullptr && IsLargest(share)) exceeding = &share;
+  return exceeding == &share;
+}
+
+bool ByteBudget::MayGrow(const Share& share) {
   return share.m_size <= m_limits.free_size || RoomOf(share.m_group) > 0 ||
-         (m_used < m_limits.total + m_limits.group && IsLargest(share));
+         (m_used < m_limits.total + m_limits.group && MayExceed(share));
 }
 
 void ByteBudget::WakeWaiting() {
@@ -74,7 +83,7 @@
     if (total >= kReadBytes && room->second >= kReadBytes) {
       total -= kReadBytes;
       room->second -= kReadBytes;
-    } else if (!MayGrow(*share) || !IsLargest(*share)) {
+    } else if (!MayGrow(*share) || !MayExceed(*share)) {
       return false;
     }
     woken.push_back(std::exchange(share->m_on_room, nullptr));
--- a/src/wasabiwall/transport/byte_budget.h
+++ b/src/wasabiwall/transport/byte_budget.h
@@ -21,8 +21,9 @@
 
 /// Limits the bytes that all calls of a process buffer together.
 ///
-/// The largest buffer of a group never waits, so that a response without end
-/// reaches its own limit instead of holding others up. All buffers together
+/// When there is no room, one buffer of a group still grows until it shrinks,
+/// so that a response without end reaches its own limit instead of holding
+/// others up: the one that is the largest at that time. All buffers together
 /// have therefore at most `total` and `group` bytes, and what the buffers of
 /// free size have. Used on one event loop only.
 class ByteBudget {
@@ -70,13 +71,20 @@
   struct Group {
     std::size_t used = 0;
     std::unordered_set<const Share*> shares;
+    /// The buffer that grows without room; null if there is none. One that was
+    /// the largest after each read would let buffers overtake each other, so
+    /// that many grow.
+    const Share* exceeding = nullptr;
   };
 
   /// @return Bytes by which the buffers of a group may grow.
   std::size_t RoomOf(const std::string& group) const;
   /// @return Whether no buffer of the share's group is larger.
   bool IsLargest(const Share& share) const;
-  bool MayGrow(const Share& share) const;
+  /// @return Whether the share is the one of its group that grows without room;
+  /// it becomes it if there is none and it is the largest.
+  bool MayExceed(const Share& share);
+  bool MayGrow(const Share& share);
   /// Lets buffers grow for which there is room, in the order in which they
   /// began to wait.
   void WakeWaiting();
