Endless stand-ins queue no bytes for connections that are not read

"bytes without end take no buffers from calls of another service" took over 50 s under ThreadSanitizer. Its stand-in wrote 64 kB each millisecond to connections that the gateway did not read, and held up to 1.8 GB in its own queue, of which the sanitizer needs a multiple. It now writes no more while 1 MB waits.

The checks are the same. Bytes sent are counted when they are written, so that their upper bounds see fewer bytes that nobody read.

--- a/tests/fakes/scripted_backend.h
+++ b/tests/fakes/scripted_backend.h
@@ -26,6 +26,9 @@
     /// Resets the connection.
     void Reset();
 
+    /// @return Bytes written that the socket has not taken yet.
+    std::size_t QueuedBytes() const { return m_tcp->QueuedBytes(); }
+
     /// @return Whether either side has ended the connection.
     bool Ended() const { return m_ended; }
 
--- a/tests/gateway/endless_response_test.cc
+++ b/tests/gateway/endless_response_test.cc
@@ -40,10 +40,14 @@
 
  private:
   static constexpr std::size_t kBlockBytes = 64U << 10U;
+  /// More than a gateway reads from a connection at a time.
+  static constexpr std::size_t kMaxQueuedBytes = 1U << 20U;
 
   void WriteMore() {
     std::erase_if(m_sessions, [](const auto& s) { return s->Ended(); });
     for (const auto& session : m_sessions) {
+      // Bytes for connections that are not read would take gigabytes here.
+      if (session->QueuedBytes() > kMaxQueuedBytes) continue;
       session->Write(m_block);
       m_sent += m_block.size();
     }
