Ingress: one account for what callers make a gateway hold

So far heads were counted by their names and values only, bodies of up to 64 kB and unread responses not at all, and the next request of a connection was read however many responses were queued.

A ClientAccount now counts heads at their size in memory, bodies, pipelined bytes, unread responses and a fixed part for each connection, up to a fifth of memory_mb. When it is full, the connection that has held the most for the longest with the least progress is refused (503, if its request has not been passed on) or closed. The next request is read when the response before is on its way; a caller that takes less than 1 kB/s over 15 s is closed. Heads are held as text until they are complete. Queued writes of a connection are joined.

--- a/src/wasabiwall/protocol/gateway_settings.cc
+++ b/src/wasabiwall/protocol/gateway_settings.cc
@@ -30,7 +30,11 @@
            NumberSpec("registry_heartbeat_ms", FieldType::kInteger, 1, 60000),
            NumberSpec("lapse_grace_ms", FieldType::kInteger, 0, 60000),
            NumberSpec("max_descriptors", FieldType::kInteger, 64, 10000000),
-           NumberSpec("memory_mb", FieldType::kInteger, 32, 1000000)}),
+           NumberSpec("memory_mb", FieldType::kInteger, 32, 1000000),
+           NumberSpec("client_memory_mb", FieldType::kInteger, 0, 1000000),
+           NumberSpec("min_read_bytes_per_s", FieldType::kInteger, 0, 1000000),
+           NumberSpec("read_grace_ms", FieldType::kInteger, 1000, 3600000),
+           NumberSpec("status_connections", FieldType::kInteger, 0, 10000)}),
   };
 }
 
@@ -66,6 +70,13 @@
   settings.max_descriptors =
       limits.value("max_descriptors", settings.max_descriptors);
   settings.memory_mb = limits.value("memory_mb", settings.memory_mb);
+  settings.client_memory_mb =
+      limits.value("client_memory_mb", settings.client_memory_mb);
+  settings.min_read_bytes_per_s =
+      limits.value("min_read_bytes_per_s", settings.min_read_bytes_per_s);
+  read_duration("read_grace_ms", &settings.read_grace);
+  settings.status_connections =
+      limits.value("status_connections", settings.status_connections);
   settings.load_factor = limits.value("load_factor", settings.load_factor);
   settings.retry_share = limits.value("retry_share", settings.retry_share);
   settings.retry_burst = limits.value("retry_burst", settings.retry_burst);
--- a/src/wasabiwall/protocol/gateway_settings.h
+++ b/src/wasabiwall/protocol/gateway_settings.h
@@ -42,6 +42,16 @@
   int max_descriptors = 4096;
   /// Memory that the process may use, in megabytes.
   int memory_mb = 256;
+  /// Memory for what callers make the process hold, in megabytes; 0 for a fifth
+  /// of `memory_mb`.
+  int client_memory_mb = 0;
+  /// Slowest pace at which a caller may take a response, in bytes per second,
+  /// and the time over which it is measured.
+  int min_read_bytes_per_s = 1024;
+  std::chrono::milliseconds read_grace{15000};
+  /// Connections that the readiness and the metrics address each keep; 0 for
+  /// one in 32 of `max_descriptors`, 4 to 64.
+  int status_connections = 0;
 };
 
 /// Parses and validates settings.
--- a/src/wasabiwall/transport/client_connection.cc
+++ b/src/wasabiwall/transport/client_connection.cc
@@ -1,5 +1,6 @@
 #include "wasabiwall/transport/client_connection.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -9,8 +10,12 @@
 namespace wasabiwall::transport {
 namespace {
 
-/// Pipelined bytes from which reading pauses while a request is being answered.
-constexpr std::size_t kMaxPipelinedBytes = 64U << 10U;
+/// Pipelined bytes from which reading pauses while a request is being answered,
+/// and from which the connection may be closed to make room: a head of the
+/// usual limit.
+constexpr std::size_t kMaxPipelinedBytes = 16U << 10U;
+/// Unsent bytes of a response up to which the next request is read.
+constexpr std::size_t kMaxUnsentBytes = 64U << 10U;
 /// How long input is still read after a rejection, so that the response is not
 /// lost to a connection reset.
 constexpr std::chrono::milliseconds kLingerTime{500};
@@ -39,7 +44,9 @@
            .on_body = [this](std::string_view data) { OnBody(data); },
            .on_complete = [this] { OnRequestComplete(); }}),
       m_body_share(&context->request_bodies),
-      m_timer(context->loop) {}
+      m_timer(context->loop),
+      m_entry(&context->clients,
+              [this](ingress::EvictionReason reason) { Evict(reason); }) {}
 
 void ClientConnection::Accept(uv_stream_t* listener) {
   const TcpOptions options{.unacknowledged_timeout = kUnacknowledgedTimeout,
@@ -50,15 +57,14 @@
           .on_connected = nullptr,
           .on_data = [this](std::string_view data) { OnData(data); },
           .on_end = [this](ConnectionEnd) { OnEnd(); },
-          .on_drained =
-              [this] {
-                if (m_exchange) m_exchange->OnOutputDrained();
-              }});
+          .on_drained = [this] { OnDrained(); }});
+  UpdateHeld();
   StartReadTimer();
 }
 
 bool ClientConnection::IsBusy() const {
-  return m_exchange || m_parser.InMessage() || !m_pipelined.empty();
+  return m_exchange || m_parser.InMessage() || !m_pipelined.empty() ||
+         m_waits_for_drain;
 }
 
 void ClientConnection::CloseIfIdle() {
@@ -73,12 +79,121 @@
 void ClientConnection::OnData(std::string_view data) {
   const auto self = shared_from_this();
   if (m_rejected) return;
-  if (!m_exchange) {
+  if (m_exchange || m_waits_for_drain) {
+    m_pipelined.append(data);
+    if (m_pipelined.size() > kMaxPipelinedBytes) {
+      m_tcp->PauseReading();
+      if (!m_entry.Waits()) m_entry.BeginWait(m_context->loop->Now());
+    }
+  } else {
     Parse(data);
+  }
+  if (m_closed) return;
+  m_entry.OnProgress(data.size());
+  MakeRoom();
+}
+
+void ClientConnection::MakeRoom() {
+  UpdateHeld();
+  if (m_rejected) {
+    DropInput();
+    return;
+  }
+  if (m_context->clients.MakeRoom(&m_entry, m_context->loop->Now())) return;
+  if (m_exchange && m_exchange_started) {
+    // Only what it has sent ahead can be dropped, with the connection.
+    if (m_entry.Waits()) Evict(ingress::EvictionReason::kMemory);
+    return;
+  }
+  m_exchange.reset();
+  if (m_waits_for_drain) {
+    Evict(ingress::EvictionReason::kMemory);
+    return;
+  }
+  Reject(protocol::ErrorKind::kOverloaded);
+  DropInput();
+}
+
+void ClientConnection::UpdateHeld() {
+  m_entry.Hold(ingress::kConnectionBytes + m_parser.HeldBytes() +
+               m_request_bytes + m_request.body.capacity() +
+               m_pipelined.capacity() + m_tcp->HeldBytes());
+}
+
+void ClientConnection::DropInput() {
+  m_entry.EndWait();
+  m_parser.Discard();
+  // Swapped, since an assignment would keep the memory of the strings.
+  std::string().swap(m_request.body);
+  m_request = {};
+  m_request_bytes = 0;
+  m_body_share.Resize(0);
+  std::string().swap(m_pipelined);
+  UpdateHeld();
+}
+
+void ClientConnection::Evict(ingress::EvictionReason reason) {
+  const auto self = shared_from_this();
+  const bool receives = !m_exchange && m_parser.InMessage() && !m_rejected;
+  if (receives && reason == ingress::EvictionReason::kMemory) {
+    Reject(protocol::ErrorKind::kOverloaded);
+    DropInput();
+    return;
+  }
+  LogEnd("client_evicted",
+         reason == ingress::EvictionReason::kMemory ? "memory" : "connections");
+  if (m_exchange) m_exchange->Cancel();
+  m_tcp->Reset();
+  Close();
+}
+
+void ClientConnection::LogEnd(const char* event, const char* reason) {
+  const auto now = m_context->loop->Now();
+  if (!m_context->client_log.Take(now)) return;
+  const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+      m_entry.Waits() ? now - m_entry.WaitsSince() : now - now);
+  LogInfo(event,
+          {{"reason", reason},
+           {"client", m_tcp->PeerAddress()},
+           {"held_bytes", std::to_string(m_entry.Held())},
+           {"unread_bytes", std::to_string(m_tcp->QueuedBytes())},
+           {"waited_ms", std::to_string(waited.count())},
+           {"all_held_bytes", std::to_string(m_context->clients.Used())}});
+}
+
+void ClientConnection::CheckReadPace() {
+  const std::size_t queued = m_tcp->QueuedBytes();
+  if (queued == 0) {
+    m_read_pace.Reset();
     return;
   }
-  m_pipelined.append(data);
-  if (m_pipelined.size() > kMaxPipelinedBytes) m_tcp->PauseReading();
+  const std::size_t taken = m_written_bytes - std::min(queued, m_written_bytes);
+  const std::size_t newly = taken - std::min(m_taken_bytes, taken);
+  m_taken_bytes = taken;
+  m_entry.OnProgress(newly);
+  if (!m_read_pace.IsTooSlow(newly, m_context->options.read_pace,
+                             m_context->loop->Now())) {
+    return;
+  }
+  const auto self = shared_from_this();
+  LogEnd("client_too_slow", "read_pace");
+  ++m_context->slow_readers;
+  if (m_exchange) m_exchange->Cancel();
+  m_tcp->Reset();
+  Close();
+}
+
+void ClientConnection::OnDrained() {
+  const auto self = shared_from_this();
+  if (!m_parser.InMessage() && m_pipelined.size() <= kMaxPipelinedBytes) {
+    m_entry.EndWait();
+  }
+  if (m_exchange) {
+    m_exchange->OnOutputDrained();
+  } else if (m_waits_for_drain) {
+    ReadNextRequest();
+  }
+  if (!m_closed) UpdateHeld();
 }
 
 void ClientConnection::Parse(std::string_view data) {
@@ -93,6 +208,10 @@
   switch (status) {
     case Http1Parser::Status::kPaused:
       m_pipelined.assign(data.substr(consumed));
+      if (m_pipelined.size() > kMaxPipelinedBytes) {
+        m_tcp->PauseReading();
+        m_entry.BeginWait(m_context->loop->Now());
+      }
       return;
     case Http1Parser::Status::kMalformed:
       Reject(protocol::ErrorKind::kBadRequest);
@@ -103,7 +222,9 @@
     case Http1Parser::Status::kOk:
       break;
   }
-  if (idle && m_parser.InMessage()) StartReadTimer();
+  if (!idle || !m_parser.InMessage()) return;
+  StartReadTimer();
+  m_entry.BeginWait(m_context->loop->Now());
 }
 
 bool ClientConnection::OnHead(MessageHead head) {
@@ -114,6 +235,7 @@
       expect != nullptr && EqualsIgnoringCase(*expect, "100-continue");
   const auto length = DeclaredLength(head);
   m_request.head = std::move(head);
+  m_request_bytes = MemoryBytesOf(m_request.head);
   const std::size_t limit = m_context->Config()
                                 ? m_context->Config()->limits.max_body_bytes
                                 : state::IngressLimits{}.max_body_bytes;
@@ -142,10 +264,10 @@
 
 bool ClientConnection::TakeRoom(std::size_t body_bytes) {
   if (m_body_share.Resize(body_bytes)) return true;
+  // The only body has only the limit of the configuration.
+  if (m_context->request_bodies.Used() == body_bytes) return true;
   m_body_share.Resize(0);
-  LogInfo("request_without_room",
-          {{"body_bytes", std::to_string(body_bytes)},
-           {"held_bytes", std::to_string(m_context->request_bodies.Used())}});
+  LogEnd("request_without_room", "bodies");
   Reject(protocol::ErrorKind::kOverloaded);
   return false;
 }
@@ -154,22 +276,36 @@
   if (m_rejected) return;
   m_parser.Pause();
   m_timer.Stop();
+  m_entry.EndWait();
   m_request.received = m_context->loop->Now();
+  m_request_bytes += m_request.body.capacity();
+  m_exchange_started = false;
   m_exchange = std::make_shared<Exchange>(
-      m_context, std::move(m_request),
-      CallerResponse::Output{
-          .write =
-              [this](std::string bytes) { m_tcp->Write(std::move(bytes)); },
-          .queued_bytes = [this] { return m_tcp->QueuedBytes(); },
-          .closes_connection =
-              [this] { return !m_keep_alive || m_context->stopping; }},
+      m_context, std::exchange(m_request, {}), ResponseOutput(),
       [this](Exchange::End end) { OnExchangeEnd(end); });
   // Deferred, since the parser is still running.
   m_context->loop->Post([self = shared_from_this()] {
-    if (self->m_exchange) self->m_exchange->Start();
+    if (!self->m_exchange) return;
+    self->m_exchange_started = true;
+    self->m_exchange->Start();
   });
 }
 
+CallerResponse::Output ClientConnection::ResponseOutput() {
+  return {.write =
+              [this](std::string bytes) {
+                m_written_bytes += bytes.size();
+                m_tcp->Write(std::move(bytes));
+                if (m_tcp->QueuedBytes() == 0) return;
+                if (!m_entry.Waits()) m_entry.BeginWait(m_context->loop->Now());
+                UpdateHeld();
+                m_context->MakeRoomSoon();
+              },
+          .queued_bytes = [this] { return m_tcp->QueuedBytes(); },
+          .closes_connection =
+              [this] { return !m_keep_alive || m_context->stopping; }};
+}
+
 void ClientConnection::OnExchangeEnd(Exchange::End end) {
   if (m_closed) return;
   if (end == Exchange::End::kTruncated) {
@@ -184,8 +320,14 @@
 void ClientConnection::ReadNextRequest() {
   m_exchange.reset();
   m_body_share.Resize(0);
+  m_request_bytes = 0;
   if (m_closed) return;
-  if (!m_keep_alive || m_context->stopping) {
+  UpdateHeld();
+  const bool closes = !m_keep_alive || m_context->stopping;
+  // A connection that closes counts until its caller has taken the response.
+  m_waits_for_drain = m_tcp->QueuedBytes() > (closes ? 0 : kMaxUnsentBytes);
+  if (m_waits_for_drain) return;
+  if (closes) {
     m_tcp->CloseAfterWrites();
     NotifyClosed();
     return;
@@ -194,7 +336,10 @@
   m_parser.Resume();
   const std::string pipelined = std::exchange(m_pipelined, {});
   m_tcp->ResumeReading();
-  if (!pipelined.empty()) Parse(pipelined);
+  if (pipelined.empty()) return;
+  m_entry.EndWait();
+  Parse(pipelined);
+  if (!m_closed) MakeRoom();
 }
 
 void ClientConnection::OnEnd() {
@@ -227,7 +372,7 @@
   const LocalReply reply = LocalReplyFor({kind, "", {}});
   m_tcp->Write(EncodeHead(reply.head, reply.body.size(), true) + reply.body);
   const char* name = protocol::RowOf(kind).name;
-  LogInfo("request_rejected", {{"reason", name}});
+  LogEnd("request_rejected", name);
   m_context->metrics.CountCall("", name);
   m_timer.Start(kLingerTime, [this] {
     const auto self = shared_from_this();
--- a/src/wasabiwall/transport/client_connection.h
+++ b/src/wasabiwall/transport/client_connection.h
@@ -27,6 +27,10 @@
   /// Closes the connection if no request is in progress.
   void CloseIfIdle();
 
+  /// Closes the connection if the caller takes a response too slowly. Called
+  /// regularly.
+  void CheckReadPace();
+
   /// Ends the call in progress because the process is about to exit.
   void OnProcessExit();
 
@@ -52,6 +56,19 @@
   /// Counts the body of the request.
   /// @return False if there is no room for it; the request is then rejected.
   bool TakeRoom(std::size_t body_bytes);
+  /// @return What writes the response of an exchange.
+  CallerResponse::Output ResponseOutput();
+  void OnDrained();
+  /// Makes room for what has just been read.
+  void MakeRoom();
+  /// Counts what the connection holds.
+  void UpdateHeld();
+  /// Frees the request and what has been read after it.
+  void DropInput();
+  /// Ends a connection that must make room.
+  void Evict(ingress::EvictionReason reason);
+  /// Logs why the connection ends early, within an allowance for all clients.
+  void LogEnd(const char* event, const char* reason);
   void StartReadTimer();
   void Close();
   void NotifyClosed();
@@ -68,6 +85,17 @@
   std::string m_pipelined;
   Timer m_timer;
   coordination::TimePoint m_idle_since;
+  ingress::ClientAccount::Entry m_entry;
+  ingress::ReadPace m_read_pace;
+  /// Memory that the request takes, until it is answered.
+  std::size_t m_request_bytes = 0;
+  /// Bytes written, and those of them that the caller had taken when the pace
+  /// was last checked.
+  std::size_t m_written_bytes = 0;
+  std::size_t m_taken_bytes = 0;
+  bool m_exchange_started = false;
+  /// Whether the next request is read once the response is on its way.
+  bool m_waits_for_drain = false;
   bool m_keep_alive = true;
   bool m_rejected = false;
   bool m_closed = false;
--- a/src/wasabiwall/transport/gateway.cc
+++ b/src/wasabiwall/transport/gateway.cc
@@ -26,16 +26,21 @@
 /// Share of the connection limit that is evicted in one batch, so that the
 /// search for the longest idle connections is rare.
 constexpr double kEvictionBatchShare = 0.02;
+/// Shortest time for which a caller has been sending a request, or taking a
+/// response, after which its connection may be closed for a new one.
+constexpr std::chrono::milliseconds kMinEvictionWait{1000};
 
 }  // namespace
 
 Gateway::Gateway(GatewayContext* context, std::function<void()> on_stopped)
     : m_context(context),
       m_on_stopped(std::move(on_stopped)),
-      m_readiness(context->loop,
-                  [this](const std::string&) { return ReadinessPage(); }),
-      m_metrics(context->loop,
-                [this](const std::string&) { return MetricsPage(); }),
+      m_readiness(
+          context->loop, [this](const std::string&) { return ReadinessPage(); },
+          StatusLimits{context->StatusConnectionLimit()}),
+      m_metrics(
+          context->loop, [this](const std::string&) { return MetricsPage(); },
+          StatusLimits{context->StatusConnectionLimit()}),
       m_queue_timer(context->loop),
       m_housekeeping_timer(context->loop),
       m_rotation_timer(context->loop),
@@ -67,6 +72,11 @@
 
 void Gateway::OnAccept(uv_stream_t* stream) {
   if (m_connections.size() >= m_context->CallerConnectionLimit()) EvictIdle();
+  if (m_connections.size() >= m_context->CallerConnectionLimit()) {
+    m_evicted_connections +=
+        static_cast<std::int64_t>(m_context->clients.EvictSlowest(
+            EvictionBatch(), m_context->loop->Now(), kMinEvictionWait));
+  }
   if (m_connections.size() >= m_context->CallerConnectionLimit()) {
     // Reset before anything is read, so that the caller may retry elsewhere.
     // Running out of file descriptors instead would stop the event loop.
@@ -98,6 +108,10 @@
              {"limit", std::to_string(m_context->CallerConnectionLimit())}});
     m_logged_rejections = m_rejected_connections;
   }
+  CheckReadPace();
+  if (const auto omitted = m_context->client_log.TakeOmitted(); omitted > 0) {
+    LogInfo("client_lines_omitted", {{"count", std::to_string(omitted)}});
+  }
   m_context->LogSlowEngineChanges();
   for (const auto& id : m_context->registry.Expire(m_context->loop->Now())) {
     LogInfo("backend_expired", {{"backend", id.value}});
@@ -152,10 +166,7 @@
       idle.push_back(connection);
     }
   }
-  const auto share = static_cast<std::size_t>(
-      static_cast<double>(m_context->CallerConnectionLimit()) *
-      kEvictionBatchShare);
-  const auto count = std::min(idle.size(), std::max<std::size_t>(1, share));
+  const auto count = std::min(idle.size(), EvictionBatch());
   std::partial_sort(idle.begin(),
                     idle.begin() + static_cast<std::ptrdiff_t>(count),
                     idle.end(), [](const auto& a, const auto& b) {
@@ -166,6 +177,19 @@
   m_evicted_connections += static_cast<std::int64_t>(count);
 }
 
+std::size_t Gateway::EvictionBatch() const {
+  const auto share = static_cast<std::size_t>(
+      static_cast<double>(m_context->CallerConnectionLimit()) *
+      kEvictionBatchShare);
+  return std::max<std::size_t>(1, share);
+}
+
+void Gateway::CheckReadPace() {
+  const std::vector<std::shared_ptr<ClientConnection>> connections(
+      m_connections.begin(), m_connections.end());
+  for (const auto& connection : connections) connection->CheckReadPace();
+}
+
 void Gateway::FinishStopIfDrained() {
   if (!m_context->stop_deadline) return;
   if (BusyConnections() > 0 || std::exchange(m_stopped, true)) return;
@@ -193,6 +217,16 @@
                               static_cast<double>(m_rejected_connections));
   m_context->metrics.SetGauge("wasabiwall_evicted_connections",
                               static_cast<double>(m_evicted_connections));
+  m_context->metrics.SetGauge("wasabiwall_client_bytes",
+                              static_cast<double>(m_context->clients.Used()));
+  m_context->metrics.SetGauge(
+      "wasabiwall_evicted_clients",
+      static_cast<double>(m_context->clients.Evicted()));
+  m_context->metrics.SetGauge("wasabiwall_slow_readers",
+                              static_cast<double>(m_context->slow_readers));
+  m_context->metrics.SetGauge(
+      "wasabiwall_evicted_status_connections",
+      static_cast<double>(m_readiness.Evicted() + m_metrics.Evicted()));
   m_context->metrics.SetGauge("wasabiwall_waiting_calls",
                               static_cast<double>(m_context->queue.Size()));
   m_context->metrics.SetGauge(
--- a/src/wasabiwall/transport/gateway.h
+++ b/src/wasabiwall/transport/gateway.h
@@ -43,6 +43,10 @@
   void CloseIdle();
   /// Closes some of the connections that have been idle for the longest.
   void EvictIdle();
+  /// @return Connections that are evicted together.
+  std::size_t EvictionBatch() const;
+  /// Closes connections whose callers take responses too slowly.
+  void CheckReadPace();
   void FinishStopIfDrained();
   /// Answers all calls in progress, then ends the process.
   void OnStopTimeout();
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -20,6 +20,17 @@
 /// buffers to the others.
 constexpr std::size_t kResponseDivisor = 8;
 constexpr std::size_t kRequestDivisor = 20;
+/// Share of the memory for what callers make the process hold: heads, bodies,
+/// unread responses, connections. With copies and spare room it may take twice
+/// as much.
+constexpr std::size_t kClientDivisor = 5;
+/// Part of that for the connections alone.
+constexpr std::size_t kConnectionsDivisor = 2;
+/// Share of the file descriptors for each status server, and the smallest and
+/// largest number that follows: load balancers and scrapers keep a few.
+constexpr int kStatusDivisor = 32;
+constexpr int kMinStatusConnections = 4;
+constexpr int kMaxStatusConnections = 64;
 /// Size up to which a body needs no room.
 constexpr std::size_t kFreeBodyBytes = 64U << 10U;
 /// Calls that may be queued for a backend server.
@@ -62,6 +73,13 @@
   return {.total = total, .group = total, .free_size = kFreeBodyBytes};
 }
 
+std::size_t ClientBytes(const GatewayOptions& options) {
+  if (options.client_memory_mb == 0) {
+    return MemoryBytes(options) / kClientDivisor;
+  }
+  return static_cast<std::size_t>(options.client_memory_mb) << 20U;
+}
+
 }  // namespace
 
 GatewayContext::GatewayContext(EventLoop* event_loop,
@@ -141,6 +159,7 @@
       retry_after_scheduler(SeededRandom()),
       response_buffers(ResponseLimits(options)),
       request_bodies(RequestLimits(options)),
+      clients(ingress::LimitsOf(ClientBytes(options))),
       connections(event_loop),
       placement({.registry = &registry,
                  .loads = &loads,
@@ -346,7 +365,26 @@
 }
 
 std::size_t GatewayContext::CallerConnectionLimit() const {
-  return static_cast<std::size_t>(options.max_descriptors * kCallerShare);
+  return std::min(
+      static_cast<std::size_t>(options.max_descriptors * kCallerShare),
+      ClientBytes(options) / kConnectionsDivisor / ingress::kConnectionBytes);
+}
+
+std::size_t GatewayContext::StatusConnectionLimit() const {
+  if (options.status_connections > 0) {
+    return static_cast<std::size_t>(options.status_connections);
+  }
+  return static_cast<std::size_t>(
+      std::clamp(options.max_descriptors / kStatusDivisor,
+                 kMinStatusConnections, kMaxStatusConnections));
+}
+
+void GatewayContext::MakeRoomSoon() {
+  if (!clients.IsOver() || std::exchange(m_makes_room_soon, true)) return;
+  loop->Post([this] {
+    m_makes_room_soon = false;
+    clients.MakeRoom(nullptr, loop->Now());
+  });
 }
 
 std::size_t GatewayContext::BackendConnectionLimit() const {
@@ -406,6 +444,9 @@
   options.load_factor = changed.load_factor;
   options.retry_share = changed.retry_share;
   options.retry_burst = changed.retry_burst;
+  options.client_memory_mb = changed.client_memory_mb;
+  options.read_pace = changed.read_pace;
+  clients.SetLimits(ingress::LimitsOf(ClientBytes(options)));
   placement.SetLoadFactor(changed.load_factor);
   UpdateRetryBudgets();
 }
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -21,6 +21,9 @@
 #include "wasabiwall/coordination/request_quarantine.h"
 #include "wasabiwall/coordination/retry_after_scheduler.h"
 #include "wasabiwall/coordination/retry_budget.h"
+#include "wasabiwall/ingress/client_account.h"
+#include "wasabiwall/ingress/log_allowance.h"
+#include "wasabiwall/ingress/read_pace.h"
 #include "wasabiwall/state/backend_registry.h"
 #include "wasabiwall/state/service_config.h"
 #include "wasabiwall/transport/backend_pool.h"
@@ -61,6 +64,14 @@
   /// Memory that the process may use, in megabytes; sets the limits of its
   /// buffers.
   int memory_mb = 256;
+  /// Memory for what clients make the process hold, in megabytes; 0 for a share
+  /// of `memory_mb`.
+  int client_memory_mb = 0;
+  /// Slowest pace at which a caller may take a response.
+  ingress::ReadPaceLimits read_pace;
+  /// Connections that each status server keeps; 0 for a share of
+  /// `max_descriptors`.
+  int status_connections = 0;
 };
 
 /// Makes the quarantine of requests known to all gateways, those that start
@@ -117,6 +128,13 @@
   /// @return Limit of open connections of callers.
   std::size_t CallerConnectionLimit() const;
 
+  /// @return Limit of open connections of each status server.
+  std::size_t StatusConnectionLimit() const;
+
+  /// Evicts callers after the callback that is running if they make the process
+  /// hold too much.
+  void MakeRoomSoon();
+
   /// Records the load that a backend server reported in an answer.
   /// @param bound Load up to which it gets further calls.
   void OnLoadReport(const state::BackendServerId& id,
@@ -159,6 +177,11 @@
   ByteBudget response_buffers;
   /// Bodies of requests, from the first byte to the end of the call.
   ByteBudget request_bodies;
+  /// What callers make the process hold.
+  ingress::ClientAccount clients;
+  ingress::LogAllowance client_log;
+  /// Callers whose connections ended as they took a response too slowly.
+  std::int64_t slow_readers = 0;
   BackendPool connections;
   coordination::BackendPlacement placement;
   Metrics metrics;
@@ -200,6 +223,7 @@
   std::shared_ptr<const coordination::ProcessAddresses> m_peers =
       std::make_shared<coordination::ProcessAddresses>();
   std::int64_t m_gateway_list_revision = 0;
+  bool m_makes_room_soon = false;
   int m_process_count = 0;
   int m_peak_process_count = 0;
   coordination::TimePoint m_peak_until;
--- a/src/wasabiwall/transport/http1_message.cc
+++ b/src/wasabiwall/transport/http1_message.cc
@@ -20,6 +20,12 @@
     "Trailer",    "Transfer-Encoding", "Proxy-Authorization", "Upgrade",
     "Expect",     "Content-Length"};
 
+/// @return Bytes that a string has outside of its own object.
+std::size_t HeapBytesOf(const std::string& text) {
+  static const std::size_t inline_capacity = std::string().capacity();
+  return text.capacity() > inline_capacity ? text.capacity() : 0;
+}
+
 std::string_view Trim(std::string_view text) {
   const auto first = text.find_first_not_of(" \t");
   if (first == std::string_view::npos) return {};
@@ -48,6 +54,19 @@
   return "unknown";
 }
 
+std::size_t HeaderList::MemoryBytes() const {
+  std::size_t bytes = m_fields.capacity() * sizeof(Header);
+  for (const Header& field : m_fields) {
+    bytes += HeapBytesOf(field.name) + HeapBytesOf(field.value);
+  }
+  return bytes;
+}
+
+std::size_t MemoryBytesOf(const MessageHead& head) {
+  return head.headers.MemoryBytes() + HeapBytesOf(head.target) +
+         HeapBytesOf(head.reason);
+}
+
 const std::string* HeaderList::Find(std::string_view name) const {
   for (const Header& field : m_fields) {
     if (EqualsIgnoringCase(field.name, name)) return &field.value;
--- a/src/wasabiwall/transport/http1_message.h
+++ b/src/wasabiwall/transport/http1_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,6 +23,12 @@
     m_fields.push_back({std::move(name), std::move(value)});
   }
 
+  /// Allocates room for a number of fields.
+  void Reserve(std::size_t count) { m_fields.reserve(count); }
+
+  /// @return Bytes of memory that the fields take.
+  std::size_t MemoryBytes() const;
+
   /// @return Value of the first field with this name, or null.
   const std::string* Find(std::string_view name) const;
 
@@ -69,6 +76,9 @@
   bool keep_alive = false;
 };
 
+/// @return Bytes of memory that a head takes beyond its own object.
+std::size_t MemoryBytesOf(const MessageHead& head);
+
 /// Appends a `name: value` line.
 void AppendHeader(std::string_view name, std::string_view value,
                   std::string* out);
--- a/src/wasabiwall/transport/http1_parser.cc
+++ b/src/wasabiwall/transport/http1_parser.cc
@@ -14,6 +14,11 @@
 constexpr int kSkipBody = 1;
 constexpr int kFail = -1;
 
+/// Ends a name or a value in the text of a head.
+constexpr char kFieldEnd = '\n';
+/// Bytes of a field besides its name and value: colon and line end.
+constexpr std::size_t kFieldOverheadBytes = 3;
+
 bool IsToken(std::string_view name) {
   constexpr std::string_view token_marks = "!#$%&'*+-.^_`|~";
   return !name.empty() &&
@@ -86,15 +91,26 @@
   return !m_head_too_large;
 }
 
-void Http1Parser::FinishField() {
-  if (m_field_name.empty() && !m_value_started) return;
-  m_head.headers.Add(std::exchange(m_field_name, {}),
-                     std::exchange(m_field_value, {}));
+void Http1Parser::BuildFields() {
+  if (m_value_started) m_head_text += kFieldEnd;
   m_value_started = false;
+  const std::string text = std::exchange(m_head_text, {});
+  const auto ends = std::ranges::count(text, kFieldEnd);
+  m_head.headers.Reserve(static_cast<std::size_t>(ends) / 2);
+  std::size_t begin = 0;
+  while (begin < text.size()) {
+    const auto name_end = text.find(kFieldEnd, begin);
+    if (name_end == std::string::npos) return;
+    const auto value_end = text.find(kFieldEnd, name_end + 1);
+    if (value_end == std::string::npos) return;
+    m_head.headers.Add(text.substr(begin, name_end - begin),
+                       text.substr(name_end + 1, value_end - name_end - 1));
+    begin = value_end + 1;
+  }
 }
 
 bool Http1Parser::FinishHead() {
-  FinishField();
+  BuildFields();
   m_head_complete = true;
   for (const Header& field : m_head.headers.Fields()) {
     if (!IsToken(field.name) || !IsFieldValue(field.value)) return false;
@@ -127,8 +143,7 @@
     s.on_message_begin = [](http_parser* parser) {
       Http1Parser* self = Of(parser);
       self->m_head = {};
-      self->m_field_name.clear();
-      self->m_field_value.clear();
+      self->m_head_text.clear();
       self->m_value_started = false;
       self->m_in_message = true;
       self->m_head_complete = false;
@@ -146,18 +161,24 @@
     s.on_header_field = [](http_parser* parser, const char* data,
                            std::size_t size) {
       Http1Parser* self = Of(parser);
-      if (self->m_value_started) self->FinishField();
       // Trailers are not forwarded.
       if (self->m_head_complete) return 0;
-      self->m_field_name.append(data, size);
-      return self->CountHeadBytes(size) ? 0 : kFail;
+      std::size_t counted = size;
+      if (std::exchange(self->m_value_started, false)) {
+        self->m_head_text += kFieldEnd;
+        counted += kFieldOverheadBytes;
+      }
+      self->m_head_text.append(data, size);
+      return self->CountHeadBytes(counted) ? 0 : kFail;
     };
     s.on_header_value = [](http_parser* parser, const char* data,
                            std::size_t size) {
       Http1Parser* self = Of(parser);
       if (self->m_head_complete) return 0;
-      self->m_value_started = true;
-      self->m_field_value.append(data, size);
+      if (!std::exchange(self->m_value_started, true)) {
+        self->m_head_text += kFieldEnd;
+      }
+      self->m_head_text.append(data, size);
       return self->CountHeadBytes(size) ? 0 : kFail;
     };
     s.on_headers_complete = &Http1Parser::OnHeadersComplete;
--- a/src/wasabiwall/transport/http1_parser.h
+++ b/src/wasabiwall/transport/http1_parser.h
@@ -51,6 +51,18 @@
   /// Sets the size limit of a message head.
   void SetMaxHeadBytes(std::size_t bytes) { m_max_head_bytes = bytes; }
 
+  /// @return Bytes of memory held for a head that is not complete.
+  std::size_t HeldBytes() const {
+    return m_head_text.capacity() + m_head.target.capacity();
+  }
+
+  /// Drops what is held; nothing more must be fed.
+  void Discard() {
+    // An assignment would keep the memory.
+    std::string().swap(m_head_text);
+    std::string().swap(m_head.target);
+  }
+
   /// @return Whether a message has started and is not complete.
   bool InMessage() const { return m_in_message; }
 
@@ -59,8 +71,9 @@
 
  private:
   static int OnHeadersComplete(http_parser* parser);
-  void FinishField();
   bool FinishHead();
+  /// Makes the list of fields from their text.
+  void BuildFields();
   static const http_parser_settings& Callbacks();
   static Http1Parser* Of(http_parser* parser) {
     return static_cast<Http1Parser*>(parser->data);
@@ -71,8 +84,9 @@
   Kind m_kind;
   Handlers m_handlers;
   MessageHead m_head;
-  std::string m_field_name;
-  std::string m_field_value;
+  /// Names and values, each followed by a line feed, which neither contains. As
+  /// a list, a head of one-character fields takes 16 times its size.
+  std::string m_head_text;
   bool m_value_started = false;
   bool m_in_message = false;
   bool m_head_complete = false;
--- a/src/wasabiwall/transport/tcp_connection.cc
+++ b/src/wasabiwall/transport/tcp_connection.cc
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -61,7 +62,11 @@
   bool closing = false;
   bool close_after_writes = false;
   bool reading = false;
-  std::size_t queued_bytes = 0;
+  /// Size of the write that libuv carries out, and the memory that holds it.
+  std::size_t in_flight_bytes = 0;
+  std::size_t in_flight_memory = 0;
+  /// Bytes that follow it.
+  std::string backlog;
   /// Keeps the state alive until the handle is closed.
   std::shared_ptr<State> self;
 
@@ -148,39 +153,68 @@
 
   void Write(std::string data) {
     if (closing || data.empty()) return;
-    auto* stream = reinterpret_cast<uv_stream_t*>(&handle);
-    std::size_t accepted = 0;
-    if (queued_bytes == 0) {
-      uv_buf_t buffer = uv_buf_init(data.data(), data.size());
-      const int result = uv_try_write(stream, &buffer, 1);
-      if (result > 0) accepted = static_cast<std::size_t>(result);
-      if (accepted == data.size()) return;
+    if (in_flight_bytes > 0) {
+      // One write at a time: a write of its own costs some 300 bytes, several
+      // times the size of a small response or event.
+      if (backlog.empty()) {
+        backlog = std::move(data);
+      } else {
+        backlog.append(data);
+      }
+      return;
     }
-    auto* write = new WriteRequest{{}, data.substr(accepted)};
+    uv_buf_t buffer = uv_buf_init(data.data(), data.size());
+    const int result =
+        uv_try_write(reinterpret_cast<uv_stream_t*>(&handle), &buffer, 1);
+    const auto accepted = static_cast<std::size_t>(std::max(result, 0));
+    if (accepted == data.size()) return;
+    StartWrite(accepted == 0 ? std::move(data) : data.substr(accepted));
+  }
+
+  void StartWrite(std::string data) {
+    auto* write = new WriteRequest{{}, std::move(data)};
     write->request.data = write;
-    queued_bytes += write->data.size();
+    in_flight_bytes = write->data.size();
+    in_flight_memory = write->data.capacity();
     uv_buf_t buffer = uv_buf_init(write->data.data(), write->data.size());
-    const int status = uv_write(
-        &write->request, stream, &buffer, 1,
-        [](uv_write_t* request, int result) {
-          const std::unique_ptr<WriteRequest> done(
-              static_cast<WriteRequest*>(request->data));
-          Of(request->handle->data)->OnWritten(done->data.size(), result);
-        });
-    if (status != 0) {
-      queued_bytes -= write->data.size();
-      delete write;
-    }
+    const int status =
+        uv_write(&write->request, reinterpret_cast<uv_stream_t*>(&handle),
+                 &buffer, 1, [](uv_write_t* request, int result) {
+                   const std::unique_ptr<WriteRequest> done(
+                       static_cast<WriteRequest*>(request->data));
+                   Of(request->handle->data)->OnWritten(result);
+                 });
+    if (status == 0) return;
+    in_flight_bytes = 0;
+    in_flight_memory = 0;
+    delete write;
   }
 
-  void OnWritten(std::size_t size, int status) {
-    queued_bytes -= size;
-    if (closing) return;
+  bool HasQueued() const { return in_flight_bytes > 0; }
+
+  std::size_t QueuedBytes() const {
+    // libuv has accepted part of the write in flight.
+    const auto left = std::min(
+        in_flight_bytes, uv_stream_get_write_queue_size(
+                             reinterpret_cast<const uv_stream_t*>(&handle)));
+    return left + backlog.size();
+  }
+
+  void OnWritten(int status) {
+    in_flight_bytes = 0;
+    in_flight_memory = 0;
+    if (closing) {
+      backlog = {};
+      return;
+    }
     if (status != 0) {
       End(ConnectionEnd::kBroken);
       return;
     }
-    if (queued_bytes > 0) return;
+    if (!backlog.empty()) {
+      StartWrite(std::exchange(backlog, {}));
+      return;
+    }
     const auto guard = shared_from_this();
     if (close_after_writes) {
       CloseHandle();
@@ -228,14 +262,14 @@
 
 TcpConnection::~TcpConnection() {
   m_state->handlers = {};
-  if (m_state->close_after_writes && m_state->queued_bytes > 0) return;
+  if (m_state->close_after_writes && m_state->HasQueued()) return;
   m_state->CloseHandle();
 }
 
 void TcpConnection::Write(std::string data) { m_state->Write(std::move(data)); }
 
 void TcpConnection::CloseAfterWrites() {
-  if (m_state->queued_bytes == 0) {
+  if (!m_state->HasQueued()) {
     m_state->CloseHandle();
     return;
   }
@@ -269,7 +303,26 @@
   return m_state->connected && !m_state->closing;
 }
 
-std::size_t TcpConnection::QueuedBytes() const { return m_state->queued_bytes; }
+std::size_t TcpConnection::QueuedBytes() const {
+  return m_state->QueuedBytes();
+}
+
+std::size_t TcpConnection::HeldBytes() const {
+  return m_state->in_flight_memory + m_state->backlog.capacity();
+}
+
+std::string TcpConnection::PeerAddress() const {
+  sockaddr_in peer{};
+  int length = sizeof(peer);
+  if (m_state->closing ||
+      uv_tcp_getpeername(&m_state->handle, reinterpret_cast<sockaddr*>(&peer),
+                         &length) != 0) {
+    return "";
+  }
+  std::array<char, INET_ADDRSTRLEN> host{};
+  uv_ip4_name(&peer, host.data(), host.size());
+  return std::string(host.data()) + ":" + std::to_string(ntohs(peer.sin_port));
+}
 
 struct TcpListener::State {
   uv_tcp_t handle;
--- a/src/wasabiwall/transport/tcp_connection.h
+++ b/src/wasabiwall/transport/tcp_connection.h
@@ -73,6 +73,13 @@
   /// @return Bytes queued until the kernel accepts them.
   std::size_t QueuedBytes() const;
 
+  /// @return Bytes of memory that hold queued bytes: more than these while part
+  /// of a write has been accepted.
+  std::size_t HeldBytes() const;
+
+  /// @return `ip:port` of the peer, for logs; empty if it is unknown.
+  std::string PeerAddress() const;
+
  private:
   struct State;
 
