--- a/src/wasabiwall/transport/backend_pool.cc
+++ b/src/wasabiwall/transport/backend_pool.cc
@@ -60,7 +60,8 @@
   auto connection = std::make_shared<BackendConnection>(m_loop, server);
   connections.open.insert(connection);
   const TcpOptions options{.unacknowledged_timeout = kUnacknowledgedTimeout,
-                           .keep_alive = true};
+                           .keep_alive = true,
+                           .read_bytes = m_read_bytes};
   connection->Open(options,
                    [this, key, raw = connection.get()] { Remove(key, raw); });
   return connection;
--- a/src/wasabiwall/transport/backend_pool.h
+++ b/src/wasabiwall/transport/backend_pool.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
+#include <functional>
 #include <memory>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "wasabiwall/transport/backend_connection.h"
@@ -16,7 +19,11 @@
   /// Idle time that no pooled connection meets.
   static constexpr std::chrono::milliseconds kNewConnection{0};
 
-  explicit BackendPool(EventLoop* loop) : m_loop(loop) {}
+  /// @param read_bytes Most bytes of the next read from a backend server; no
+  /// limit if unset.
+  explicit BackendPool(EventLoop* loop,
+                       std::function<std::size_t()> read_bytes = nullptr)
+      : m_loop(loop), m_read_bytes(std::move(read_bytes)) {}
 
   /// Closes all connections; the handlers of their calls are not called.
   ~BackendPool();
@@ -62,6 +69,7 @@
   void Remove(const std::string& key, BackendConnection* connection);
 
   EventLoop* m_loop;
+  std::function<std::size_t()> m_read_bytes;
   std::unordered_map<std::string, Connections> m_connections;
   std::int64_t m_opened_total = 0;
   std::size_t m_open_count = 0;
--- a/src/wasabiwall/transport/client_connection.cc
+++ b/src/wasabiwall/transport/client_connection.cc
@@ -64,7 +64,7 @@
 
 bool ClientConnection::IsBusy() const {
   return m_exchange || m_parser.InMessage() || !m_pipelined.empty() ||
-         m_waits_for_drain;
+         IsDelivering();
 }
 
 void ClientConnection::CloseIfIdle() {
@@ -78,7 +78,7 @@
 
 void ClientConnection::OnData(std::string_view data) {
   const auto self = shared_from_this();
-  if (m_rejected) return;
+  if (m_rejected || m_closes_when_delivered) return;
   if (m_exchange || m_waits_for_drain) {
     m_pipelined.append(data);
     if (m_pipelined.size() > kMaxPipelinedBytes) {
@@ -188,12 +188,23 @@
   if (!m_parser.InMessage() && m_pipelined.size() <= kMaxPipelinedBytes) {
     m_entry.EndWait();
   }
+  UpdateHeld();
   if (m_exchange) {
     m_exchange->OnOutputDrained();
-  } else if (m_waits_for_drain) {
+    return;
+  }
+  if (m_waits_for_drain) {
     ReadNextRequest();
+    return;
   }
-  if (!m_closed) UpdateHeld();
+  const bool is_closing =
+      m_closes_when_delivered || m_context->stop_deadline.has_value();
+  if (is_closing && !IsBusy()) {
+    Close();
+    return;
+  }
+  // The idle time begins once the response is delivered.
+  if (!IsBusy() && !m_rejected) StartReadTimer();
 }
 
 void ClientConnection::Parse(std::string_view data) {
@@ -323,16 +334,14 @@
   m_request_bytes = 0;
   if (m_closed) return;
   UpdateHeld();
-  const bool closes = !m_keep_alive || m_context->stopping;
-  // A connection that closes counts until its caller has taken the response.
-  m_waits_for_drain = m_tcp->QueuedBytes() > (closes ? 0 : kMaxUnsentBytes);
-  if (m_waits_for_drain) return;
-  if (closes) {
-    m_tcp->CloseAfterWrites();
-    NotifyClosed();
+  m_waits_for_drain = false;
+  if (!m_keep_alive || m_context->stopping) {
+    CloseWhenDelivered();
     return;
   }
   StartReadTimer();
+  m_waits_for_drain = m_tcp->QueuedBytes() > kMaxUnsentBytes;
+  if (m_waits_for_drain) return;
   m_parser.Resume();
   const std::string pipelined = std::exchange(m_pipelined, {});
   m_tcp->ResumeReading();
@@ -342,6 +351,15 @@
   if (!m_closed) MakeRoom();
 }
 
+void ClientConnection::CloseWhenDelivered() {
+  m_closes_when_delivered = true;
+  if (IsDelivering()) {
+    StartReadTimer();
+  } else {
+    Close();
+  }
+}
+
 void ClientConnection::OnEnd() {
   const auto self = shared_from_this();
   if (m_exchange) m_exchange->Cancel();
@@ -355,6 +373,12 @@
   const auto timeout =
       m_parser.InMessage() ? limits.header_timeout : limits.idle_timeout;
   if (!m_parser.InMessage()) m_idle_since = m_context->loop->Now();
+  StartTimer(timeout);
+}
+
+void ClientConnection::StartTimer(std::chrono::milliseconds timeout) {
+  m_timeout = timeout;
+  m_unacknowledged_bytes = m_tcp->UnacknowledgedBytes();
   m_timer.Start(timeout, [this] { OnTimeout(); });
 }
 
@@ -364,6 +388,11 @@
     Reject(protocol::ErrorKind::kSlowRequest);
     return;
   }
+  // A caller that has taken bytes meanwhile is slow, not gone.
+  if (IsDelivering() && m_tcp->UnacknowledgedBytes() < m_unacknowledged_bytes) {
+    StartTimer(m_timeout);
+    return;
+  }
   Close();
 }
 
@@ -374,10 +403,7 @@
   const char* name = protocol::RowOf(kind).name;
   LogEnd("request_rejected", name);
   m_context->metrics.CountCall("", name);
-  m_timer.Start(kLingerTime, [this] {
-    const auto self = shared_from_this();
-    Close();
-  });
+  StartTimer(kLingerTime);
 }
 
 void ClientConnection::Close() {
--- a/src/wasabiwall/transport/client_connection.h
+++ b/src/wasabiwall/transport/client_connection.h
@@ -24,7 +24,7 @@
   /// Accepts the pending connection of a listener.
   void Accept(uv_stream_t* listener);
 
-  /// Closes the connection if no request is in progress.
+  /// Closes the connection if it is not busy.
   void CloseIfIdle();
 
   /// Closes the connection if the caller takes a response too slowly. Called
@@ -34,7 +34,8 @@
   /// Ends the call in progress because the process is about to exit.
   void OnProcessExit();
 
-  /// @return Whether a request is being read or answered.
+  /// @return Whether a request is being read or answered, or bytes of a
+  /// response wait for the caller.
   bool IsBusy() const;
 
   /// @return Since when there has been no request; only valid while not busy.
@@ -70,6 +71,12 @@
   /// Logs why the connection ends early, within an allowance for all clients.
   void LogEnd(const char* event, const char* reason);
   void StartReadTimer();
+  void StartTimer(std::chrono::milliseconds timeout);
+  /// @return Whether bytes of a response wait for the caller.
+  bool IsDelivering() const { return m_tcp->QueuedBytes() > 0; }
+  /// Reads no further request, and closes once the response is delivered.
+  void CloseWhenDelivered();
+  /// Closes now; discards what has not been delivered.
   void Close();
   void NotifyClosed();
 
@@ -84,6 +91,10 @@
   /// Pipelined bytes: received while a request is being answered.
   std::string m_pipelined;
   Timer m_timer;
+  /// Timeout that the timer was started with, and the bytes that the caller had
+  /// not acknowledged then.
+  std::chrono::milliseconds m_timeout{0};
+  std::size_t m_unacknowledged_bytes = 0;
   coordination::TimePoint m_idle_since;
   ingress::ClientAccount::Entry m_entry;
   ingress::ReadPace m_read_pace;
@@ -98,6 +109,7 @@
   bool m_waits_for_drain = false;
   bool m_keep_alive = true;
   bool m_rejected = false;
+  bool m_closes_when_delivered = false;
   bool m_closed = false;
 };
 
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -33,13 +33,17 @@
 constexpr int kMaxStatusConnections = 64;
 /// Size up to which a body needs no room.
 constexpr std::size_t kFreeBodyBytes = 64U << 10U;
+/// Bytes of one read from a backend server while half of the response buffers
+/// are taken. With reads of 64 kB, each of some hundred responses would take as
+/// much before it waits for room.
+constexpr std::size_t kScarceReadBytes = 8U << 10U;
 /// Calls that may be queued for a backend server.
 constexpr std::size_t kMaxQueuedCalls = 2000;
 /// Process count assumed before the first one is known, so that shares are
 /// small at first.
 constexpr int kAssumedProcessCount = 8;
-/// How long a higher process count stays in effect: longer than a process that
-/// is cut off from the store keeps running.
+/// How long a higher process count stays in effect after it has dropped: longer
+/// than a process that is cut off from the store keeps running.
 constexpr std::chrono::seconds kProcessCountRetention{20};
 /// Shares of the file descriptors for connections of callers and to backend
 /// servers. The rest is for logs, the store, metrics and connections that are
@@ -63,9 +67,17 @@
   return static_cast<std::size_t>(options.memory_mb) << 20U;
 }
 
+std::size_t BackendConnections(const GatewayOptions& options) {
+  return static_cast<std::size_t>(options.max_descriptors * kBackendShare);
+}
+
 ByteLimits ResponseLimits(const GatewayOptions& options) {
   const std::size_t total = MemoryBytes(options) / kResponseDivisor;
-  return {.total = total, .group = total / 2, .free_size = kFreeBodyBytes};
+  // Those of free size take at most as much again.
+  const std::size_t free_size =
+      std::clamp(total / std::max<std::size_t>(1, BackendConnections(options)),
+                 kScarceReadBytes, kFreeBodyBytes);
+  return {.total = total, .group = total / 2, .free_size = free_size};
 }
 
 ByteLimits RequestLimits(const GatewayOptions& options) {
@@ -160,7 +172,13 @@
       response_buffers(ResponseLimits(options)),
       request_bodies(RequestLimits(options)),
       clients(ingress::LimitsOf(ClientBytes(options))),
-      connections(event_loop),
+      connections(event_loop,
+                  [this] {
+                    const bool is_scarce =
+                        response_buffers.Used() >
+                        MemoryBytes(options) / kResponseDivisor / 2;
+                    return is_scarce ? kScarceReadBytes : kFreeBodyBytes;
+                  }),
       placement({.registry = &registry,
                  .loads = &loads,
                  .health = &health,
@@ -181,7 +199,8 @@
                  .processes = [this] { return ProcessCount(); },
                  .random = SeededRandom()},
                 options.failure_domain, options.load_factor),
-      m_load_timer(event_loop) {}
+      m_load_timer(event_loop),
+      m_process_counts(kProcessCountRetention) {}
 
 void GatewayContext::ApplyConfig(
     std::shared_ptr<const state::ServiceConfig> config) {
@@ -209,15 +228,12 @@
   crash_monitor.SetMembers(m_peers);
   const auto now = loop->Now();
   const int count = static_cast<int>(addresses.size());
-  if (count >= m_peak_process_count || now >= m_peak_until) {
-    m_peak_process_count = count;
-    m_peak_until = now + kProcessCountRetention;
-  }
-  if (count == m_process_count) return;
+  const int before = m_process_counts.Registered();
+  if (count == before) return;
+  m_process_counts.Set(count, now);
   LogInfo("processes_counted", {{"count", std::to_string(count)},
-                                {"before", std::to_string(m_process_count)}});
-  m_process_count = count;
-  UpdateRetryBudgets();
+                                {"before", std::to_string(before)},
+                                {"in_effect", std::to_string(ProcessCount())}});
 }
 
 coordination::FailureDomainHealth::Hooks GatewayContext::FailureDomainHooks() {
@@ -332,12 +348,17 @@
 }
 
 int GatewayContext::ProcessCount() const {
-  if (m_process_count == 0) return kAssumedProcessCount;
-  return std::max(m_process_count, m_peak_process_count);
+  const int count = m_process_counts.Highest(loop->Now());
+  return count == 0 ? kAssumedProcessCount : count;
 }
 
 coordination::RetryBudget& GatewayContext::RetryBudgetFor(
     const state::ServiceId& service) {
+  // The count also changes when a higher one goes out of effect.
+  const int count = ProcessCount();
+  if (std::exchange(m_budgeted_process_count, count) != count) {
+    UpdateRetryBudgets();
+  }
   auto& budget = m_retry_budgets[service];
   if (!budget) {
     budget = std::make_unique<coordination::RetryBudget>(RetryLimits(),
@@ -388,7 +409,7 @@
 }
 
 std::size_t GatewayContext::BackendConnectionLimit() const {
-  return static_cast<std::size_t>(options.max_descriptors * kBackendShare);
+  return BackendConnections(options);
 }
 
 void GatewayContext::ForgetBackendServer(const state::BackendServerId& id) {
--- a/src/wasabiwall/transport/tcp_connection.cc
+++ b/src/wasabiwall/transport/tcp_connection.cc
@@ -1,7 +1,9 @@
 #include "wasabiwall/transport/tcp_connection.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -117,8 +119,11 @@
     reading = true;
     uv_read_start(
         reinterpret_cast<uv_stream_t*>(&handle),
-        [](uv_handle_t*, std::size_t, uv_buf_t* buffer) {
-          *buffer = uv_buf_init(ReadBuffer().data(), ReadBuffer().size());
+        [](uv_handle_t* socket, std::size_t, uv_buf_t* buffer) {
+          const auto& limit = Of(socket->data)->options.read_bytes;
+          const auto size = limit ? std::min(limit(), ReadBuffer().size())
+                                  : ReadBuffer().size();
+          *buffer = uv_buf_init(ReadBuffer().data(), size);
         },
         [](uv_stream_t* stream, ssize_t size, const uv_buf_t* buffer) {
           Of(stream->data)->OnRead(size, buffer->base);
@@ -324,6 +329,18 @@
   return std::string(host.data()) + ":" + std::to_string(ntohs(peer.sin_port));
 }
 
+std::size_t TcpConnection::UnacknowledgedBytes() const {
+  const auto* handle = reinterpret_cast<const uv_handle_t*>(&m_state->handle);
+  const std::size_t queued = m_state->QueuedBytes();
+  uv_os_fd_t socket = -1;
+  int sent = 0;
+  if (m_state->closing || uv_fileno(handle, &socket) != 0 ||
+      ioctl(socket, SIOCOUTQ, &sent) != 0) {
+    return queued;
+  }
+  return queued + static_cast<std::size_t>(sent);
+}
+
 struct TcpListener::State {
   uv_tcp_t handle;
   AcceptHandler on_accept;
--- a/src/wasabiwall/transport/tcp_connection.h
+++ b/src/wasabiwall/transport/tcp_connection.h
@@ -26,6 +26,8 @@
   std::chrono::milliseconds unacknowledged_timeout{0};
   /// Whether TCP keep-alive probes are sent.
   bool keep_alive = false;
+  /// @return Most bytes of the next read; all that a buffer holds if unset.
+  std::function<std::size_t()> read_bytes;
 };
 
 /// A TCP connection on an event loop. Callbacks may destroy it.
@@ -80,6 +82,10 @@
   /// @return `ip:port` of the peer, for logs; empty if it is unknown.
   std::string PeerAddress() const;
 
+  /// @return Written bytes that the peer has not acknowledged yet, queued ones
+  /// included. Shrinks while the peer takes bytes.
+  std::size_t UnacknowledgedBytes() const;
+
  private:
   struct State;
 
