--- a/src/wasabiwall/protocol/gateway_settings.h
+++ b/src/wasabiwall/protocol/gateway_settings.h
@@ -55,6 +55,16 @@
   int memory_mb = 256;
   /// Without it, orders to roll a version out are ignored.
   std::optional<RolloutSettings> rollout;
+  /// Memory for what callers make the process hold, in megabytes; 0 for a fifth
+  /// of `memory_mb`.
+  int client_memory_mb = 0;
+  /// Slowest pace at which a caller may take a response, in bytes per second,
+  /// and the time over which it is measured.
+  int min_read_bytes_per_s = 1024;
+  std::chrono::milliseconds read_grace{15000};
+  /// Connections that the readiness and the metrics address each keep; 0 for
+  /// one in 32 of `max_descriptors`, 4 to 64.
+  int status_connections = 0;
 };
 
 /// Parses and validates settings.
