Hedging: a second attempt for slow calls that may be repeated

A few slow responses decide the figures of a service. A call that may run more than once is sent to a second backend server when the first is slower than the route's usual times and a second attempt can still meet the objective; the first good response wins, the other attempt is cancelled. Off unless [hedging] sets a share; each hedge also takes from the retry budget.

Times of cancelled attempts are censored samples of a product-limit estimator. The tests of whole calls found that an error response of one attempt was passed on while the other went on, and that the other outlived its call; both are mended here.

--- a/src/wasabiwall/protocol/gateway_settings.cc
+++ b/src/wasabiwall/protocol/gateway_settings.cc
@@ -31,6 +31,9 @@
            NumberSpec("lapse_grace_ms", FieldType::kInteger, 0, 60000),
            NumberSpec("max_descriptors", FieldType::kInteger, 64, 10000000),
            NumberSpec("memory_mb", FieldType::kInteger, 32, 1000000)}),
+      TableSpec("hedging", false,
+                {NumberSpec("share", FieldType::kNumber, 0, 1),
+                 NumberSpec("burst", FieldType::kNumber, 0, 100000)}),
   };
 }
 
@@ -69,6 +72,10 @@
   settings.load_factor = limits.value("load_factor", settings.load_factor);
   settings.retry_share = limits.value("retry_share", settings.retry_share);
   settings.retry_burst = limits.value("retry_burst", settings.retry_burst);
+  const nlohmann::json hedging =
+      root->value("hedging", nlohmann::json::object());
+  settings.hedge_share = hedging.value("share", settings.hedge_share);
+  settings.hedge_burst = hedging.value("burst", settings.hedge_burst);
   return settings;
 }
 
--- a/src/wasabiwall/protocol/gateway_settings.h
+++ b/src/wasabiwall/protocol/gateway_settings.h
@@ -33,6 +33,10 @@
   double retry_share = 0.2;
   /// Retries that a retry budget may accumulate, shared by all gateways.
   double retry_burst = 50;
+  /// Hedged requests per call, of all gateways; 0 disables hedging.
+  double hedge_share = 0;
+  /// Hedged requests that may be saved up, of all gateways.
+  double hedge_burst = 0;
   /// How often backend servers renew their entries in the registry.
   std::chrono::milliseconds registry_heartbeat{1200};
   /// How long after an outage of the key-value service a backend server whose
--- a/src/wasabiwall/transport/attempt.h
+++ b/src/wasabiwall/transport/attempt.h
@@ -86,6 +86,9 @@
   /// Counts the response by how it ended.
   void CountResponse(const char* end);
 
+  /// @return Whether it has not ended.
+  bool IsRunning() const { return m_connection != nullptr; }
+
   /// @return Whether the request has been written to the socket; only before
   /// the end.
   bool HasSent() const { return m_connection->HasSent(); }
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -54,7 +54,8 @@
       m_on_end(std::move(on_end)),
       m_deadline_timer(context->loop),
       m_quarantine(context),
-      m_holder_lookup(context) {}
+      m_holder_lookup(context),
+      m_hedge(context) {}
 
 void Exchange::Start() {
   if (m_ended) return;
@@ -99,6 +100,7 @@
   m_quarantine.Start(m_request.head, m_request.body, m_call);
   m_deadline_timer.Start(TimeLeft(), [this] { OnDeadline(); });
   m_context->RetryBudgetFor(m_call.service->id).OnFirstAttempt();
+  m_context->hedging.OnCall(m_call.service->id);
   const bool asks_for_holders = m_holder_lookup.Start(
       Query(), m_call.metadata.attempt_id, [weak = weak_from_this()] {
         const auto self = weak.lock();
@@ -221,18 +223,31 @@
 
 void Exchange::StartAttempt(coordination::Placement placement) {
   m_waiter_id = 0;
-  const state::BackendServerId id = placement.server.id;
-  m_tried_servers.push_back(id);
-  // A copy of the response to an earlier send of this call would be taken for
-  // the response to this one.
-  const bool is_repeat = !m_contacted_servers.insert(id).second;
+  const bool is_first = m_contacted_servers.empty();
+  m_attempt = MakeAttempt(std::move(placement));
+  if (is_first) {
+    m_hedge.Arm(m_call, *m_attempt, [this] { OnHedgeDue(); });
+  }
+  StartSending(*m_attempt);
+}
+
+std::shared_ptr<Attempt> Exchange::MakeAttempt(
+    coordination::Placement placement) {
   const bool caller_resumes =
       m_request.head.headers.Find(kLastEventId) != nullptr;
-  const auto attempt = std::make_shared<Attempt>(
+  auto attempt = std::make_shared<Attempt>(
       m_context, &m_call, std::move(placement), AttemptHooks());
   attempt->SetStreamStart(caller_resumes, m_attempt.get());
-  m_attempt = attempt;
-  attempt->Start(
+  return attempt;
+}
+
+void Exchange::StartSending(Attempt& attempt) {
+  const state::BackendServerId id = attempt.Server().id;
+  m_tried_servers.push_back(id);
+  // A copy of the response to an earlier send of this call would be taken for
+  // the response to this one.
+  const bool is_repeat = !m_contacted_servers.insert(id).second;
+  attempt.Start(
       m_request.head.method != "HEAD",
       is_repeat ? BackendPool::kNewConnection : Policy().MaxConnectionIdle());
 }
@@ -278,7 +293,41 @@
                                 m_context->codec);
 }
 
+void Exchange::OnHedgeDue() {
+  const auto self = shared_from_this();
+  if (m_ended || m_response.HasBegun() || !m_attempt->IsRunning() ||
+      m_quarantine.IsWithdrawn()) {
+    return;
+  }
+  auto placement = m_hedge.Choose(m_call, *m_attempt, m_counts, Query());
+  if (!placement) return;
+  m_hedge_attempt = MakeAttempt(std::move(*placement));
+  StartSending(*m_hedge_attempt);
+}
+
+void Exchange::KeepOnly(Attempt& winner) {
+  const bool is_hedge = &winner == m_hedge_attempt.get();
+  const auto loser = is_hedge ? m_attempt : m_hedge_attempt;
+  m_hedge.OnAnswered(m_call, winner, loser.get());
+  if (!loser) return;
+  if (is_hedge) m_attempt = m_hedge_attempt;
+  m_hedge_attempt.reset();
+  loser->Abort(HealthSignal::kRefused);
+}
+
+bool Exchange::DropIfHedged(const Attempt& attempt) {
+  if (!m_hedge_attempt) return false;
+  const auto other = std::exchange(m_hedge_attempt, nullptr);
+  if (&attempt != other.get()) m_attempt = other;
+  LogInfo("hedged_attempt_failed",
+          {{"id", m_call.metadata.attempt_id},
+           {"backend", attempt.Server().id.value},
+           {"remaining_backend", m_attempt->Server().id.value}});
+  return true;
+}
+
 void Exchange::OnEvents(Attempt& attempt, const std::string& events) {
+  KeepOnly(attempt);
   // A backend server that sends nothing else may have stalled.
   if (protocol::HasContent(events)) {
     attempt.OnProgress(m_response.OnEvents(m_call.WorkspaceName()));
@@ -294,6 +343,7 @@
 
 void Exchange::OnReplyTooLarge(Attempt& attempt) {
   attempt.Abort(HealthSignal::kFailed);
+  if (DropIfHedged(attempt)) return;
   Fail({ErrorKind::kAnswerCut, "answer too large", {}});
 }
 
@@ -304,6 +354,9 @@
   const bool wrong_backend = reply.Metadata().wrong_backend;
   if (wrong_backend) m_context->crash_monitor.OnGone(attempt.Server().id);
   if (reply.Metadata().not_run) {
+    if (!wrong_backend) {
+      m_context->hedging.OnFull(m_call.service->id, m_context->loop->Now());
+    }
     attempt.End(wrong_backend ? HealthSignal::kReplaced
                               : HealthSignal::kRefused);
     --m_counts.runs;
@@ -319,7 +372,9 @@
   }
   m_quarantine.OnAnswered(reply.Head().status, attempt.SentAt());
   const bool failed = reply.Head().status >= kFirstServerError;
+  if (!failed) KeepOnly(attempt);
   attempt.End(failed ? HealthSignal::kFailed : HealthSignal::kAnswered);
+  if (failed && DropIfHedged(attempt)) return;
   if (reply.IsEventStream()) {
     FinishStream(reply);
     return;
@@ -335,7 +390,7 @@
 void Exchange::OnAttemptFailed(Attempt& attempt) {
   if (attempt.IsWithdrawn()) {
     attempt.End(HealthSignal::kRefused);
-    Place();
+    if (!DropIfHedged(attempt)) Place();
     return;
   }
   if (!attempt.HasSent()) {
@@ -365,6 +420,8 @@
 }
 
 void Exchange::OnIdleTimeout(Attempt& attempt) {
+  // The other attempt is the retry.
+  if (m_hedge_attempt) return;
   const bool will_retry = Policy().MayRunAgain(m_counts) &&
                           Policy().MayRetry(m_counts, false, TimeLeft()) &&
                           TakeRetryToken();
@@ -387,9 +444,16 @@
 }
 
 void Exchange::AbortAttempt(HealthSignal signal) {
+  CancelHedge();
   if (m_attempt) m_attempt->Abort(signal);
 }
 
+void Exchange::CancelHedge() {
+  m_hedge.Disarm();
+  const auto hedge = std::exchange(m_hedge_attempt, nullptr);
+  if (hedge) hedge->Abort(HealthSignal::kRefused);
+}
+
 bool Exchange::TakeRetryToken() {
   return m_counts.sends == 0 ||
          m_context->RetryBudgetFor(m_call.service->id).Take();
@@ -397,6 +461,7 @@
 
 void Exchange::RetryOrFail(const Attempt& attempt, bool not_run, ErrorKind kind,
                            const char* reason) {
+  if (DropIfHedged(attempt)) return;
   const ReplyReader& reply = attempt.Reply();
   const bool will_retry =
       Policy().MayRetry(m_counts, not_run, TimeLeft()) && TakeRetryToken();
@@ -495,6 +560,7 @@
 void Exchange::Finish(End end, const std::string& outcome) {
   if (std::exchange(m_ended, true)) return;
   m_deadline_timer.Stop();
+  CancelHedge();
   m_quarantine.OnEnded(m_counts.runs > 0);
   m_holder_lookup.Cancel();
   if (m_waiter_id != 0) m_context->queue.Remove(std::exchange(m_waiter_id, 0));
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -11,6 +11,7 @@
 #include "wasabiwall/coordination/attempt_policy.h"
 #include "wasabiwall/protocol/error_kind.h"
 #include "wasabiwall/transport/attempt.h"
+#include "wasabiwall/transport/call_hedge.h"
 #include "wasabiwall/transport/caller_response.h"
 #include "wasabiwall/transport/gateway_context.h"
 #include "wasabiwall/transport/prompt_holder_lookup.h"
@@ -97,6 +98,8 @@
 
   // One attempt.
   void StartAttempt(coordination::Placement placement);
+  std::shared_ptr<Attempt> MakeAttempt(coordination::Placement placement);
+  void StartSending(Attempt& attempt);
   Attempt::Hooks AttemptHooks();
   /// Counts the send and encodes the request.
   /// @return Nothing to send if the request has been quarantined meanwhile.
@@ -110,6 +113,16 @@
   /// Aborts the attempt that is running, if there is one.
   void AbortAttempt(coordination::HealthSignal signal);
 
+  // A second attempt beside the first one.
+  void OnHedgeDue();
+  /// Cancels the other attempt, if there is one, after this one was answered.
+  void KeepOnly(Attempt& winner);
+  /// Forgets an attempt that has failed while the other one goes on.
+  /// @return Whether there is another one.
+  bool DropIfHedged(const Attempt& attempt);
+  /// Cancels the second attempt, or the wait for it.
+  void CancelHedge();
+
   // After an attempt.
   void RetryOrFail(const Attempt& attempt, bool not_run,
                    protocol::ErrorKind kind, const char* reason);
@@ -141,6 +154,9 @@
 
   /// The latest attempt; stays after its end until the next one starts.
   std::shared_ptr<Attempt> m_attempt;
+  /// Second attempt beside the first one, until either is answered or fails.
+  std::shared_ptr<Attempt> m_hedge_attempt;
+  CallHedge m_hedge;
   std::vector<state::BackendServerId> m_tried_servers;
   /// Backend servers to which the call was sent, those before a wait too.
   std::set<state::BackendServerId> m_contacted_servers;
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -139,6 +139,9 @@
           }),
       queue(kMaxQueuedCalls),
       retry_after_scheduler(SeededRandom()),
+      hedging(
+          options.hedge_limits, [this] { return ProcessCount(); },
+          SeededRandom()),
       response_buffers(ResponseLimits(options)),
       request_bodies(RequestLimits(options)),
       connections(event_loop),
@@ -406,6 +409,8 @@
   options.load_factor = changed.load_factor;
   options.retry_share = changed.retry_share;
   options.retry_burst = changed.retry_burst;
+  options.hedge_limits = changed.hedge_limits;
+  hedging.SetLimits(changed.hedge_limits);
   placement.SetLoadFactor(changed.load_factor);
   UpdateRetryBudgets();
 }
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -21,6 +21,7 @@
 #include "wasabiwall/coordination/request_quarantine.h"
 #include "wasabiwall/coordination/retry_after_scheduler.h"
 #include "wasabiwall/coordination/retry_budget.h"
+#include "wasabiwall/hedging/hedge_controller.h"
 #include "wasabiwall/state/backend_registry.h"
 #include "wasabiwall/state/service_config.h"
 #include "wasabiwall/transport/backend_pool.h"
@@ -54,6 +55,8 @@
   double retry_share = 0.2;
   /// Retries that may accumulate in the budget, over all processes.
   double retry_burst = 50;
+  /// Extra work that hedged requests may cause, of all gateways.
+  hedging::HedgeLimits hedge_limits;
   /// How the registry's entries expire and return about an outage.
   state::LapseTimes lapse_times;
   /// File descriptors that the process may have open.
@@ -155,6 +158,7 @@
   QuarantineSharing quarantine_sharing;
   coordination::AdmissionQueue queue;
   coordination::RetryAfterScheduler retry_after_scheduler;
+  hedging::HedgeController hedging;
   /// Responses that are buffered until they are complete.
   ByteBudget response_buffers;
   /// Bodies of requests, from the first byte to the end of the call.
--- a/src/wasabiwall/transport/metrics.cc
+++ b/src/wasabiwall/transport/metrics.cc
@@ -51,6 +51,11 @@
                               .Help("Responses of backend servers by framing "
                                     "and by how they ended.")
                               .Register(registry)),
+        hedges(prometheus::BuildCounter()
+                   .Name("wasabiwall_hedges_total")
+                   .Help("Second attempts of slow calls by decision and "
+                         "outcome.")
+                   .Register(registry)),
         announced_loads(prometheus::BuildCounter()
                             .Name("wasabiwall_announced_loads_total")
                             .Help("Loads of backend servers in messages "
@@ -63,6 +68,7 @@
   prometheus::Family<prometheus::Histogram>& part_gap;
   prometheus::Counter& attempts;
   prometheus::Family<prometheus::Counter>& backend_responses;
+  prometheus::Family<prometheus::Counter>& hedges;
   prometheus::Family<prometheus::Counter>& announced_loads;
 };
 
@@ -102,6 +108,12 @@
       .Increment();
 }
 
+void Metrics::CountHedge(const std::string& service,
+                         const std::string& outcome) {
+  m_families->hedges.Add({{"service", service}, {"outcome", outcome}})
+      .Increment();
+}
+
 void Metrics::CountLoadsSent(std::size_t loads) {
   m_families->announced_loads.Add({{"direction", "sent"}})
       .Increment(static_cast<double>(loads));
--- a/src/wasabiwall/transport/metrics.h
+++ b/src/wasabiwall/transport/metrics.h
@@ -37,6 +37,10 @@
   /// @param end How it ended; a name that the operations page lists.
   void CountBackendResponse(const std::string& framing, const std::string& end);
 
+  /// Counts a decision on a second attempt of a slow call, or its outcome.
+  /// @param outcome A name that the operations page lists.
+  void CountHedge(const std::string& service, const std::string& outcome);
+
   /// Counts loads of backend servers in messages between gateways.
   void CountLoadsSent(std::size_t loads);
   void CountLoadsReceived(std::size_t loads);
