--- a/tests/hedging/hedge_controller_test.cc
+++ b/tests/hedging/hedge_controller_test.cc
@@ -78,17 +78,17 @@
 }
 
 TEST_CASE("hedges stay within the share and the burst of the operators") {
-  constexpr int kCalls = 1000;
+  constexpr int calls = 1000;
   HedgeController controller = Controller(0.05, 10);
   int hedges = 0;
-  for (int i = 0; i < kCalls; ++i) {
+  for (int i = 0; i < calls; ++i) {
     controller.OnCall(kService);
     if (controller.Take(kService, false, kNow) == HedgeDecision::kHedge) {
       ++hedges;
     }
   }
-  CHECK(hedges <= 0.05 * kCalls + 10);
-  CHECK(hedges >= 0.03 * kCalls);
+  CHECK(hedges <= 0.05 * calls + 10);
+  CHECK(hedges >= 0.03 * calls);
   CHECK(controller.Take(kService, false, kNow) == HedgeDecision::kLimit);
 }
 
