--- a/src/wasabiwall/protocol/gateway_settings.cc
+++ b/src/wasabiwall/protocol/gateway_settings.cc
@@ -43,6 +43,9 @@
                   .max = 1},
                  NumberSpec("exposure_tolerance", FieldType::kNumber, 0, 1e9),
                  NumberSpec("rollback_ms", FieldType::kNumber, 100, 3600000)}),
+      TableSpec("hedging", false,
+                {NumberSpec("share", FieldType::kNumber, 0, 1),
+                 NumberSpec("burst", FieldType::kNumber, 0, 100000)}),
   };
 }
 
@@ -102,6 +105,10 @@
   if (const auto rollout = root->find("rollout"); rollout != root->end()) {
     settings.rollout = ReadRollout(*rollout);
   }
+  const nlohmann::json hedging =
+      root->value("hedging", nlohmann::json::object());
+  settings.hedge_share = hedging.value("share", settings.hedge_share);
+  settings.hedge_burst = hedging.value("burst", settings.hedge_burst);
   return settings;
 }
 
--- a/src/wasabiwall/transport/attempt.cc
+++ b/src/wasabiwall/transport/attempt.cc
@@ -101,6 +101,7 @@
           .on_failed =
               [this] {
                 const auto self = shared_from_this();
+                m_rollout.OnBrokenOff();
                 m_hooks.on_failed(*this);
               }};
 }
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -173,6 +173,9 @@
           }),
       queue(kMaxQueuedCalls),
       retry_after_scheduler(SeededRandom()),
+      hedging(
+          options.hedge_limits, [this] { return ProcessCount(); },
+          SeededRandom()),
       response_buffers(ResponseLimits(options)),
       request_bodies(RequestLimits(options)),
       clients(ingress::LimitsOf(ClientBytes(options))),
@@ -497,6 +500,8 @@
   options.client_memory_mb = changed.client_memory_mb;
   options.read_pace = changed.read_pace;
   clients.SetLimits(ingress::LimitsOf(ClientBytes(options)));
+  options.hedge_limits = changed.hedge_limits;
+  hedging.SetLimits(changed.hedge_limits);
   placement.SetLoadFactor(changed.load_factor);
   UpdateRetryBudgets();
 }
--- a/src/wasabiwall/transport/rollout_observer.cc
+++ b/src/wasabiwall/transport/rollout_observer.cc
@@ -107,6 +107,10 @@
   if (m_attempt) m_attempt->is_ignored = true;
 }
 
+void RolloutObserver::OnBrokenOff() {
+  if (m_attempt) m_attempt->observation.broke_off = true;
+}
+
 void RolloutObserver::OnSilent() {
   if (m_attempt) m_attempt->is_silent = true;
 }
@@ -132,6 +136,11 @@
   if (attempt.is_cut) observation.outcome = Outcome::kAnswered;
   if (attempt.is_silent) observation.outcome = Outcome::kFailed;
   const bool was_written = attempt.written_at.has_value();
+  if (was_written) {
+    observation.duration =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            Now() - *attempt.written_at);
+  }
   if (attempt.is_ignored || !was_written)
     observation.outcome = Outcome::kIgnored;
   if (attempt.event_gaps > 0) {
--- a/src/wasabiwall/transport/rollout_observer.h
+++ b/src/wasabiwall/transport/rollout_observer.h
@@ -50,6 +50,10 @@
   /// of the version.
   void Ignore();
 
+  /// Records that the connection has ended before the response, for which the
+  /// end of the backend server may be the cause.
+  void OnBrokenOff();
+
   /// Records that the backend server has sent nothing in time.
   void OnSilent();
 
