Test of a failed hedge waits for the end of the attempt, not for a time

The test gave the gateway 50 ms to handle the failure. On a busy machine the remaining attempt reached its idle timeout of 80 ms meanwhile and was repeated: 2 of 3 runs failed beside builds. It now waits until one attempt is in flight. The names of prompt parts in logs move to the fingerprints.

--- a/src/wasabiwall/coordination/request_fingerprint.cc
+++ b/src/wasabiwall/coordination/request_fingerprint.cc
@@ -35,6 +35,15 @@
       .append(digits.begin(), count);
 }
 
+std::string NamesOfPromptParts(const std::vector<std::uint64_t>& parts) {
+  std::string names;
+  for (const std::uint64_t part : parts) {
+    if (!names.empty()) names += ',';
+    names += FingerprintOfPromptPart(part);
+  }
+  return names.empty() ? "-" : names;
+}
+
 std::optional<std::uint64_t> PromptPartOf(std::string_view fingerprint) {
   if (fingerprint.size() != kFingerprintDigits ||
       !fingerprint.starts_with(kPromptPartPrefix)) {
--- a/src/wasabiwall/coordination/request_fingerprint.h
+++ b/src/wasabiwall/coordination/request_fingerprint.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace wasabiwall::coordination {
 
@@ -19,6 +20,10 @@
 /// never equal to one.
 std::string FingerprintOfPromptPart(std::uint64_t part);
 
+/// @return Fingerprints of prompt parts, separated by commas; `-` if there are
+/// none.
+std::string NamesOfPromptParts(const std::vector<std::uint64_t>& parts);
+
 /// @return The part that a fingerprint names; nothing if it is that of a
 /// request.
 std::optional<std::uint64_t> PromptPartOf(std::string_view fingerprint);
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -28,16 +28,6 @@
 
 constexpr int kFirstServerError = 500;
 
-/// @return The parts as fingerprints name them, separated by commas.
-std::string NamesOf(const std::vector<std::uint64_t>& prompt_parts) {
-  std::string names;
-  for (const std::uint64_t part : prompt_parts) {
-    if (!names.empty()) names += ',';
-    names += coordination::FingerprintOfPromptPart(part);
-  }
-  return names.empty() ? "-" : names;
-}
-
 milliseconds ToMilliseconds(std::chrono::microseconds time) {
   return std::chrono::duration_cast<milliseconds>(time);
 }
@@ -582,7 +572,7 @@
       {"id", m_call.metadata.attempt_id},
       {"fingerprint",
        m_quarantine.Fingerprint().empty() ? "-" : m_quarantine.Fingerprint()},
-      {"parts", NamesOf(m_call.metadata.prompt_parts)},
+      {"parts", coordination::NamesOfPromptParts(m_call.metadata.prompt_parts)},
       {"held_by", m_quarantine.HeldBy()},
       {"outcome", outcome},
       {"route", m_call.route != nullptr ? m_call.route->name : "-"},
--- a/tests/gateway/hedged_call_test.cc
+++ b/tests/gateway/hedged_call_test.cc
@@ -46,6 +46,13 @@
     return gateway.RunUntil([this] { return kept.size() == 2; });
   }
 
+  /// @return Attempts that the gateway has not ended.
+  int InFlight() const {
+    const auto& loads = gateway.context.loads;
+    return loads.OwnInFlight(state::BackendServerId("a")) +
+           loads.OwnInFlight(state::BackendServerId("b"));
+  }
+
   std::vector<ScriptedBackend::Received> kept;
   GatewayFixture gateway;
   ScriptedBackend* first = nullptr;
@@ -99,7 +106,7 @@
   if (kind == 0) broken->Reset();
   if (kind == 1) broken->Write(PlainAnswer("a1", 500, "error"));
   if (kind == 2) broken->Write(PlainAnswer("a1", 503, "", "Not-Run: 1\r\n"));
-  fixture.gateway.RunFor(milliseconds(50));
+  REQUIRE(fixture.gateway.RunUntil([&] { return fixture.InFlight() == 1; }));
   CHECK(client.Received().empty());
   fixture.kept[1 - failing].session->Write(PlainAnswer("a1", 200, "body"));
   REQUIRE(fixture.gateway.RunUntil([&] { return client.Status() != 0; }));
