Place calls by the speed that backend servers report

Cause: on machines that are shared with others, work takes several times longer for some seconds. Placement counted calls only, so that slow backend servers got nearly as many as others.

Change: the fourth figure of X-Instance-Load is averaged for each backend server, bounded to a factor of 4, and forgotten with age. Placement compares the time until a call has finished; for the load bound a slow backend server counts as more loaded. Services without the figure are placed as before.

--- a/src/wasabiwall/coordination/backend_placement.cc
+++ b/src/wasabiwall/coordination/backend_placement.cc
@@ -77,6 +77,10 @@
                   [](const Candidate& c) { return c.is_domain_silent; });
   }
   EjectSlow(&candidates, now);
+  if (m_inputs.work_times != nullptr &&
+      m_inputs.work_times->Knows(query.service->id)) {
+    ApplyWorkTimes(&candidates, query.shared_part == 0, now);
+  }
   const auto ejected = static_cast<std::size_t>(
       std::count_if(candidates.begin(), candidates.end(),
                     [](const auto& c) { return c.ejected; }));
@@ -95,11 +99,12 @@
       std::max(1.0, m_load_factor * kLoadFactorMargin) * mean + kLoadSlack;
   auto chosen = std::find_if(
       candidates.begin(), candidates.end(),
-      [bound](const Candidate& c) { return c.load + 1.0 <= bound; });
+      [bound](const Candidate& c) { return c.LoadWithCall() <= bound; });
   if (chosen == candidates.end()) {
-    chosen = std::min_element(
-        candidates.begin(), candidates.end(),
-        [](const auto& a, const auto& b) { return a.load < b.load; });
+    chosen = std::min_element(candidates.begin(), candidates.end(),
+                              [](const auto& a, const auto& b) {
+                                return a.LoadWithCall() < b.LoadWithCall();
+                              });
   }
   return Placement{chosen->known->server,
                    FetchSource(query, *chosen->known, now),
@@ -190,6 +195,25 @@
   }
 }
 
+void BackendPlacement::ApplyWorkTimes(std::vector<Candidate>* candidates,
+                                      bool by_load, TimePoint now) const {
+  double sum = 0;
+  for (Candidate& candidate : *candidates) {
+    const state::BackendServer& server = candidate.known->server;
+    candidate.work_time =
+        m_inputs.work_times->Factor(server.service, server.id, now) /
+        std::max(1, static_cast<int>(server.capacity));
+    sum += candidate.work_time;
+  }
+  const double mean = sum / static_cast<double>(candidates->size());
+  for (Candidate& candidate : *candidates) {
+    candidate.work_time /= mean;
+    if (!by_load) continue;
+    // The time until the call has finished takes the place of the load.
+    candidate.cost += (candidate.known_load + 1) * (candidate.work_time - 1);
+  }
+}
+
 bool BackendPlacement::IsSilent(const state::FailureDomainId& domain,
                                 const PlacementQuery& query,
                                 TimePoint now) const {
--- a/src/wasabiwall/coordination/backend_placement.h
+++ b/src/wasabiwall/coordination/backend_placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -8,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "wasabiwall/balancing/work_time_table.h"
 #include "wasabiwall/coordination/backend_health.h"
 #include "wasabiwall/coordination/backend_load_table.h"
 #include "wasabiwall/coordination/cold_start_limiter.h"
@@ -82,6 +84,8 @@
     const ColdStartLimiter* cold_starts;
     const HoldOffTable* hold_offs;
     const PromptCacheIndex* prompt_cache;
+    /// Speed of backend servers as they report it; null for none.
+    const balancing::WorkTimeTable* work_times = nullptr;
     /// @return Whether an existing connection may be used or a new one may be
     /// opened.
     std::function<bool(const state::BackendServer&, const state::Service&)>
@@ -131,6 +135,14 @@
     bool ejected;
     /// Whether its failure domain may be lost.
     bool is_domain_silent;
+    /// Time that a call takes per place, as a multiple of the mean of the
+    /// candidates.
+    double work_time = 1;
+
+    /// @return Expected load with one more call, in calls of the usual time.
+    double LoadWithCall() const {
+      return (load + 1) * std::max(1.0, work_time);
+    }
   };
 
   /// Chooses among the backend servers that the query's rule allows.
@@ -148,6 +160,10 @@
                 const PlacementQuery& query, TimePoint now) const;
   bool AllowsColdCall(const state::KnownBackendServer& known,
                       const state::Service& service, TimePoint now) const;
+  /// Sets the work times and costs of the candidates of a service whose backend
+  /// servers report their speed.
+  void ApplyWorkTimes(std::vector<Candidate>* candidates, bool by_load,
+                      TimePoint now) const;
   double AffinityCost(const state::KnownBackendServer& known,
                       std::uint64_t shared_part) const;
   double LoadCost(const Candidate& candidate) const;
--- a/src/wasabiwall/transport/call_codec.h
+++ b/src/wasabiwall/transport/call_codec.h
@@ -61,6 +61,8 @@
   /// Such a request that could not be read, for the log; empty if none.
   std::string unreadable_hold_off;
   std::optional<coordination::ReportedLoad> load;
+  /// How long work takes on the machine of the backend server; 100 is as usual.
+  std::optional<int> work_time_percent;
   /// Remaining time of the backend server's cold start.
   std::optional<std::chrono::milliseconds> cold_left;
 };
--- a/src/wasabiwall/transport/gateway.cc
+++ b/src/wasabiwall/transport/gateway.cc
@@ -229,6 +229,9 @@
       static_cast<double>(m_readiness.Evicted() + m_metrics.Evicted()));
   m_context->metrics.SetGauge("wasabiwall_waiting_calls",
                               static_cast<double>(m_context->queue.Size()));
+  m_context->metrics.SetGauge(
+      "wasabiwall_longest_work_time",
+      m_context->work_times.Largest(m_context->loop->Now()));
   m_context->metrics.SetGauge(
       "wasabiwall_leaving_backend_servers",
       static_cast<double>(m_context->registry.LeavingCount()));
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -194,6 +194,7 @@
                  .cold_starts = &cold_starts,
                  .hold_offs = &hold_offs,
                  .prompt_cache = &prompt_cache,
+                 .work_times = &work_times,
                  .has_connection =
                      [this](const state::BackendServer& server,
                             const state::Service& service) {
@@ -451,6 +452,7 @@
   event_intervals.Forget(id);
   m_slow_engines.erase(id);
   cold_starts.Forget(id);
+  work_times.Forget(id);
   crash_monitor.OnGone(id);
 }
 
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -182,6 +182,8 @@
   CrashMonitor crash_monitor;
   QuarantineSharing quarantine_sharing;
   coordination::AdmissionQueue queue;
+  /// Speed of backend servers as they report it.
+  balancing::WorkTimeTable work_times;
   coordination::RetryAfterScheduler retry_after_scheduler;
   hedging::HedgeController hedging;
   /// Responses that are buffered until they are complete.
--- a/src/wasabiwall/transport/server_notices.cc
+++ b/src/wasabiwall/transport/server_notices.cc
@@ -14,6 +14,10 @@
   if (reply.load) {
     context->OnLoadReport(server.id, *reply.load, placement.load_bound);
   }
+  if (reply.work_time_percent) {
+    context->work_times.OnReport(server.service, server.id,
+                                 *reply.work_time_percent, now);
+  }
   if (reply.cold_left) {
     context->registry.ExtendCold(server.id, now + *reply.cold_left);
   }
--- a/tests/fakes/placement_fixture.h
+++ b/tests/fakes/placement_fixture.h
@@ -29,6 +29,7 @@
              .cold_starts = &cold_starts,
              .hold_offs = &hold_offs,
              .prompt_cache = &prompt_cache,
+             .work_times = &work_times,
              .has_connection = [](const auto&, const auto&) { return true; },
              .processes = [this] { return processes; },
              .random = [this] { return m_engine(); },
@@ -95,6 +96,7 @@
   coordination::ColdStartLimiter cold_starts;
   coordination::HoldOffTable hold_offs;
   coordination::PromptCacheIndex prompt_cache;
+  balancing::WorkTimeTable work_times;
   coordination::BackendPlacement placement;
 
  private:
--- a/tests/platform/documents_test.cc
+++ b/tests/platform/documents_test.cc
@@ -125,6 +125,20 @@
   head.headers.Add("X-Instance-Load", "3,1,8");
   CHECK(codec.decode_reply(head).load->running == 3);
   CHECK(codec.decode_reply(head).load->waiting == 1);
+  CHECK_FALSE(codec.decode_reply(head).work_time_percent);
+  const auto work_time_of = [&codec](const std::string& load) {
+    transport::MessageHead with_speed;
+    with_speed.headers.Add("X-Instance-Load", load);
+    CHECK(codec.decode_reply(with_speed).load->running == 3);
+    return codec.decode_reply(with_speed).work_time_percent;
+  };
+  CHECK(work_time_of("3,1,8,250") == 250);
+  CHECK(work_time_of("3,1,8, 90") == 90);
+  CHECK_FALSE(work_time_of("3,1,8,"));
+  CHECK_FALSE(work_time_of("3,1,8,0"));
+  CHECK_FALSE(work_time_of("3,1,8,-5"));
+  CHECK_FALSE(work_time_of("3,1,8,fast"));
+  CHECK_FALSE(work_time_of("3,1,8,99999999999999999999"));
   transport::MessageHead odd;
   odd.headers.Add("X-Instance-Load", "many");
   CHECK_FALSE(codec.decode_reply(odd).load);
