--- a/src/wasabiwall/transport/client_connection.cc
+++ b/src/wasabiwall/transport/client_connection.cc
@@ -378,7 +378,8 @@
 
 void ClientConnection::StartTimer(std::chrono::milliseconds timeout) {
   m_timeout = timeout;
-  m_unacknowledged_bytes = m_tcp->UnacknowledgedBytes();
+  // Asked for only if needed: it takes a system call.
+  m_unacknowledged_bytes = IsDelivering() ? m_tcp->UnacknowledgedBytes() : 0;
   m_timer.Start(timeout, [this] { OnTimeout(); });
 }
 
