Roll-out test: lets the calls end before the gateways are destroyed

AddressSanitizer found that a caller's connection, closed when the test ended, was handled after its gateway had been destroyed. A gateway process never destroys its gateway.

--- a/tests/platform/rollout_test.cc
+++ b/tests/platform/rollout_test.cc
@@ -102,6 +102,19 @@
     m_caller.StartRepeating(kCallInterval, [this] { Call(); });
   }
 
+  /// Lets the calls end, which use the gateways.
+  ~World() {
+    m_caller.Stop();
+    m_clients.clear();
+    RunUntil(milliseconds(5000), [this] {
+      return std::ranges::all_of(nodes, [](const auto& node) {
+        return node->context.clients.Used() == 0;
+      });
+    });
+  }
+  World(const World&) = delete;
+  World& operator=(const World&) = delete;
+
   void Order(const std::string& target) {
     store.Put("op/rollout/s", json{{"service", "s"},
                                    {"target", target},
