--- a/review/standin-2/http.h
+++ b/review/standin-2/http.h
@@ -164,6 +164,15 @@
     if (fd >= 0) close(fd);
   }
 
+  /// Waits for bytes and takes all that have come.
+  bool ReadSome(std::string* bytes) {
+    if (m_buffer.empty() && !Fill(Clock::now() + std::chrono::seconds(60))) {
+      return false;
+    }
+    *bytes = std::exchange(m_buffer, {});
+    return true;
+  }
+
   /// Ends the connection with a reset while another thread uses it; that
   /// thread's calls fail.
   void Break() {
