--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include <signal.h>
-#include <sys/stat.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #include <condition_variable>
@@ -415,6 +415,8 @@
   void Run() {
     m_pid = fork();
     if (m_pid != 0) return;
+    // Ends with the script, also when that is killed.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (std::freopen(m_log.c_str(), "a", stdout) == nullptr ||
         std::freopen(m_log.c_str(), "a", stderr) == nullptr) {
       std::_Exit(2);
