Quarantine logs name the crashes of a verdict and the part that each is taken for

The logs named neither the crashes that a verdict on a prompt part rests on nor those that were taken from other parts, so that two hypotheses could not be told apart: crashes that other parts keep when a verdict explains them, and records that are added after the verdict.

request_quarantined has crash_ids; crash_attributed is new and tells how many other parts keep a record. No decision changes.

--- a/src/wasabiwall/coordination/prompt_part_evidence.cc
+++ b/src/wasabiwall/coordination/prompt_part_evidence.cc
@@ -183,6 +183,14 @@
   return crashes;
 }
 
+std::size_t PromptPartEvidence::PartsWith(std::int64_t crash) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(m_records, [crash](const auto& entry) {
+        return std::ranges::find(entry.second, crash, &Record::crash) !=
+               entry.second.end();
+      }));
+}
+
 std::optional<TimePoint> PromptPartEvidence::FirstCrashAt(
     std::uint64_t part) const {
   const auto found = m_records.find(part);
--- a/src/wasabiwall/coordination/prompt_part_evidence.h
+++ b/src/wasabiwall/coordination/prompt_part_evidence.h
@@ -85,6 +85,9 @@
   /// @return Identifiers of the crashes that the part has records of.
   std::vector<std::int64_t> CrashesOf(std::uint64_t part) const;
 
+  /// @return Number of parts with a record of the crash.
+  std::size_t PartsWith(std::int64_t crash) const;
+
   /// @return When the first crash with the part happened, of those it has
   /// records of.
   std::optional<TimePoint> FirstCrashAt(std::uint64_t part) const;
--- a/src/wasabiwall/coordination/request_quarantine.cc
+++ b/src/wasabiwall/coordination/request_quarantine.cc
@@ -57,7 +57,7 @@
                                     std::uint64_t part, std::int64_t crash,
                                     TimePoint at, TimePoint now, int calls) {
   if (TimeLeft(fingerprint, now)) {
-    Attribute({crash});
+    Attribute(fingerprint, {crash});
     return;
   }
   m_part_evidence.OnCrash(part, crash, at, now, calls);
@@ -102,15 +102,16 @@
   // Each verdict takes its crashes from the other suspects.
   for (auto causes = m_part_evidence.LikelyCauses(now); !causes.empty();
        causes = m_part_evidence.LikelyCauses(now)) {
+    std::string cause;
     std::vector<std::int64_t> crashes;
     for (const std::uint64_t part : causes) {
+      cause = FingerprintOfPromptPart(part);
       crashes = m_part_evidence.CrashesOf(part);
-      const bool may_judge =
-          !m_hooks.is_judge || m_hooks.is_judge(FingerprintOfPromptPart(part));
+      const bool may_judge = !m_hooks.is_judge || m_hooks.is_judge(cause);
       if (may_judge) QuarantinePart(part, now);
       m_part_evidence.Forget(part);
     }
-    Attribute(crashes);
+    Attribute(cause, crashes);
   }
   return m_part_evidence.IsJudgementOpen(now);
 }
@@ -119,19 +120,20 @@
   const std::string fingerprint = FingerprintOfPromptPart(part);
   auto crashes = m_part_evidence.CrashesOf(part);
   const TimePoint first = m_part_evidence.FirstCrashAt(part).value_or(now);
-  Entry& entry =
-      Insert(fingerprint,
-             {.source = "crashes",
-              .crashes = crashes.size(),
-              .first_crash_age =
-                  std::chrono::duration_cast<milliseconds>(now - first)},
-             now);
+  Entry& entry = Insert(
+      fingerprint,
+      {.source = "crashes",
+       .crashes = crashes.size(),
+       .first_crash_age = std::chrono::duration_cast<milliseconds>(now - first),
+       .crash_ids = crashes},
+      now);
   entry.crashes = std::move(crashes);
   if (MayAnnounce(fingerprint)) Announce(fingerprint, &entry, now);
 }
 
-void RequestQuarantine::OnCauseFound(const std::vector<std::int64_t>& crashes) {
-  Attribute(crashes);
+void RequestQuarantine::OnCauseFound(const std::string& cause,
+                                     const std::vector<std::int64_t>& crashes) {
+  Attribute(cause, crashes);
 }
 
 std::vector<std::int64_t> RequestQuarantine::CrashesOf(
@@ -141,13 +143,16 @@
   return found->second.crashes;
 }
 
-void RequestQuarantine::Attribute(const std::vector<std::int64_t>& crashes) {
+void RequestQuarantine::Attribute(const std::string& cause,
+                                  const std::vector<std::int64_t>& crashes) {
   for (const std::int64_t crash : crashes) {
     m_records.RemoveCrash(crash);
     m_part_evidence.RemoveCrash(crash, crashes.size());
     if (IsAttributed(crash)) continue;
     m_attributed.push_back(crash);
     if (m_attributed.size() > kMaxAttributedCrashes) m_attributed.pop_front();
+    if (!m_hooks.on_attributed) continue;
+    m_hooks.on_attributed(cause, crash, m_part_evidence.PartsWith(crash));
   }
 }
 
--- a/src/wasabiwall/coordination/request_quarantine.h
+++ b/src/wasabiwall/coordination/request_quarantine.h
@@ -47,6 +47,8 @@
   std::size_t crashes = 0;
   /// Time since the first of them.
   std::chrono::milliseconds first_crash_age{0};
+  /// Identifiers of the crashes that a verdict on a prompt part rests on.
+  std::vector<std::int64_t> crash_ids;
 };
 
 /// Decides which contents a gateway holds off because backend servers ended
@@ -71,6 +73,11 @@
     std::function<void(const std::string& fingerprint,
                        const QuarantineReason& reason)>
         on_quarantined;
+    /// A crash has been attributed to a quarantined prompt part.
+    /// @param suspects Other parts that keep a record of it.
+    std::function<void(const std::string& cause, std::int64_t crash,
+                       std::size_t suspects)>
+        on_attributed;
     /// A quarantined request may run again, since it has been answered.
     std::function<void(const std::string& fingerprint)> on_released;
     /// All gateways, those that start later too, must learn of the quarantine.
@@ -114,7 +121,9 @@
 
   /// Records that another gateway has found the cause of crashes, so that
   /// nothing else is a suspect of them.
-  void OnCauseFound(const std::vector<std::int64_t>& crashes);
+  /// @param cause Fingerprint of a prompt part.
+  void OnCauseFound(const std::string& cause,
+                    const std::vector<std::int64_t>& crashes);
 
   /// @return Crashes for which a prompt part was quarantined here.
   std::vector<std::int64_t> CrashesOf(const std::string& fingerprint) const;
@@ -233,7 +242,8 @@
                 TimePoint now);
   /// Takes crashes for those of one quarantined part: nothing else that was in
   /// flight is a suspect of them, unless it was at more crashes.
-  void Attribute(const std::vector<std::int64_t>& crashes);
+  void Attribute(const std::string& cause,
+                 const std::vector<std::int64_t>& crashes);
   /// @return Whether the crash was that of a quarantined part.
   bool IsAttributed(std::int64_t crash) const;
   /// Releases a quarantined part if the answered request was sent after its
--- a/src/wasabiwall/transport/crash_monitor.cc
+++ b/src/wasabiwall/transport/crash_monitor.cc
@@ -284,8 +284,8 @@
     case protocol::CrashMessage::Kind::kQuarantined:
       for (const std::string& fingerprint : message.fingerprints) {
         m_quarantine->OnAnnounced(fingerprint, 0, now, message.age);
+        m_quarantine->OnCauseFound(fingerprint, message.caused_crashes);
       }
-      m_quarantine->OnCauseFound(message.caused_crashes);
       return;
     case protocol::CrashMessage::Kind::kCrash:
       break;
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -127,6 +127,14 @@
                       const coordination::QuarantineReason& reason) {
                  OnQuarantined(fingerprint, reason);
                },
+           .on_attributed =
+               [](const std::string& cause, std::int64_t crash,
+                  std::size_t suspects) {
+                 LogInfo("crash_attributed",
+                         {{"crash", std::to_string(crash)},
+                          {"cause", cause},
+                          {"suspects", std::to_string(suspects)}});
+               },
            .on_released =
                [](const std::string& fingerprint) {
                  LogInfo("request_released", {{"fingerprint", fingerprint}});
@@ -372,11 +380,17 @@
 void GatewayContext::OnQuarantined(
     const std::string& fingerprint,
     const coordination::QuarantineReason& reason) {
+  std::string crash_ids;
+  for (const std::int64_t crash : reason.crash_ids) {
+    if (!crash_ids.empty()) crash_ids += ',';
+    crash_ids += std::to_string(crash);
+  }
   LogWarn(
       "request_quarantined",
       {{"fingerprint", fingerprint},
        {"source", reason.source},
        {"crashes", std::to_string(reason.crashes)},
+       {"crash_ids", crash_ids.empty() ? "-" : crash_ids},
        {"first_crash_age_ms", std::to_string(reason.first_crash_age.count())}});
 }
 
--- a/tests/coordination/prompt_part_fleet_test.cc
+++ b/tests/coordination/prompt_part_fleet_test.cc
@@ -213,7 +213,7 @@
       gateway->OnAnnounced(
           fingerprint, m_probes[fingerprint], m_now,
           std::chrono::duration_cast<milliseconds>(m_now - first));
-      gateway->OnCauseFound(crashes);
+      gateway->OnCauseFound(fingerprint, crashes);
     };
     SendToAll(name, tell);
     if (!m_scenario.has_store) return;
