--- a/tests/coordination/prompt_part_fleet_test.cc
+++ b/tests/coordination/prompt_part_fleet_test.cc
@@ -43,6 +43,10 @@
   bool cause_is_early = true;
   /// Time from the first request until the cause is one; it is answered before.
   milliseconds sound_before{0};
+  /// Time from the first request until requests with the cause come.
+  milliseconds absent_before{0};
+  milliseconds shortest_answer{300};
+  milliseconds longest_answer{2000};
   /// Share of the messages between gateways that are lost.
   double loss = 0;
   bool has_store = true;
@@ -135,9 +139,10 @@
     return std::bernoulli_distribution(share)(m_random);
   }
 
-  milliseconds Between(int least, int most) {
-    return milliseconds(
-        std::uniform_int_distribution<int>(least, most)(m_random));
+  milliseconds Between(milliseconds least, milliseconds most) {
+    return milliseconds(std::uniform_int_distribution<int>(
+        static_cast<int>(least.count()),
+        static_cast<int>(most.count()))(m_random));
   }
 
   void After(milliseconds time, std::function<void()> event) {
@@ -244,7 +249,9 @@
     auto gateway = m_members.begin();
     std::advance(gateway, m_random() % m_members.size());
     call->gateway = gateway->first;
-    call->holds_cause = Chance(m_scenario.share);
+    const bool would_hold_cause = Chance(m_scenario.share);
+    call->holds_cause =
+        would_hold_cause && m_now - kStart >= m_scenario.absent_before;
     call->parts = {kTemplate};
     const auto add_cause = [&] {
       if (!call->holds_cause) return;
@@ -281,7 +288,11 @@
     m_servers[server].calls.push_back(call);
     const bool ends_server = call->holds_cause && IsCauseNow();
     if (ends_server) m_cause_sends.push_back(m_now);
-    After(ends_server ? Between(30, 500) : Between(300, 2000), [=, this] {
+    const auto run_time =
+        ends_server
+            ? Between(milliseconds(30), milliseconds(500))
+            : Between(m_scenario.shortest_answer, m_scenario.longest_answer);
+    After(run_time, [=, this] {
       if (m_servers[server].incarnation != incarnation) return;
       if (ends_server) {
         m_ends.push_back(m_now);
@@ -421,9 +432,8 @@
 constexpr double kAllowedSoundShare = 0.5;
 constexpr double kSoundShare = 0.95;
 
-void CheckHeld(const Scenario& scenario, double sound_share = kSoundShare) {
-  PartFleet fleet(scenario);
-  fleet.Run(seconds(40));
+void CheckHeld(const PartFleet& fleet, const Scenario& scenario,
+               double sound_share) {
   INFO("gateways " << scenario.gateways << " share " << scenario.share
                    << " seed " << scenario.seed << " ends "
                    << fleet.Ends().size());
@@ -434,6 +444,12 @@
         sound_share);
 }
 
+void CheckHeld(const Scenario& scenario, double sound_share = kSoundShare) {
+  PartFleet fleet(scenario);
+  fleet.Run(seconds(40));
+  CheckHeld(fleet, scenario, sound_share);
+}
+
 TEST_CASE("a crashing prompt part is held off in fleets of every size",
           "[prompt_part_fleet]") {
   for (const int gateways : {1, 4, 68, 300}) {
@@ -511,6 +527,26 @@
   }
 }
 
+// An ordinary crash before those of the cause must not make the template, which
+// is in flight at all of them, a cause of its own.
+TEST_CASE("an ordinary crash before a crashing part holds off no other part",
+          "[prompt_part_fleet]") {
+  for (const int gateways : {1, 2, 4, 68}) {
+    for (const double share : {0.03, 0.3}) {
+      const Scenario scenario{.gateways = gateways,
+                              .share = share,
+                              .absent_before = seconds(16),
+                              .shortest_answer = milliseconds(11500),
+                              .longest_answer = milliseconds(11600)};
+      PartFleet fleet(scenario);
+      fleet.Run(seconds(14));
+      fleet.LoseServers(1);
+      fleet.Run(seconds(14));
+      CheckHeld(fleet, scenario, kSoundShare);
+    }
+  }
+}
+
 TEST_CASE("a crashing prompt part is held off in any fleet",
           "[prompt_part_fleet][fuzz]") {
   rc::prop("lost messages, any share", [] {
