--- a/src/wasabiwall/coordination/prompt_part_evidence.cc
+++ b/src/wasabiwall/coordination/prompt_part_evidence.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <bit>
+#include <cmath>
+#include <iterator>
+#include <limits>
 #include <utility>
 
 #include "wasabiwall/state/digest.h"
@@ -12,23 +15,46 @@
 
 /// Records kept of a part, more than any verdict needs.
 constexpr std::size_t kMaxRecordsPerPart = 32;
-/// Share of the crashes of the part with most of them at which the cause must
-/// have been in flight. Some records are lost on their way.
-constexpr double kWantedCrashShare = 0.75;
+/// Costs of a suspect, as logarithms of how much less likely each makes it. The
+/// first is that of leaving all crashes unexplained that another suspect was in
+/// flight at: records are lost on their way, and some crashes are ordinary
+/// ones.
+constexpr double kUnexplainedCost = 10;
+constexpr double kAnsweredBeforeCost = 3;
+/// Share of the crashes of a part that another part must explain. One that
+/// explains fewer may have been taken for a cause wrongly.
+constexpr double kExplainedShare = 0.75;
 /// Parts among which one with few records is looked for to make room.
 constexpr int kEvictionCandidates = 16;
 
 }  // namespace
 
 PromptPartEvidence::PromptPartEvidence(PromptPartEvidenceOptions options)
-    : m_options(options) {}
+    : m_options(options),
+      m_answered(options.min_answered),
+      m_begun(options.min_answered) {}
+
+void PromptPartEvidence::RecentTimes::Set(std::uint64_t part, TimePoint time) {
+  if (m_latest.size() >= m_min_parts) m_before = std::exchange(m_latest, {});
+  const auto [entry, is_new] = m_latest.try_emplace(part, time);
+  entry->second = std::max(entry->second, time);
+}
+
+std::optional<TimePoint> PromptPartEvidence::RecentTimes::Find(
+    std::uint64_t part) const {
+  const auto found = m_latest.find(part);
+  if (found != m_latest.end()) return found->second;
+  const auto before = m_before.find(part);
+  if (before != m_before.end()) return before->second;
+  return std::nullopt;
+}
 
 void PromptPartEvidence::OnCrash(std::uint64_t part, std::int64_t crash,
                                  TimePoint at, TimePoint now, int calls) {
   const auto answered = AnsweredRequestSentAt(part);
   if (answered && *answered > at) return;
   if (now - at >= m_options.retention) return;
-  m_last_crash_at = std::max(m_last_crash_at, at);
+  m_last_change_at = std::max(m_last_change_at, at);
   if (m_records.size() >= m_options.max_parts && !m_records.contains(part)) {
     MakeRoom(crash, now);
   }
@@ -78,11 +104,7 @@
 }
 
 bool PromptPartEvidence::OnAnswered(std::uint64_t part, TimePoint sent_at) {
-  if (m_answered.size() >= m_options.min_answered) {
-    m_answered_before = std::exchange(m_answered, {});
-  }
-  const auto [entry, is_new] = m_answered.try_emplace(part, sent_at);
-  entry->second = std::max(entry->second, sent_at);
+  m_answered.Set(part, sent_at);
   const auto found = m_records.find(part);
   if (found == m_records.end()) return false;
   const bool is_cleared =
@@ -93,21 +115,104 @@
   return is_cleared;
 }
 
+bool PromptPartEvidence::OnBegun(std::uint64_t part, TimePoint sent_at) {
+  const auto before = m_begun.Find(part);
+  m_begun.Set(part, sent_at);
+  const auto found = m_records.find(part);
+  return found != m_records.end() &&
+         std::ranges::any_of(found->second, [&](const Record& record) {
+           return record.at < sent_at && (!before || record.at >= *before);
+         });
+}
+
 std::optional<TimePoint> PromptPartEvidence::AnsweredRequestSentAt(
     std::uint64_t part) const {
-  const auto found = m_answered.find(part);
-  if (found != m_answered.end()) return found->second;
-  const auto before = m_answered_before.find(part);
-  if (before != m_answered_before.end()) return before->second;
-  return std::nullopt;
+  return m_answered.Find(part);
+}
+
+PromptPartEvidence::Records PromptPartEvidence::CurrentOf(std::uint64_t part,
+                                                          TimePoint now) const {
+  Records current;
+  const auto found = m_records.find(part);
+  if (found == m_records.end()) return current;
+  std::ranges::copy_if(
+      found->second, std::back_inserter(current),
+      [&](const Record& record) { return !IsExpired(record, now); });
+  return current;
+}
+
+PromptPartEvidence::Records PromptPartEvidence::Unexplained(
+    Records records, TimePoint now) const {
+  std::erase_if(records, [&](const Record& record) {
+    return IsExplained(record.crash, now);
+  });
+  return records;
+}
+
+PromptPartEvidence::Records PromptPartEvidence::NotExplainedTogether(
+    std::uint64_t part, Records records, TimePoint now) const {
+  std::unordered_map<std::uint64_t, int> explained;
+  for (const Record& record : records) {
+    for (const std::uint64_t cause :
+         m_explanations.CausesOf(record.crash, now)) {
+      ++explained[cause];
+    }
+  }
+  const auto crashes = records.size();
+  std::erase_if(explained, [&](const auto& entry) {
+    const auto& [cause, count] = entry;
+    return cause != part &&
+           count < kExplainedShare * static_cast<double>(crashes) &&
+           m_explanations.CountOf(cause, now) < crashes;
+  });
+  std::erase_if(records, [&](const Record& record) {
+    return std::ranges::any_of(
+        m_explanations.CausesOf(record.crash, now),
+        [&](std::uint64_t cause) { return explained.contains(cause); });
+  });
+  return records;
 }
 
-bool PromptPartEvidence::HasEnoughCrashes(std::uint64_t part,
-                                          const Records& records,
-                                          TimePoint now) const {
-  return Moments(records, now) >= (AnsweredRequestSentAt(part)
-                                       ? m_options.crashes_if_answered_before
-                                       : m_options.crashes);
+PromptPartEvidence::Records PromptPartEvidence::Strong(
+    std::uint64_t part, const Records& records) const {
+  const auto begun_at = m_begun.Find(part);
+  Records strong;
+  std::ranges::copy_if(
+      records, std::back_inserter(strong), [&](const Record& record) {
+        return record.calls > 0 && (!begun_at || record.at >= *begun_at);
+      });
+  return strong;
+}
+
+std::optional<PromptPartEvidence::Suspect> PromptPartEvidence::SuspectOf(
+    std::uint64_t part, TimePoint now) const {
+  const auto needed = AnsweredRequestSentAt(part)
+                          ? m_options.crashes_if_answered_before
+                          : m_options.crashes;
+  Records records = CurrentOf(part, now);
+  Records strong = NotExplainedTogether(part, Strong(part, records), now);
+  if (Moments(strong) >= needed) {
+    return Suspect{.part = part, .records = std::move(strong)};
+  }
+  records = Unexplained(std::move(records), now);
+  if (Moments(records) < std::max(needed, m_options.crashes_if_begun)) {
+    return std::nullopt;
+  }
+  return Suspect{
+      .part = part, .records = std::move(records), .is_last_resort = true};
+}
+
+double PromptPartEvidence::CostOf(const Suspect& suspect,
+                                  std::size_t most_crashes) const {
+  int calls = 0;
+  for (const Record& record : suspect.records) calls += record.calls;
+  const auto crashes = static_cast<double>(suspect.records.size());
+  const double unexplained = 1 - crashes / static_cast<double>(most_crashes);
+  // A part that many requests hold is the less likely to be a cause.
+  double cost =
+      std::log(std::max(1, calls) / crashes) + kUnexplainedCost * unexplained;
+  if (AnsweredRequestSentAt(suspect.part)) cost += kAnsweredBeforeCost;
+  return cost;
 }
 
 TimePoint PromptPartEvidence::SuspectAt(std::uint64_t part,
@@ -121,52 +226,55 @@
 }
 
 bool PromptPartEvidence::IsSuspect(std::uint64_t part, TimePoint now) const {
-  const auto found = m_records.find(part);
-  return found != m_records.end() &&
-         HasEnoughCrashes(part, found->second, now) &&
-         now >= SuspectAt(part, found->second);
+  const auto suspect = SuspectOf(part, now);
+  return suspect && now >= SuspectAt(part, suspect->records);
 }
 
 int PromptPartEvidence::MostCalls(const Records& records) {
   return std::ranges::max_element(records, {}, &Record::calls)->calls;
 }
 
-std::vector<std::uint64_t> PromptPartEvidence::LikelyCauses(
-    TimePoint now) const {
+std::vector<LikelyCause> PromptPartEvidence::LikelyCauses(TimePoint now) const {
+  const auto fewest_needed = static_cast<std::size_t>(
+      std::min(m_options.crashes, m_options.crashes_if_answered_before));
   std::size_t most_crashes = 0;
-  std::vector<std::uint64_t> suspects;
+  bool is_last_resort = true;
+  std::vector<Suspect> suspects;
   for (const auto& [part, records] : m_records) {
-    if (!HasEnoughCrashes(part, records, now)) continue;
-    most_crashes = std::max(most_crashes, records.size());
-    suspects.push_back(part);
+    if (records.size() < fewest_needed) continue;
+    auto suspect = SuspectOf(part, now);
+    if (!suspect || (suspect->is_last_resort && !is_last_resort)) continue;
+    if (!suspect->is_last_resort && std::exchange(is_last_resort, false)) {
+      suspects.clear();
+      most_crashes = 0;
+    }
+    most_crashes = std::max(most_crashes, suspect->records.size());
+    suspects.push_back(std::move(*suspect));
+  }
+  double lowest_cost = std::numeric_limits<double>::max();
+  for (Suspect& suspect : suspects) {
+    suspect.cost = CostOf(suspect, most_crashes);
+    lowest_cost = std::min(lowest_cost, suspect.cost);
   }
-  std::vector<std::uint64_t> causes;
-  int fewest_calls = 0;
-  for (const std::uint64_t part : suspects) {
-    const Records& records = m_records.at(part);
-    const auto wanted = kWantedCrashShare * static_cast<double>(most_crashes);
-    if (static_cast<double>(records.size()) < wanted) continue;
-    int calls = 0;
-    for (const Record& record : records) calls += record.calls;
-    if (causes.empty() || calls < fewest_calls) {
-      causes.clear();
-      fewest_calls = calls;
+  std::vector<LikelyCause> causes;
+  for (const Suspect& suspect : suspects) {
+    if (suspect.cost > lowest_cost) continue;
+    if (now < SuspectAt(suspect.part, suspect.records)) return {};
+    LikelyCause cause{.part = suspect.part,
+                      .first_crash_at = suspect.records.front().at,
+                      .is_last_resort = suspect.is_last_resort};
+    for (const Record& record : suspect.records) {
+      cause.crashes.push_back(record.crash);
     }
-    if (calls == fewest_calls) causes.push_back(part);
+    causes.push_back(std::move(cause));
   }
-  const bool may_be_cleared =
-      std::ranges::any_of(causes, [&](std::uint64_t part) {
-        return now < SuspectAt(part, m_records.at(part));
-      });
-  if (may_be_cleared) causes.clear();
   return causes;
 }
 
-int PromptPartEvidence::Moments(const Records& records, TimePoint now) const {
+int PromptPartEvidence::Moments(const Records& records) const {
   int moments = 0;
   TimePoint counted;
   for (const Record& record : records) {
-    if (IsExpired(record, now)) continue;
     if (moments > 0 && record.at - counted < m_options.same_moment) continue;
     ++moments;
     counted = record.at;
@@ -174,41 +282,22 @@
   return moments;
 }
 
-std::vector<std::int64_t> PromptPartEvidence::CrashesOf(
-    std::uint64_t part) const {
+std::vector<std::int64_t> PromptPartEvidence::CrashesOf(std::uint64_t part,
+                                                        TimePoint now) const {
   std::vector<std::int64_t> crashes;
-  const auto found = m_records.find(part);
-  if (found == m_records.end()) return crashes;
-  for (const Record& record : found->second) crashes.push_back(record.crash);
+  for (const Record& record : Unexplained(CurrentOf(part, now), now)) {
+    crashes.push_back(record.crash);
+  }
   return crashes;
 }
 
-std::size_t PromptPartEvidence::PartsWith(std::int64_t crash) const {
-  return static_cast<std::size_t>(
-      std::ranges::count_if(m_records, [crash](const auto& entry) {
-        return std::ranges::find(entry.second, crash, &Record::crash) !=
-               entry.second.end();
-      }));
+void PromptPartEvidence::Withdraw(std::uint64_t cause) {
+  if (m_explanations.Withdraw(cause)) m_has_withdrawn = true;
 }
 
-std::optional<TimePoint> PromptPartEvidence::FirstCrashAt(
-    std::uint64_t part) const {
-  const auto found = m_records.find(part);
-  if (found == m_records.end() || found->second.empty()) return std::nullopt;
-  return found->second.front().at;
-}
-
-void PromptPartEvidence::RemoveCrash(std::int64_t crash,
-                                     std::size_t most_crashes) {
-  for (auto entry = m_records.begin(); entry != m_records.end();) {
-    Records& records = entry->second;
-    if (records.size() <= most_crashes) {
-      std::erase_if(records, [crash](const Record& record) {
-        return record.crash == crash;
-      });
-    }
-    entry = records.empty() ? m_records.erase(entry) : std::next(entry);
-  }
+void PromptPartEvidence::StartJudgement(TimePoint now) {
+  if (!std::exchange(m_has_withdrawn, false)) return;
+  m_last_change_at = std::max(m_last_change_at, now);
 }
 
 }  // namespace wasabiwall::coordination
--- a/src/wasabiwall/coordination/prompt_part_evidence.h
+++ b/src/wasabiwall/coordination/prompt_part_evidence.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "wasabiwall/coordination/clock.h"
+#include "wasabiwall/quarantine/crash_explanations.h"
 
 namespace wasabiwall::coordination {
 
@@ -23,6 +24,10 @@
   /// innocent part is usually answered.
   int crashes_if_answered_before = 5;
   std::chrono::milliseconds wait_if_answered_before{2000};
+  /// Crashes at different moments that make a part the cause although answers
+  /// to requests with it, sent after them, have begun and go on: it would have
+  /// to end backend servers long after it was read.
+  int crashes_if_begun = 8;
   /// Calls with the part that one crash broke from which the part is a popular
   /// one, which is in flight at most crashes; and the time by which its verdict
   /// comes after that of other parts, among which the cause usually is. Twice
@@ -40,14 +45,26 @@
   std::size_t min_answered = 8192;
 };
 
+/// A part of prompts that is taken for the cause of crashes.
+struct LikelyCause {
+  std::uint64_t part = 0;
+  /// Identifiers of the crashes, in the order of their times.
+  std::vector<std::int64_t> crashes;
+  TimePoint first_crash_at;
+  /// Whether answers to requests with the part had gone on.
+  bool is_last_resort = false;
+};
+
 /// Tells which part of prompts ends the backend servers that answer it, however
 /// the requests that hold it differ otherwise.
 ///
 /// All parts in flight at a crash get a record. A request that was sent after a
 /// crash and is answered clears its parts of that crash, which the part that is
-/// the cause never experiences. Of the suspects that were in flight at most
-/// crashes the one with the fewest calls is the cause. Does no I/O. Not safe
-/// for concurrent use.
+/// the cause never experiences. One whose answer goes on for a while makes its
+/// parts suspects of last resort. Of the other suspects the cause is the one
+/// that leaves the fewest crashes unexplained and was in the fewest calls. A
+/// crash that one part explains counts against no other while that belief
+/// lasts. Does no I/O. Not safe for concurrent use.
 class PromptPartEvidence {
  public:
   explicit PromptPartEvidence(PromptPartEvidenceOptions options = {});
@@ -55,8 +72,8 @@
   /// Records that a backend server ended while it ran a request with the part.
   /// @param crash Identifies the end of the backend server in the fleet.
   /// @param at When it ended.
-  /// @param calls Calls with the part that it broke; several reports of one
-  /// crash add up.
+  /// @param calls Calls with the part that it broke before their answers went
+  /// on; several reports of one crash add up. None: only others.
   void OnCrash(std::uint64_t part, std::int64_t crash, TimePoint at,
                TimePoint now, int calls = 1);
 
@@ -65,6 +82,11 @@
   /// @return Whether this has cleared the part of a crash.
   bool OnAnswered(std::uint64_t part, TimePoint sent_at);
 
+  /// Records a request with the part whose answer goes on.
+  /// @param sent_at When the request was sent to the backend server.
+  /// @return Whether this speaks against a record for the first time.
+  bool OnBegun(std::uint64_t part, TimePoint sent_at);
+
   /// @return When the latest answered request with the part was sent; nothing
   /// if none is known.
   std::optional<TimePoint> AnsweredRequestSentAt(std::uint64_t part) const;
@@ -72,7 +94,7 @@
   /// @return Whether a crash is so recent that waiting may bring a verdict.
   bool IsJudgementOpen(TimePoint now) const {
     return !m_records.empty() &&
-           now - m_last_crash_at < m_options.judgement_time;
+           now - m_last_change_at < m_options.judgement_time;
   }
 
   /// @return Whether there is enough against the part to take it for a cause.
@@ -80,22 +102,31 @@
 
   /// @return The suspects that are the most likely cause; several if nothing
   /// tells them apart, none while an answer may still clear the most likely.
-  std::vector<std::uint64_t> LikelyCauses(TimePoint now) const;
+  std::vector<LikelyCause> LikelyCauses(TimePoint now) const;
 
-  /// @return Identifiers of the crashes that the part has records of.
-  std::vector<std::int64_t> CrashesOf(std::uint64_t part) const;
+  /// @return Identifiers of the crashes with the part that nothing explains.
+  std::vector<std::int64_t> CrashesOf(std::uint64_t part, TimePoint now) const;
 
-  /// @return Number of parts with a record of the crash.
-  std::size_t PartsWith(std::int64_t crash) const;
+  /// Records that a part is believed to have made a crash, which counts against
+  /// nothing from now on; records of it may also arrive later.
+  /// @param until When the belief ends unless it is confirmed.
+  void Explain(std::int64_t crash, std::uint64_t cause,
+               TimePoint until = TimePoint::max()) {
+    m_explanations.Add(crash, cause, until);
+  }
+
+  /// @return Whether a crash is explained.
+  bool IsExplained(std::int64_t crash, TimePoint now) const {
+    return m_explanations.Contains(crash, now);
+  }
 
-  /// @return When the first crash with the part happened, of those it has
-  /// records of.
-  std::optional<TimePoint> FirstCrashAt(std::uint64_t part) const;
+  /// Ends the belief that a part is a cause; what it explained counts against
+  /// the others again.
+  void Withdraw(std::uint64_t cause);
 
-  /// Removes the records of a crash, whose cause is known.
-  /// @param most_crashes Parts with records of more crashes keep theirs: a
-  /// cause of fewer crashes does not explain them.
-  void RemoveCrash(std::int64_t crash, std::size_t most_crashes = SIZE_MAX);
+  /// Keeps the judgement open for a time if a belief has ended since the last
+  /// call.
+  void StartJudgement(TimePoint now);
 
   /// Removes the records of a part.
   void Forget(std::uint64_t part) { m_records.erase(part); }
@@ -112,25 +143,72 @@
   /// Ordered by time.
   using Records = std::vector<Record>;
 
+  /// The latest time of each of the parts seen lately.
+  class RecentTimes {
+   public:
+    /// @param min_parts Number of parts that are remembered at least.
+    explicit RecentTimes(std::size_t min_parts) : m_min_parts(min_parts) {}
+
+    void Set(std::uint64_t part, TimePoint time);
+    std::optional<TimePoint> Find(std::uint64_t part) const;
+
+   private:
+    using Table = std::unordered_map<std::uint64_t, TimePoint>;
+
+    std::size_t m_min_parts;
+    Table m_latest;
+    /// Those of the parts seen before.
+    Table m_before;
+  };
+
   bool IsExpired(const Record& record, TimePoint now) const {
     return now - record.at >= m_options.retention;
   }
-  int Moments(const Records& records, TimePoint now) const;
+  /// @return Records of the part that have not expired.
+  Records CurrentOf(std::uint64_t part, TimePoint now) const;
+  /// @return Those of the records that nothing explains.
+  Records Unexplained(Records records, TimePoint now) const;
+  /// @return Those of a part's records that no other part explains which
+  /// explains most of them. A part of which that cannot be said may have been
+  /// taken for a cause wrongly.
+  Records NotExplainedTogether(std::uint64_t part, Records records,
+                               TimePoint now) const;
+  /// @return Number of different moments of the crashes.
+  int Moments(const Records& records) const;
   /// @return Most calls with the part that one crash broke.
   static int MostCalls(const Records& records);
-  bool HasEnoughCrashes(std::uint64_t part, const Records& records,
-                        TimePoint now) const;
+  /// A part with enough crashes to be a cause.
+  struct Suspect {
+    std::uint64_t part = 0;
+    /// Its crashes, the first one first.
+    Records records;
+    /// Whether it is one only if there is no other.
+    bool is_last_resort = false;
+    /// How unlikely it is.
+    double cost = 0;
+  };
+  /// @return Those of the records that speak against the part: of calls whose
+  /// answers had not gone on, and of crashes since the last request whose
+  /// answer does.
+  Records Strong(std::uint64_t part, const Records& records) const;
+  std::optional<Suspect> SuspectOf(std::uint64_t part, TimePoint now) const;
+  /// @return How unlikely the part is the cause.
+  /// @param most_crashes Most crashes of any suspect.
+  double CostOf(const Suspect& suspect, std::size_t most_crashes) const;
   /// @return When a part with enough crashes becomes a suspect.
   TimePoint SuspectAt(std::uint64_t part, const Records& records) const;
   void MakeRoom(std::int64_t crash, TimePoint now);
 
   PromptPartEvidenceOptions m_options;
   std::unordered_map<std::uint64_t, Records> m_records;
-  TimePoint m_last_crash_at;
-  /// Send times of the latest answered requests with a part, and those of the
-  /// parts answered before them.
-  std::unordered_map<std::uint64_t, TimePoint> m_answered;
-  std::unordered_map<std::uint64_t, TimePoint> m_answered_before;
+  quarantine::CrashExplanations m_explanations;
+  /// When the last crash happened, or the first judgement after a belief ended.
+  TimePoint m_last_change_at;
+  bool m_has_withdrawn = false;
+  /// Send times of the latest answered requests with a part.
+  RecentTimes m_answered;
+  /// Send times of the latest requests with a part whose answers go on.
+  RecentTimes m_begun;
 };
 
 }  // namespace wasabiwall::coordination
--- a/src/wasabiwall/coordination/request_quarantine.cc
+++ b/src/wasabiwall/coordination/request_quarantine.cc
@@ -20,8 +20,11 @@
 constexpr milliseconds kOutcomeTime{5000};
 /// Own crashes kept, to know which gateway announces a quarantine.
 constexpr std::size_t kMaxOwnCrashes = 4096;
-/// Crashes kept whose cause is known; records of them arrive within seconds.
-constexpr std::size_t kMaxAttributedCrashes = 256;
+/// Latest crashes of a quarantined part that other gateways are told of.
+constexpr std::size_t kMaxCrashesOfPart = 32;
+/// Time in which the judges of a part confirm what this gateway, which is none
+/// of them, takes for its crashes.
+constexpr milliseconds kConfirmationTime{3000};
 
 }  // namespace
 
@@ -47,7 +50,9 @@
   if (part) {
     OnPartCrash(fingerprint, *part, crash, now - age, now, calls);
   } else {
-    if (!IsAttributed(crash)) m_records.Add(fingerprint, crash, now);
+    if (!m_part_evidence.IsExplained(crash, now)) {
+      m_records.Add(fingerprint, crash, now);
+    }
     Judge(fingerprint, "crashes", now);
   }
   return true;
@@ -56,10 +61,7 @@
 void RequestQuarantine::OnPartCrash(const std::string& fingerprint,
                                     std::uint64_t part, std::int64_t crash,
                                     TimePoint at, TimePoint now, int calls) {
-  if (TimeLeft(fingerprint, now)) {
-    Attribute(fingerprint, {crash});
-    return;
-  }
+  if (calls > 0 && TimeLeft(fingerprint, now)) Attribute(part, {crash}, now);
   m_part_evidence.OnCrash(part, crash, at, now, calls);
 }
 
@@ -69,7 +71,7 @@
   for (const CrashRecord& record : records) {
     if (const auto part = PromptPartOf(record.fingerprint)) {
       OnPartCrash(record.fingerprint, *part, record.crash, now - record.age,
-                  now, 1);
+                  now, record.is_midway ? 0 : 1);
       if (m_part_evidence.AnsweredRequestSentAt(*part)) {
         answered.push_back(record.fingerprint);
       }
@@ -79,7 +81,9 @@
       answered.push_back(record.fingerprint);
       continue;
     }
-    if (!IsAttributed(record.crash)) m_records.Observe({record}, now);
+    if (!m_part_evidence.IsExplained(record.crash, now)) {
+      m_records.Observe({record}, now);
+    }
     Judge(record.fingerprint, "peer", now);
   }
   return answered;
@@ -99,41 +103,56 @@
 }
 
 bool RequestQuarantine::JudgePromptParts(TimePoint now) {
-  // Each verdict takes its crashes from the other suspects.
+  m_part_evidence.StartJudgement(now);
+  // Each verdict explains its crashes, which count against no other then.
   for (auto causes = m_part_evidence.LikelyCauses(now); !causes.empty();
        causes = m_part_evidence.LikelyCauses(now)) {
-    std::string cause;
-    std::vector<std::int64_t> crashes;
-    for (const std::uint64_t part : causes) {
-      cause = FingerprintOfPromptPart(part);
-      crashes = m_part_evidence.CrashesOf(part);
-      const bool may_judge = !m_hooks.is_judge || m_hooks.is_judge(cause);
-      if (may_judge) QuarantinePart(part, now);
-      m_part_evidence.Forget(part);
+    for (const LikelyCause& cause : causes) {
+      const std::string fingerprint = FingerprintOfPromptPart(cause.part);
+      if (!m_hooks.is_judge || m_hooks.is_judge(fingerprint)) {
+        QuarantinePart(cause, now);
+      } else {
+        Attribute(cause.part, cause.crashes, now, now + kConfirmationTime);
+      }
     }
-    Attribute(cause, crashes);
   }
   return m_part_evidence.IsJudgementOpen(now);
 }
 
-void RequestQuarantine::QuarantinePart(std::uint64_t part, TimePoint now) {
-  const std::string fingerprint = FingerprintOfPromptPart(part);
-  auto crashes = m_part_evidence.CrashesOf(part);
-  const TimePoint first = m_part_evidence.FirstCrashAt(part).value_or(now);
-  Entry& entry = Insert(
-      fingerprint,
-      {.source = "crashes",
-       .crashes = crashes.size(),
-       .first_crash_age = std::chrono::duration_cast<milliseconds>(now - first),
-       .crash_ids = crashes},
-      now);
-  entry.crashes = std::move(crashes);
+void RequestQuarantine::QuarantinePart(const LikelyCause& verdict,
+                                       TimePoint now) {
+  const std::string fingerprint = FingerprintOfPromptPart(verdict.part);
+  Entry& entry =
+      Insert(fingerprint,
+             {.source = "crashes",
+              .crashes = verdict.crashes.size(),
+              .first_crash_age = std::chrono::duration_cast<milliseconds>(
+                  now - verdict.first_crash_at),
+              .crash_ids = verdict.crashes},
+             now);
+  entry.is_judged = !verdict.is_last_resort;
+  Attribute(verdict.part, verdict.crashes, now);
   if (MayAnnounce(fingerprint)) Announce(fingerprint, &entry, now);
 }
 
 void RequestQuarantine::OnCauseFound(const std::string& cause,
-                                     const std::vector<std::int64_t>& crashes) {
-  Attribute(cause, crashes);
+                                     const std::vector<std::int64_t>& crashes,
+                                     TimePoint now) {
+  const auto part = PromptPartOf(cause);
+  if (!part) return;
+  Attribute(*part, crashes, now,
+            TimeLeft(cause, now) ? TimePoint::max() : now + kConfirmationTime);
+}
+
+std::vector<std::string> RequestQuarantine::CausesAmong(
+    const std::map<std::string, int>& calls, TimePoint now) const {
+  std::vector<std::string> causes;
+  for (const auto& [fingerprint, count] : calls) {
+    if (count > 0 && PromptPartOf(fingerprint) && TimeLeft(fingerprint, now)) {
+      causes.push_back(fingerprint);
+    }
+  }
+  return causes;
 }
 
 std::vector<std::int64_t> RequestQuarantine::CrashesOf(
@@ -143,23 +162,28 @@
   return found->second.crashes;
 }
 
-void RequestQuarantine::Attribute(const std::string& cause,
-                                  const std::vector<std::int64_t>& crashes) {
+void RequestQuarantine::Attribute(std::uint64_t cause,
+                                  const std::vector<std::int64_t>& crashes,
+                                  TimePoint now, TimePoint until) {
+  const std::string fingerprint = FingerprintOfPromptPart(cause);
+  const auto entry = m_quarantined.find(fingerprint);
   for (const std::int64_t crash : crashes) {
+    const bool is_new = !m_part_evidence.IsExplained(crash, now);
+    m_part_evidence.Explain(crash, cause, until);
     m_records.RemoveCrash(crash);
-    m_part_evidence.RemoveCrash(crash, crashes.size());
-    if (IsAttributed(crash)) continue;
-    m_attributed.push_back(crash);
-    if (m_attributed.size() > kMaxAttributedCrashes) m_attributed.pop_front();
-    if (!m_hooks.on_attributed) continue;
-    m_hooks.on_attributed(cause, crash, m_part_evidence.PartsWith(crash));
+    if (entry != m_quarantined.end()) {
+      auto& known = entry->second.crashes;
+      if (std::ranges::find(known, crash) == known.end()) {
+        known.push_back(crash);
+      }
+      if (known.size() > kMaxCrashesOfPart) known.erase(known.begin());
+    }
+    if (is_new && m_hooks.on_attributed) {
+      m_hooks.on_attributed(fingerprint, crash);
+    }
   }
 }
 
-bool RequestQuarantine::IsAttributed(std::int64_t crash) const {
-  return std::ranges::find(m_attributed, crash) != m_attributed.end();
-}
-
 bool RequestQuarantine::MayAnnounce(const std::string& fingerprint) const {
   // Of two gateways that saw one crash each, neither may know of the other.
   return m_own_crashes.contains(fingerprint) ||
@@ -237,6 +261,34 @@
   }
 }
 
+void RequestQuarantine::OnPartBegun(std::uint64_t part, TimePoint sent_at) {
+  const bool is_news = m_part_evidence.OnBegun(part, sent_at);
+  if (!is_news && m_quarantined.empty()) return;
+  const std::string fingerprint = FingerprintOfPromptPart(part);
+  const bool is_held = m_quarantined.contains(fingerprint);
+  if ((is_news || is_held) && m_hooks.on_part_begun) {
+    m_hooks.on_part_begun(fingerprint, sent_at);
+  }
+  if (is_held) ReleaseIfBegun(fingerprint, sent_at);
+}
+
+void RequestQuarantine::ReleaseIfBegun(const std::string& fingerprint,
+                                       TimePoint sent_at) {
+  const auto found = m_quarantined.find(fingerprint);
+  if (found == m_quarantined.end() || !found->second.is_judged) return;
+  if (ReleasePart(fingerprint, sent_at) && m_hooks.announce_answered) {
+    m_hooks.announce_answered(fingerprint);
+  }
+}
+
+void RequestQuarantine::OnPeerBegun(const std::string& fingerprint,
+                                    TimePoint sent_at) {
+  const auto part = PromptPartOf(fingerprint);
+  if (!part) return;
+  m_part_evidence.OnBegun(*part, sent_at);
+  ReleaseIfBegun(fingerprint, sent_at);
+}
+
 bool RequestQuarantine::ReleasePart(const std::string& fingerprint,
                                     TimePoint sent_at) {
   const auto first_crash_at = FirstCrashAt(fingerprint);
@@ -251,10 +303,10 @@
   return m_part_evidence.AnsweredRequestSentAt(*part);
 }
 
-std::size_t RequestQuarantine::CrashCount(
-    const std::string& fingerprint) const {
+std::size_t RequestQuarantine::CrashCount(const std::string& fingerprint,
+                                          TimePoint now) const {
   const auto part = PromptPartOf(fingerprint);
-  return part ? m_part_evidence.CrashesOf(*part).size() : 0;
+  return part ? m_part_evidence.CrashesOf(*part, now).size() : 0;
 }
 
 std::optional<TimePoint> RequestQuarantine::FirstCrashAt(
@@ -282,12 +334,16 @@
 }
 
 void RequestQuarantine::OnAnsweredAnnounced(const std::string& fingerprint) {
+  // The announcement does not tell when the answered request was sent.
+  if (const auto part = PromptPartOf(fingerprint)) {
+    m_part_evidence.Forget(*part);
+  }
   Release(fingerprint);
 }
 
 bool RequestQuarantine::Release(const std::string& fingerprint) {
   if (const auto part = PromptPartOf(fingerprint)) {
-    m_part_evidence.Forget(*part);
+    m_part_evidence.Withdraw(*part);
   } else {
     if (m_answered.size() >= m_options.min_answered) {
       m_answered_before = std::exchange(m_answered, {});
--- a/src/wasabiwall/coordination/request_quarantine.h
+++ b/src/wasabiwall/coordination/request_quarantine.h
@@ -2,8 +2,8 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -60,7 +60,8 @@
 /// with kQuarantineCrashes records and no answer is quarantined; one that was
 /// answered lately is never a suspect, so that a popular one that is in flight
 /// at every crash keeps running. Parts are judged by PromptPartEvidence.
-/// Crashes with a quarantined part are counted for nothing else.
+/// A crash that is attributed to a part counts against nothing else until the
+/// part turns out to be sound.
 ///
 /// A content that was only in flight when others ended backend servers is told
 /// from the cause by a half-open probe: one request at a time, which one
@@ -73,10 +74,8 @@
     std::function<void(const std::string& fingerprint,
                        const QuarantineReason& reason)>
         on_quarantined;
-    /// A crash has been attributed to a quarantined prompt part.
-    /// @param suspects Other parts that keep a record of it.
-    std::function<void(const std::string& cause, std::int64_t crash,
-                       std::size_t suspects)>
+    /// A crash has been attributed to a prompt part.
+    std::function<void(const std::string& cause, std::int64_t crash)>
         on_attributed;
     /// A quarantined request may run again, since it has been answered.
     std::function<void(const std::string& fingerprint)> on_released;
@@ -88,6 +87,10 @@
     /// gateways have records.
     std::function<void(const std::string& fingerprint, TimePoint sent_at)>
         on_part_cleared;
+    /// An answer that goes on speaks for a prompt part of which other gateways
+    /// have records.
+    std::function<void(const std::string& fingerprint, TimePoint sent_at)>
+        on_part_begun;
     /// @return Whether this gateway gets all records of a prompt part, so that
     /// it may judge the part. Not set: it may.
     std::function<bool(const std::string& fingerprint)> is_judge;
@@ -106,7 +109,8 @@
   /// gateway.
   /// @param crash Identifies the end of the backend server in the fleet.
   /// @param age Time since then.
-  /// @param calls Calls with the content that it broke.
+  /// @param calls Calls with the content that it broke before their answers
+  /// went on, which is what a prompt part that is the cause does.
   /// @return Whether the content may be the cause, so that other gateways need
   /// the record.
   bool OnCrash(const std::string& fingerprint, std::int64_t crash,
@@ -120,12 +124,13 @@
   bool JudgePromptParts(TimePoint now);
 
   /// Records that another gateway has found the cause of crashes, so that
-  /// nothing else is a suspect of them.
+  /// nothing else is a suspect of them. Holds for a short time only while the
+  /// cause is not quarantined here.
   /// @param cause Fingerprint of a prompt part.
   void OnCauseFound(const std::string& cause,
-                    const std::vector<std::int64_t>& crashes);
+                    const std::vector<std::int64_t>& crashes, TimePoint now);
 
-  /// @return Crashes for which a prompt part was quarantined here.
+  /// @return Crashes that are attributed to a quarantined prompt part.
   std::vector<std::int64_t> CrashesOf(const std::string& fingerprint) const;
 
   /// Merges records of another gateway.
@@ -148,6 +153,15 @@
   /// @param sent_at When the request was sent.
   void OnPartAnswered(std::uint64_t part, TimePoint sent_at);
 
+  /// Records that a backend server has been answering a request with a prompt
+  /// part for longer than one that the part ends does.
+  /// @param sent_at When the request was sent.
+  void OnPartBegun(std::uint64_t part, TimePoint sent_at);
+
+  /// Records that another gateway knows of such an answer.
+  /// @param fingerprint Of a prompt part.
+  void OnPeerBegun(const std::string& fingerprint, TimePoint sent_at);
+
   /// Records that another gateway knows of an answer.
   /// @param sent_at When the answered request was sent; counts for prompt
   /// parts.
@@ -159,12 +173,18 @@
       const std::string& fingerprint) const;
 
   /// @return Number of crashes with a prompt part that count against it.
-  std::size_t CrashCount(const std::string& fingerprint) const;
+  std::size_t CrashCount(const std::string& fingerprint, TimePoint now) const;
 
   /// @return When the first crash with a quarantined content happened; nothing
   /// if it is not quarantined.
   std::optional<TimePoint> FirstCrashAt(const std::string& fingerprint) const;
 
+  /// @return The quarantined prompt parts among those that a crash broke before
+  /// their answers went on, which have made the crash.
+  /// @param calls Number of such calls of each content.
+  std::vector<std::string> CausesAmong(const std::map<std::string, int>& calls,
+                                       TimePoint now) const;
+
   /// @return Whether anything is quarantined.
   bool IsEmpty() const { return m_quarantined.empty(); }
 
@@ -217,7 +237,10 @@
     TimePoint announced_at;
     /// When the first crash with the content happened, or later.
     TimePoint first_crash_at;
-    /// Crashes for which a prompt part was quarantined.
+    /// Whether this gateway has judged the part by calls whose answers had not
+    /// gone on.
+    bool is_judged = false;
+    /// Crashes that are attributed to a prompt part, the latest last.
     std::vector<std::int64_t> crashes;
     /// When the next probe may be claimed, if any are left.
     TimePoint probe_at;
@@ -237,15 +260,17 @@
   void Judge(const std::string& fingerprint, const char* source, TimePoint now);
   void OnPartCrash(const std::string& fingerprint, std::uint64_t part,
                    std::int64_t crash, TimePoint at, TimePoint now, int calls);
-  void QuarantinePart(std::uint64_t part, TimePoint now);
+  void QuarantinePart(const LikelyCause& verdict, TimePoint now);
   Entry& Insert(const std::string& fingerprint, const QuarantineReason& reason,
                 TimePoint now);
-  /// Takes crashes for those of one quarantined part: nothing else that was in
-  /// flight is a suspect of them, unless it was at more crashes.
-  void Attribute(const std::string& cause,
-                 const std::vector<std::int64_t>& crashes);
-  /// @return Whether the crash was that of a quarantined part.
-  bool IsAttributed(std::int64_t crash) const;
+  /// Takes crashes for those of one part, so that nothing else that was in
+  /// flight is a suspect of them.
+  /// @param until When this ends unless the part is quarantined.
+  void Attribute(std::uint64_t cause, const std::vector<std::int64_t>& crashes,
+                 TimePoint now, TimePoint until = TimePoint::max());
+  /// Releases a quarantined part if an answer that goes on is not that of a
+  /// cause that ends backend servers before.
+  void ReleaseIfBegun(const std::string& fingerprint, TimePoint sent_at);
   /// Releases a quarantined part if the answered request was sent after its
   /// first crash.
   /// @return Whether it was released.
@@ -263,8 +288,6 @@
   RequestQuarantineOptions m_options;
   CrashRecords m_records;
   PromptPartEvidence m_part_evidence;
-  /// Crashes of quarantined parts, the latest last.
-  std::deque<std::int64_t> m_attributed;
   /// Last crash that this gateway saw of a request by itself.
   std::unordered_map<std::string, TimePoint> m_own_crashes;
   std::unordered_map<std::string, Entry> m_quarantined;
--- a/src/wasabiwall/protocol/crash_message.cc
+++ b/src/wasabiwall/protocol/crash_message.cc
@@ -10,6 +10,9 @@
 // First field of the message; those of other messages between gateways are
 // numbers.
 constexpr const char* kCrashType = "crash";
+constexpr const char* kCrashMidwayType = "crash_midway";
+constexpr const char* kBegunType = "begun";
+constexpr const char* kAttributedType = "attributed";
 constexpr const char* kAnsweredType = "answered";
 constexpr const char* kQuarantinedType = "quarantined";
 
@@ -17,6 +20,12 @@
   switch (kind) {
     case CrashMessage::Kind::kCrash:
       return kCrashType;
+    case CrashMessage::Kind::kCrashMidway:
+      return kCrashMidwayType;
+    case CrashMessage::Kind::kBegun:
+      return kBegunType;
+    case CrashMessage::Kind::kAttributed:
+      return kAttributedType;
     case CrashMessage::Kind::kAnswered:
       return kAnsweredType;
     case CrashMessage::Kind::kQuarantined:
@@ -41,8 +50,9 @@
     CrashMessage message;
     bool is_known = false;
     for (const auto kind :
-         {CrashMessage::Kind::kCrash, CrashMessage::Kind::kAnswered,
-          CrashMessage::Kind::kQuarantined}) {
+         {CrashMessage::Kind::kCrash, CrashMessage::Kind::kCrashMidway,
+          CrashMessage::Kind::kBegun, CrashMessage::Kind::kAttributed,
+          CrashMessage::Kind::kAnswered, CrashMessage::Kind::kQuarantined}) {
       if (fields.at(0) != NameOf(kind)) continue;
       message.kind = kind;
       is_known = true;
--- a/src/wasabiwall/protocol/crash_message.h
+++ b/src/wasabiwall/protocol/crash_message.h
@@ -25,6 +25,12 @@
   enum class Kind {
     /// Names the contents.
     kCrash,
+    /// Names contents that were only in calls whose answers had gone on.
+    kCrashMidway,
+    /// Names prompt parts of a request whose answer goes on.
+    kBegun,
+    /// Names prompt parts that are taken for the causes of crashes.
+    kAttributed,
     /// Names contents that were answered.
     kAnswered,
     /// Names contents that the sender has quarantined.
@@ -41,7 +47,7 @@
   /// Fingerprints of the contents. A prompt part of several broken calls is
   /// named as often, up to kMaxCallsPerPart times.
   std::vector<std::string> fingerprints;
-  /// Crashes that a quarantined prompt part has caused.
+  /// Crashes that the prompt parts have caused.
   std::vector<std::int64_t> caused_crashes;
 };
 
--- a/src/wasabiwall/transport/attempt.cc
+++ b/src/wasabiwall/transport/attempt.cc
@@ -13,6 +13,10 @@
 using coordination::HealthSignal;
 using std::chrono::milliseconds;
 
+/// Time from the first event of a stream after which its backend server has
+/// survived the beginning of the answer. Crashes were seen within 100 ms.
+constexpr milliseconds kGoingOnTime{500};
+
 std::vector<LogField> LogFieldsOf(const coordination::Placement& placement) {
   return {
       {"backend", placement.server.id.value},
@@ -215,15 +219,21 @@
 void Attempt::OnProgress(std::optional<std::chrono::microseconds> gap) {
   const auto now = m_context->loop->Now();
   const state::BackendServerId& id = Server().id;
-  if (std::exchange(m_has_events, true)) {
+  if (m_first_event_at) {
     if (gap) m_context->event_intervals.OnEvent(id, *gap, now);
   } else {
+    m_first_event_at = now;
     m_context->health.OnAnswerBegun(id, now);
   }
   m_rollout.OnEvents();
   StartIdleTimer();
 }
 
+bool Attempt::GoesOn() const {
+  return m_first_event_at &&
+         m_context->loop->Now() - *m_first_event_at >= kGoingOnTime;
+}
+
 void Attempt::CountResponse(const char* end) {
   m_context->metrics.CountBackendResponse(m_reply.FramingName(), end);
 }
--- a/src/wasabiwall/transport/attempt.h
+++ b/src/wasabiwall/transport/attempt.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "wasabiwall/coordination/attempt_policy.h"
 #include "wasabiwall/transport/gateway_context.h"
@@ -84,6 +85,15 @@
   /// @param gap Time since the event before, if there was one.
   void OnProgress(std::optional<std::chrono::microseconds> gap);
 
+  /// @return Whether the stream has gone on for a while since its first event:
+  /// a prompt that ends its backend server does so before.
+  bool GoesOn() const;
+
+  /// @return Whether it goes on and this is the first call that says so.
+  bool HasJustGoneOn() {
+    return GoesOn() && !std::exchange(m_has_told_going_on, true);
+  }
+
   /// Counts the response by how it ended.
   void CountResponse(const char* end);
 
@@ -143,8 +153,9 @@
   /// Whether the response waits for room in the buffers.
   bool m_waits_for_room = false;
   bool m_is_withdrawn = false;
-  /// Whether the backend server has sent an event of the stream.
-  bool m_has_events = false;
+  /// When the backend server sent the first event of the stream.
+  std::optional<coordination::TimePoint> m_first_event_at;
+  bool m_has_told_going_on = false;
 };
 
 }  // namespace wasabiwall::transport
--- a/src/wasabiwall/transport/crash_monitor.cc
+++ b/src/wasabiwall/transport/crash_monitor.cc
@@ -82,12 +82,13 @@
 
 void CrashMonitor::OnConnectionBroken(
     const state::BackendServer& server,
-    const std::vector<std::string>& fingerprints) {
+    const std::vector<std::string>& fingerprints, bool is_midway) {
   auto& check = m_checks[server.id];
+  const int calls = is_midway ? 0 : 1;
   if (check) {
     ++check->calls.count;
     for (const auto& content : fingerprints) {
-      ++check->calls.fingerprints[content];
+      check->calls.fingerprints[content] += calls;
     }
     return;
   }
@@ -102,7 +103,7 @@
                   .fingerprints = {},
                   .broken_at = m_loop->Now()};
   for (const auto& content : fingerprints) {
-    ++check->calls.fingerprints[content];
+    check->calls.fingerprints[content] += calls;
   }
   const state::BackendServerId id = server.id;
   check->timer.Start(kCheckTimeout, [this, id] { OnChecked(id, true); });
@@ -156,6 +157,9 @@
   const auto now = m_loop->Now();
   protocol::CrashMessage crash{.crash = CrashIdOf(calls.server),
                                .age = AgeOf(calls.broken_at)};
+  protocol::CrashMessage midway = crash;
+  midway.kind = protocol::CrashMessage::Kind::kCrashMidway;
+  AttributeToQuarantined(calls, crash.crash);
   std::size_t suspects = 0;
   for (const auto& [fingerprint, count] : calls.fingerprints) {
     if (calls.count > 1) m_quarantine->OnAmbiguousCrash(fingerprint, now);
@@ -165,6 +169,10 @@
     }
     ++suspects;
     const bool is_part = coordination::PromptPartOf(fingerprint).has_value();
+    if (is_part && count == 0) {
+      midway.fingerprints.push_back(fingerprint);
+      continue;
+    }
     const int times = is_part ? std::min(count, protocol::kMaxCallsPerPart) : 1;
     crash.fingerprints.insert(crash.fingerprints.end(),
                               static_cast<std::size_t>(times), fingerprint);
@@ -176,10 +184,49 @@
            {"suspects", std::to_string(suspects)},
            {"known_after_ms", std::to_string(crash.age.count())}});
   SendToHomes(crash);
+  SendToHomes(midway);
   TellKnownAnswers(calls.fingerprints);
   JudgeSoon();
 }
 
+void CrashMonitor::AttributeToQuarantined(const BrokenCalls& calls,
+                                          std::int64_t crash) {
+  const auto now = m_loop->Now();
+  const auto causes = m_quarantine->CausesAmong(calls.fingerprints, now);
+  if (causes.empty()) return;
+  std::set<std::string> others;
+  for (const auto& [fingerprint, count] : calls.fingerprints) {
+    if (coordination::PromptPartOf(fingerprint)) others.insert(fingerprint);
+  }
+  for (const std::string& cause : causes) {
+    m_quarantine->OnCauseFound(cause, {crash}, now);
+    SendToJudges(others, {.kind = protocol::CrashMessage::Kind::kAttributed,
+                          .fingerprints = {cause},
+                          .caused_crashes = m_quarantine->CrashesOf(cause)});
+  }
+}
+
+void CrashMonitor::SendToJudges(const std::set<std::string>& fingerprints,
+                                const protocol::CrashMessage& message) {
+  std::set<std::string> judges;
+  for (const std::string& fingerprint : fingerprints) {
+    for (const std::string& judge : coordination::RendezvousHomes(
+             *m_members, state::FastHash(fingerprint), kJudges)) {
+      if (judge != m_own_name) judges.insert(judge);
+    }
+  }
+  for (const std::string& judge : judges) {
+    m_send(m_members->at(judge), message);
+  }
+}
+
+void CrashMonitor::TellBegun(const std::string& fingerprint,
+                             coordination::TimePoint sent_at) {
+  SendToJudges({fingerprint}, {.kind = protocol::CrashMessage::Kind::kBegun,
+                               .age = AgeOf(sent_at),
+                               .fingerprints = {fingerprint}});
+}
+
 void CrashMonitor::JudgeSoon() {
   if (std::exchange(m_judges_soon, true)) return;
   m_judge_timer.Start(kJudgeDelay, [this] {
@@ -216,15 +263,13 @@
 
 void CrashMonitor::TellJudges(const std::string& fingerprint,
                               coordination::TimePoint sent_at) {
-  if (m_quarantine->CrashCount(fingerprint) < kCrashesBeforeJudgement) return;
-  for (const std::string& judge : coordination::RendezvousHomes(
-           *m_members, state::FastHash(fingerprint), kJudges)) {
-    if (judge == m_own_name) continue;
-    m_send(m_members->at(judge),
-           {.kind = protocol::CrashMessage::Kind::kAnswered,
-            .age = AgeOf(sent_at),
-            .fingerprints = {fingerprint}});
+  const auto now = m_loop->Now();
+  if (m_quarantine->CrashCount(fingerprint, now) < kCrashesBeforeJudgement) {
+    return;
   }
+  SendToJudges({fingerprint}, {.kind = protocol::CrashMessage::Kind::kAnswered,
+                               .age = AgeOf(sent_at),
+                               .fingerprints = {fingerprint}});
 }
 
 void CrashMonitor::TellQuarantined(const std::string& fingerprint,
@@ -284,16 +329,29 @@
     case protocol::CrashMessage::Kind::kQuarantined:
       for (const std::string& fingerprint : message.fingerprints) {
         m_quarantine->OnAnnounced(fingerprint, 0, now, message.age);
-        m_quarantine->OnCauseFound(fingerprint, message.caused_crashes);
+        m_quarantine->OnCauseFound(fingerprint, message.caused_crashes, now);
+      }
+      return;
+    case protocol::CrashMessage::Kind::kBegun:
+      for (const std::string& fingerprint : message.fingerprints) {
+        m_quarantine->OnPeerBegun(fingerprint, now - message.age);
+      }
+      return;
+    case protocol::CrashMessage::Kind::kAttributed:
+      for (const std::string& fingerprint : message.fingerprints) {
+        m_quarantine->OnCauseFound(fingerprint, message.caused_crashes, now);
       }
       return;
     case protocol::CrashMessage::Kind::kCrash:
+    case protocol::CrashMessage::Kind::kCrashMidway:
       break;
   }
   std::vector<coordination::CrashRecord> records;
   records.reserve(message.fingerprints.size());
   for (const std::string& fingerprint : message.fingerprints) {
-    records.push_back({fingerprint, message.crash, message.age});
+    records.push_back(
+        {fingerprint, message.crash, message.age,
+         message.kind == protocol::CrashMessage::Kind::kCrashMidway});
   }
   protocol::CrashMessage requests{
       .kind = protocol::CrashMessage::Kind::kAnswered, .crash = message.crash};
--- a/src/wasabiwall/transport/crash_monitor.h
+++ b/src/wasabiwall/transport/crash_monitor.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -53,8 +54,18 @@
   /// Records that the connection to a backend server broke while it may have
   /// run a call.
   /// @param fingerprints The call's request and the parts of its prompt.
+  /// @param is_midway Whether the answer to the call had been going on.
   void OnConnectionBroken(const state::BackendServer& server,
-                          const std::vector<std::string>& fingerprints);
+                          const std::vector<std::string>& fingerprints,
+                          bool is_midway);
+
+  /// Tells the judges of a prompt part of a request with it whose answer goes
+  /// on.
+  void TellBegun(const std::string& fingerprint,
+                 coordination::TimePoint sent_at);
+
+  /// Judges prompt parts anew, since crashes may have lost their explanation.
+  void OnReleased() { JudgeSoon(); }
 
   /// Tells the gateways that have records of a prompt part that a request with
   /// the part was answered.
@@ -86,7 +97,8 @@
   struct BrokenCalls {
     state::BackendServer server;
     std::size_t count = 0;
-    /// Contents of the calls, with the number of calls.
+    /// Contents of the calls, with the number of calls whose answers had not
+    /// gone on.
     std::map<std::string, int> fingerprints;
     coordination::TimePoint broken_at;
   };
@@ -96,6 +108,11 @@
   /// have been replaced.
   void KeepForReplacement(BrokenCalls calls);
   void RecordCrash(const BrokenCalls& calls);
+  /// Takes the crash for that of the quarantined prompt parts among its calls,
+  /// if there are any, and tells the judges of the other parts.
+  void AttributeToQuarantined(const BrokenCalls& calls, std::int64_t crash);
+  void SendToJudges(const std::set<std::string>& fingerprints,
+                    const protocol::CrashMessage& message);
   /// Sends to the homes of each content what the message says of it.
   void SendToHomes(const protocol::CrashMessage& message);
   void SendToAll(const protocol::CrashMessage& message);
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -324,6 +324,7 @@
   // A backend server that sends nothing else may have stalled.
   if (protocol::HasContent(events)) {
     attempt.OnProgress(m_response.OnEvents(m_call.WorkspaceName()));
+    if (attempt.HasJustGoneOn()) m_quarantine.OnGoesOn(attempt.SentAt());
   }
   if (!m_response.HasBegun()) WriteHead(attempt.Reply(), std::nullopt);
   m_response.Write(EncodeChunk(events));
@@ -358,7 +359,7 @@
     return;
   }
   if (truncation != nullptr) {
-    m_quarantine.OnBroken(attempt.Server());
+    m_quarantine.OnBroken(attempt.Server(), attempt.GoesOn());
     attempt.Rollout().OnBrokenOff();
     if (m_quarantine.IsSuspect()) attempt.Rollout().Ignore();
     attempt.End(HealthSignal::kFailed);
@@ -397,7 +398,7 @@
   // An idle connection may have been dropped by the peer without notice.
   const bool stale = attempt.IsStale();
   attempt.CountResponse("connection_broken");
-  m_quarantine.OnBroken(attempt.Server());
+  m_quarantine.OnBroken(attempt.Server(), attempt.GoesOn());
   if (m_quarantine.IsSuspect()) attempt.Rollout().Ignore();
   attempt.End(stale ? HealthSignal::kRefused : HealthSignal::kFailed);
   RetryOrFail(attempt, false,
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -128,16 +128,14 @@
                  OnQuarantined(fingerprint, reason);
                },
            .on_attributed =
-               [](const std::string& cause, std::int64_t crash,
-                  std::size_t suspects) {
+               [](const std::string& cause, std::int64_t crash) {
                  LogInfo("crash_attributed",
-                         {{"crash", std::to_string(crash)},
-                          {"cause", cause},
-                          {"suspects", std::to_string(suspects)}});
+                         {{"crash", std::to_string(crash)}, {"cause", cause}});
                },
            .on_released =
-               [](const std::string& fingerprint) {
+               [this](const std::string& fingerprint) {
                  LogInfo("request_released", {{"fingerprint", fingerprint}});
+                 crash_monitor.OnReleased();
                },
            .announce =
                [this](const std::string& fingerprint) {
@@ -160,6 +158,11 @@
                       coordination::TimePoint sent_at) {
                  crash_monitor.TellAnswered(fingerprint, sent_at);
                },
+           .on_part_begun =
+               [this](const std::string& fingerprint,
+                      coordination::TimePoint sent_at) {
+                 crash_monitor.TellBegun(fingerprint, sent_at);
+               },
            .is_judge =
                [this](const std::string& fingerprint) {
                  return crash_monitor.IsJudge(fingerprint);
--- a/src/wasabiwall/transport/quarantine_guard.cc
+++ b/src/wasabiwall/transport/quarantine_guard.cc
@@ -115,12 +115,19 @@
   return names.empty() ? "-" : names;
 }
 
-void QuarantineGuard::OnBroken(const state::BackendServer& server) {
+void QuarantineGuard::OnBroken(const state::BackendServer& server,
+                               bool is_midway) {
   std::vector<std::string> fingerprints{m_fingerprint};
   for (const std::uint64_t part : m_prompt_parts) {
     fingerprints.push_back(coordination::FingerprintOfPromptPart(part));
   }
-  m_context->crash_monitor.OnConnectionBroken(server, fingerprints);
+  m_context->crash_monitor.OnConnectionBroken(server, fingerprints, is_midway);
+}
+
+void QuarantineGuard::OnGoesOn(coordination::TimePoint sent_at) {
+  for (const std::uint64_t part : m_prompt_parts) {
+    m_context->quarantine.OnPartBegun(part, sent_at);
+  }
 }
 
 void QuarantineGuard::OnAnswered(int status, coordination::TimePoint sent_at) {
--- a/src/wasabiwall/transport/quarantine_guard.h
+++ b/src/wasabiwall/transport/quarantine_guard.h
@@ -44,7 +44,12 @@
   std::chrono::milliseconds RetryAfter() const;
 
   /// Records that the connection broke while the call may have run.
-  void OnBroken(const state::BackendServer& server);
+  /// @param is_midway Whether the answer had been going on.
+  void OnBroken(const state::BackendServer& server, bool is_midway);
+
+  /// Records that the answer goes on.
+  /// @param sent_at When the request was sent to the backend server.
+  void OnGoesOn(coordination::TimePoint sent_at);
 
   /// Records that a backend server has answered in full. An error of its own,
   /// such as a deadline that passed in its queue, does not show that it has run
--- a/tests/coordination/attributed_crash_test.cc
+++ b/tests/coordination/attributed_crash_test.cc
@@ -91,8 +91,8 @@
   gateway.Wait(seconds(4));
   CHECK(gateway.IsHeldOff(kCause));
   CHECK_FALSE(gateway.IsHeldOff(kTemplate));
-  CHECK(gateway.Quarantine().CrashCount(FingerprintOfPromptPart(kTemplate)) ==
-        1);
+  CHECK(gateway.Quarantine().CrashCount(FingerprintOfPromptPart(kTemplate),
+                                        gateway.Now()) == 1);
 }
 
 TEST_CASE("a record that arrives after its crash was attributed does not count",
@@ -118,7 +118,7 @@
   for (std::int64_t crash = 1; crash <= 3; ++crash, now += kInterval) {
     quarantine.OnCrash(FingerprintOfPromptPart(companion), crash, now);
     quarantine.OnCrash(FingerprintOfPromptPart(kCause), crash, now,
-                       milliseconds(0), 2);
+                       milliseconds(0), 3);
   }
   quarantine.JudgePromptParts(now);
   REQUIRE(quarantine.TimeLeft(FingerprintOfPromptPart(companion), now));
--- a/tests/coordination/prompt_part_evidence_test.cc
+++ b/tests/coordination/prompt_part_evidence_test.cc
@@ -35,7 +35,8 @@
       evidence.IsSuspect(kPart, Crash(&evidence, 2, milliseconds(400))));
   const auto last = Crash(&evidence, 3, milliseconds(400));
   CHECK(evidence.IsSuspect(kPart, last));
-  CHECK(evidence.FirstCrashAt(kPart) == kStart);
+  REQUIRE(evidence.LikelyCauses(last).size() == 1);
+  CHECK(evidence.LikelyCauses(last).front().first_crash_at == kStart);
   CHECK_FALSE(evidence.IsSuspect(kPart, last + minutes(10)));
 }
 
@@ -46,7 +47,7 @@
     const auto at = kStart + i * seconds(1);
     evidence.OnCrash(kPart, 1, at, at);
   }
-  CHECK(evidence.CrashesOf(kPart).size() == 1);
+  CHECK(evidence.CrashesOf(kPart, kStart + seconds(5)).size() == 1);
 }
 
 TEST_CASE("backend servers that end at the same moment count as one crash",
@@ -66,11 +67,11 @@
   }
   SECTION("sent between them") {
     CHECK(evidence.OnAnswered(kPart, kStart + milliseconds(1)));
-    CHECK(evidence.CrashesOf(kPart).size() == 1);
+    CHECK(evidence.CrashesOf(kPart, kStart).size() == 1);
   }
   SECTION("sent before them") {
     CHECK_FALSE(evidence.OnAnswered(kPart, kStart));
-    CHECK(evidence.CrashesOf(kPart).size() == 2);
+    CHECK(evidence.CrashesOf(kPart, kStart).size() == 2);
   }
 }
 
@@ -120,7 +121,8 @@
   for (const std::uint64_t part : {kPart, other, popular}) {
     CHECK(evidence.IsSuspect(part, at));
   }
-  CHECK(evidence.LikelyCauses(at) == std::vector<std::uint64_t>{kPart});
+  REQUIRE(evidence.LikelyCauses(at).size() == 1);
+  CHECK(evidence.LikelyCauses(at).front().part == kPart);
 }
 
 TEST_CASE("parts in flight in many calls are suspects later",
@@ -135,13 +137,31 @@
   CHECK(evidence.IsSuspect(kPart, kStart + milliseconds(500)));
 }
 
-TEST_CASE("the removal of a crash leaves the others",
+TEST_CASE("a crash that another part explains leaves the others",
           "[prompt_part_evidence]") {
+  constexpr std::uint64_t other = 8;
   PromptPartEvidence evidence;
-  const auto last = Crash(&evidence, 3, milliseconds(400));
-  evidence.RemoveCrash(evidence.CrashesOf(kPart).front());
-  CHECK(evidence.CrashesOf(kPart).size() == 2);
+  const auto last = Crash(&evidence, 4, milliseconds(400));
+  const auto crashes = evidence.CrashesOf(kPart, last);
+  // A part that explains too few may not be their cause.
+  evidence.Explain(crashes[0], other);
+  CHECK(evidence.IsSuspect(kPart, last));
+  evidence.Explain(crashes[1], other);
+  CHECK(evidence.IsSuspect(kPart, last));
+  evidence.Explain(crashes[2], other);
+  CHECK(evidence.CrashesOf(kPart, last).size() == 1);
   CHECK_FALSE(evidence.IsSuspect(kPart, last));
+  // A record that arrives later does not count either.
+  evidence.OnCrash(kPart, crashes[0], kStart, last);
+  CHECK(evidence.CrashesOf(kPart, last).size() == 1);
+  SECTION("until the other part turns out to be sound") {
+    evidence.Withdraw(other);
+    CHECK(evidence.IsSuspect(kPart, last));
+    const auto later = last + minutes(1);
+    CHECK_FALSE(evidence.IsJudgementOpen(later));
+    evidence.StartJudgement(later);
+    CHECK(evidence.IsJudgementOpen(later));
+  }
 }
 
 TEST_CASE("new parts at each crash do not displace the cause",
--- a/tests/coordination/prompt_part_fleet_test.cc
+++ b/tests/coordination/prompt_part_fleet_test.cc
@@ -119,6 +119,8 @@
   static constexpr milliseconds kMessageTime{3};
   static constexpr milliseconds kStoreTime{100};
   static constexpr milliseconds kRestartTime{3000};
+  /// Time from a request to the moment when its answer has gone on for a while.
+  static constexpr milliseconds kBegunTime{750};
 
   struct Call {
     std::string gateway;
@@ -199,6 +201,16 @@
                     home->OnPeerAnswered(fingerprint, sent_at);
                   });
                 },
+            .on_part_begun =
+                [this, name](const std::string& fingerprint,
+                             TimePoint sent_at) {
+                  for (const auto& judge : HomesOf(fingerprint, kJudges)) {
+                    if (judge == name) continue;
+                    Send(judge, [=](RequestQuarantine* other) {
+                      other->OnPeerBegun(fingerprint, sent_at);
+                    });
+                  }
+                },
             .is_judge =
                 [this, name](const std::string& fingerprint) {
                   return IsHome(fingerprint, name, kJudges);
@@ -218,7 +230,7 @@
       gateway->OnAnnounced(
           fingerprint, m_probes[fingerprint], m_now,
           std::chrono::duration_cast<milliseconds>(m_now - first));
-      gateway->OnCauseFound(fingerprint, crashes);
+      gateway->OnCauseFound(fingerprint, crashes, m_now);
     };
     SendToAll(name, tell);
     if (!m_scenario.has_store) return;
@@ -292,6 +304,14 @@
         ends_server
             ? Between(milliseconds(30), milliseconds(500))
             : Between(m_scenario.shortest_answer, m_scenario.longest_answer);
+    if (!ends_server && run_time > kBegunTime) {
+      After(kBegunTime, [=, this] {
+        if (m_servers[server].incarnation != incarnation) return;
+        for (const std::uint64_t part : call->parts) {
+          m_gateways.at(call->gateway)->OnPartBegun(part, call->sent_at);
+        }
+      });
+    }
     After(run_time, [=, this] {
       if (m_servers[server].incarnation != incarnation) return;
       if (ends_server) {
@@ -345,8 +365,10 @@
     std::map<std::string, int> calls;
     for (const auto& call : broken) {
       ++calls[call->gateway];
+      const bool is_midway = m_now - call->sent_at >= kBegunTime;
       for (const std::uint64_t part : call->parts) {
-        ++contents[call->gateway][FingerprintOfPromptPart(part)];
+        contents[call->gateway][FingerprintOfPromptPart(part)] +=
+            is_midway ? 0 : 1;
       }
     }
     const TimePoint at = m_now;
@@ -368,6 +390,21 @@
               std::int64_t crash, TimePoint at) {
     RequestQuarantine& gateway = *m_gateways.at(name);
     JudgeSoon(name);
+    for (const auto& cause : gateway.CausesAmong(fingerprints, m_now)) {
+      gateway.OnCauseFound(cause, {crash}, m_now);
+      const auto crashes = gateway.CrashesOf(cause);
+      std::set<std::string> judges;
+      for (const auto& [fingerprint, calls] : fingerprints) {
+        for (const auto& judge : HomesOf(fingerprint, kJudges)) {
+          if (judge != name) judges.insert(judge);
+        }
+      }
+      for (const auto& judge : judges) {
+        Send(judge, [=, this](RequestQuarantine* other) {
+          other->OnCauseFound(cause, crashes, m_now);
+        });
+      }
+    }
     for (const auto& [fingerprint, calls] : fingerprints) {
       gateway.OnCrash(fingerprint, crash, m_now, milliseconds(0), calls);
       const std::string content = fingerprint;
@@ -376,14 +413,14 @@
         Send(home, [=, this, count = calls](RequestQuarantine* gateway) {
           const auto age = std::chrono::duration_cast<milliseconds>(m_now - at);
           const std::vector<CrashRecord> records(
-              static_cast<std::size_t>(std::min(count, 4)),
-              {content, crash, age});
+              static_cast<std::size_t>(std::clamp(count, 1, 4)),
+              {content, crash, age, count == 0});
           const auto answered = gateway->OnPeerRecords(records, m_now);
           JudgeSoon(home);
           if (answered.empty()) return;
           const auto answered_at = gateway->AnsweredRequestSentAt(content);
           auto told = HomesOf(content, kJudges);
-          if (gateway->CrashCount(content) < 2) told.clear();
+          if (gateway->CrashCount(content, m_now) < 2) told.clear();
           told.push_back(name);
           for (const auto& judge : told) {
             Send(judge, [=](RequestQuarantine* other) {
