--- a/src/wasabiwall/coordination/prompt_part_evidence.cc
+++ b/src/wasabiwall/coordination/prompt_part_evidence.cc
@@ -19,7 +19,7 @@
 /// first is that of leaving all crashes unexplained that another suspect was in
 /// flight at: records are lost on their way, and some crashes are ordinary
 /// ones.
-constexpr double kUnexplainedCost = 10;
+constexpr double kUnexplainedCost = 6;
 constexpr double kAnsweredBeforeCost = 3;
 /// Share of the crashes of a part that another part must explain. One that
 /// explains fewer may have been taken for a cause wrongly.
--- a/tests/coordination/prompt_part_fleet_test.cc
+++ b/tests/coordination/prompt_part_fleet_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstdlib>
 #include <functional>
 #include <map>
 #include <memory>
@@ -29,6 +30,8 @@
 constexpr std::uint64_t kCause = 2;
 /// Parts that comes only together with the cause.
 constexpr std::uint64_t kCompanion = 3;
+/// A second part that ends backend servers.
+constexpr std::uint64_t kSecondCause = 4;
 constexpr std::uint64_t kFirstCommonPart = 100;
 constexpr int kCommonParts = 40;
 constexpr std::uint64_t kFirstRarePart = 1'000'000;
@@ -39,6 +42,9 @@
   /// Share of the requests that hold the cause.
   double share = 0.03;
   bool has_companion = false;
+  /// Share of the requests that hold the second cause, once the first one has
+  /// come.
+  double second_share = 0;
   /// Whether the cause stands before the other parts but the template.
   bool cause_is_early = true;
   /// Time from the first request until the cause is one; it is answered before.
@@ -64,7 +70,7 @@
     for (const auto& [name, address] : m_members) Start(name);
   }
 
-  void Run(seconds time) {
+  void Run(milliseconds time) {
     const TimePoint end = m_now + time;
     while (m_now < end) {
       m_now += kStep;
@@ -83,16 +89,20 @@
   }
 
   /// @return Times at which the cause ended backend servers.
-  const std::vector<TimePoint>& Ends() const { return m_ends; }
+  const std::vector<TimePoint>& Ends() const { return m_first.ends; }
+
+  /// @return The same for the second cause.
+  const std::vector<TimePoint>& SecondEnds() const { return m_second.ends; }
 
   /// @return Sends of requests with the cause later than `time` after the
   /// fifth end.
   int SendsAfterFifth(milliseconds time) const {
-    constexpr std::size_t fifth = 4;
-    if (m_ends.size() <= fifth) return 0;
-    return static_cast<int>(std::ranges::count_if(
-        m_cause_sends,
-        [&](TimePoint sent) { return sent > m_ends[fifth] + time; }));
+    return SendsAfterFifth(m_first, time);
+  }
+
+  /// @return The same for the second cause.
+  int SecondSendsAfterFifth(milliseconds time) const {
+    return SendsAfterFifth(m_second, time);
   }
 
   /// @return Share of the sound requests that were sent on arrival, of those
@@ -125,18 +135,34 @@
   struct Call {
     std::string gateway;
     std::vector<std::uint64_t> parts;
+    /// Causes that it holds.
     bool holds_cause = false;
+    bool holds_second_cause = false;
     int sends = 0;
     TimePoint sent_at;
     std::vector<std::string> probes;
   };
 
+  /// What requests with a cause have done.
+  struct CauseLog {
+    std::vector<TimePoint> sends;
+    std::vector<TimePoint> ends;
+  };
+
   struct Server {
     int incarnation = 0;
     bool is_up = true;
     std::vector<std::shared_ptr<Call>> calls;
   };
 
+  static int SendsAfterFifth(const CauseLog& cause, milliseconds time) {
+    constexpr std::size_t fifth = 4;
+    if (cause.ends.size() <= fifth) return 0;
+    return static_cast<int>(std::ranges::count_if(
+        cause.sends,
+        [&](TimePoint sent) { return sent > cause.ends[fifth] + time; }));
+  }
+
   bool Chance(double share) {
     return std::bernoulli_distribution(share)(m_random);
   }
@@ -274,9 +300,16 @@
     call->parts.push_back(kFirstCommonPart + m_random() % kCommonParts);
     // One in three prompts has a part that few others share.
     if (Chance(0.3)) call->parts.push_back(kFirstRarePart + m_random() % 10000);
+    if (m_scenario.second_share > 0 && !call->holds_cause &&
+        m_now - kStart >= m_scenario.absent_before &&
+        Chance(m_scenario.second_share)) {
+      call->holds_second_cause = true;
+      call->parts.push_back(kSecondCause);
+    }
     if (!m_scenario.cause_is_early) add_cause();
     const bool was_sent = Place(call);
-    if (!call->holds_cause) m_sound.emplace_back(m_now, was_sent);
+    if (call->holds_cause || call->holds_second_cause) return;
+    m_sound.emplace_back(m_now, was_sent);
   }
 
   /// @return Whether the call was sent.
@@ -298,8 +331,13 @@
     call->sent_at = m_now;
     ++call->sends;
     m_servers[server].calls.push_back(call);
-    const bool ends_server = call->holds_cause && IsCauseNow();
-    if (ends_server) m_cause_sends.push_back(m_now);
+    const bool ends_server =
+        (call->holds_cause && IsCauseNow()) || call->holds_second_cause;
+    if (call->holds_second_cause) {
+      m_second.sends.push_back(m_now);
+    } else if (ends_server) {
+      m_first.sends.push_back(m_now);
+    }
     const auto run_time =
         ends_server
             ? Between(milliseconds(30), milliseconds(500))
@@ -315,7 +353,7 @@
     After(run_time, [=, this] {
       if (m_servers[server].incarnation != incarnation) return;
       if (ends_server) {
-        m_ends.push_back(m_now);
+        (call->holds_second_cause ? m_second : m_first).ends.push_back(m_now);
         EndServer(server);
         return;
       }
@@ -455,8 +493,8 @@
   std::map<std::string, int> m_probes;
   std::set<std::string> m_judging;
   std::int64_t m_crashes = 0;
-  std::vector<TimePoint> m_ends;
-  std::vector<TimePoint> m_cause_sends;
+  CauseLog m_first;
+  CauseLog m_second;
   /// Arrivals of sound requests, and whether each was sent at once.
   std::vector<std::pair<TimePoint, bool>> m_sound;
 };
@@ -584,6 +622,63 @@
   }
 }
 
+/// Plays causes beside ordinary crashes, drawn by a seed.
+void CheckCausesAmidCrashes(unsigned seed) {
+  std::mt19937 draw(seed);
+  const auto between = [&draw](int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(draw);
+  };
+  constexpr int sizes[] = {1, 2, 4, 21, 68};
+  const bool is_long = between(0, 1) == 1;
+  Scenario scenario{.gateways = sizes[between(0, 4)],
+                    .share = between(10, 60) / 1000.0,
+                    .cause_is_early = between(0, 1) == 1,
+                    // Without calm before, no part has ever been answered.
+                    .absent_before = seconds(between(0, 1) * 14),
+                    .loss = between(0, 1) * 0.05,
+                    .seed = seed};
+  if (between(0, 2) == 0) scenario.second_share = between(10, 60) / 1000.0;
+  if (is_long) {
+    scenario.shortest_answer = milliseconds(11500);
+    scenario.longest_answer = milliseconds(11600);
+  }
+  PartFleet fleet(scenario);
+  fleet.Run(seconds(14));
+  const int crashes = between(0, 4);
+  for (int i = 0; i < crashes; ++i) {
+    fleet.LoseServers(between(1, 3));
+    fleet.Run(milliseconds(between(100, 3000)));
+  }
+  fleet.Run(seconds(26));
+  INFO("seed " << seed << " gateways " << scenario.gateways << " share "
+               << scenario.share << " second " << scenario.second_share
+               << " long " << is_long << " absent before "
+               << scenario.absent_before.count() << " ordinary crashes "
+               << crashes << " ends " << fleet.Ends().size() << " and "
+               << fleet.SecondEnds().size());
+  CHECK(fleet.SendsAfterFifth(kContact) <= kMostSends);
+  CHECK(fleet.SecondSendsAfterFifth(kContact) <= kMostSends);
+  TimePoint since = kStart;
+  for (const auto& ends : {fleet.Ends(), fleet.SecondEnds()}) {
+    if (ends.empty()) continue;
+    const std::size_t last = std::min<std::size_t>(ends.size(), 5) - 1;
+    since = std::max(since, ends[last] + 2 * kContact);
+  }
+  CHECK(fleet.SoundShareSince(since) >= kSoundShare);
+}
+
+// Ordinary crashes and a second cause must neither hold off sound requests nor
+// hide a cause.
+TEST_CASE("causes are told apart amid ordinary crashes",
+          "[prompt_part_fleet]") {
+  const char* seeds = std::getenv("CAUSE_SEEDS");
+  const unsigned count =
+      seeds == nullptr ? 40 : static_cast<unsigned>(std::atoi(seeds));
+  for (unsigned seed = 1; seed <= count; ++seed) CheckCausesAmidCrashes(seed);
+  // Held off all requests of a fleet that started amid two causes.
+  CheckCausesAmidCrashes(177);
+}
+
 TEST_CASE("a crashing prompt part is held off in any fleet",
           "[prompt_part_fleet][fuzz]") {
   rc::prop("lost messages, any share", [] {
--- a/tests/gateway/crashing_request_test.cc
+++ b/tests/gateway/crashing_request_test.cc
@@ -257,7 +257,8 @@
         fleet.AddBackend(id, [](const ScriptedBackend::Received&) {});
     const state::BackendServer server{.id = state::BackendServerId(id),
                                       .address = backend.Address()};
-    fleet.context.crash_monitor.OnConnectionBroken(server, {fingerprint}, false);
+    fleet.context.crash_monitor.OnConnectionBroken(server, {fingerprint},
+                                                   false);
     fleet.context.ForgetBackendServer(server.id);
     fleet.RunFor(milliseconds(20));
   }
