A response that ends with its connection amid the upload is not complete

Here a reset is noticed on all paths (gateway and side process, before and after the part is read).

Without a length or chunks the end of the connection is the only mark of the end, and a backend server that gives up an upload looks the same. Such a response is complete only if the request had been written; one with a length or chunks is judged by these. Same test for both clients, passes now.

--- a/src/wasabiwall/transport/backend_connection.cc
+++ b/src/wasabiwall/transport/backend_connection.cc
@@ -109,9 +109,11 @@
 void BackendConnection::OnEnd(ConnectionEnd end) {
   const auto self = shared_from_this();
   // A body without a length is complete when the peer closes the connection in
-  // order.
-  const bool is_complete =
-      end == ConnectionEnd::kClosed && m_parser.InBody() && m_parser.FeedEof();
+  // order. Nothing tells whether one that ends before the request was written
+  // does so on purpose.
+  const bool is_complete = end == ConnectionEnd::kClosed &&
+                           m_tcp->QueuedBytes() == 0 && m_parser.InBody() &&
+                           m_parser.FeedEof();
   m_unusable = true;
   if (is_complete && m_response_complete) {
     Complete();
--- a/src/wasabiwall/transport/http_client.cc
+++ b/src/wasabiwall/transport/http_client.cc
@@ -83,6 +83,23 @@
   return new_connections == 0 || connect_time > 0;
 }
 
+/// Whether the end of the connection alone marked the end of the response while
+/// part of the request was not written: nothing tells whether it is complete.
+bool EndedAmidUpload(const Transfer& transfer) {
+  curl_off_t uploaded = 0;
+  curl_off_t length = 0;
+  curl_easy_getinfo(transfer.handle, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+  curl_easy_getinfo(transfer.handle, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T,
+                    &length);
+  if (uploaded >= static_cast<curl_off_t>(transfer.request->body.size()) ||
+      length >= 0) {
+    return false;
+  }
+  curl_header* encoding = nullptr;
+  return curl_easy_header(transfer.handle, "Transfer-Encoding", 0, CURLH_HEADER,
+                          -1, &encoding) != CURLHE_OK;
+}
+
 HttpFailure FailureOf(CURLcode code, const Transfer& transfer) {
   if (transfer.too_large) return HttpFailure::kTooLarge;
   switch (code) {
@@ -151,6 +168,9 @@
   const CURLcode code = curl_easy_perform(handle);
   if (code != CURLE_OK) return tl::make_unexpected(FailureOf(code, transfer));
   ReadHead(&transfer);
+  if (EndedAmidUpload(transfer)) {
+    return tl::make_unexpected(HttpFailure::kBroken);
+  }
   return std::move(transfer.response);
 }
 
--- a/tests/transport/backend_runner_test.cc
+++ b/tests/transport/backend_runner_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <future>
 
+#include "fakes/early_responder.h"
 #include "fakes/test_port.h"
 #include "wasabiwall/transport/http_server.h"
 
@@ -57,5 +58,41 @@
   CHECK(ErrorAfter("{}", 14, "application/json").empty());
 }
 
+/// @return Error kind of a long upload to a backend server that answers early;
+/// empty for a complete answer.
+std::string ErrorOfUpload(const fakes::EarlyResponder& backend, bool idempotent,
+                          std::size_t upload_bytes) {
+  BackendRunner runner([&] { return "http://" + backend.Address(); }, 1,
+                       [](const auto&) { return std::nullopt; });
+  protocol::gen::SubmitRequest request;
+  request.method = "POST";
+  request.path = "/x";
+  request.body = std::string(upload_bytes, 'u');
+  request.idempotent = idempotent;
+  request.deadline_ms = kTimeout.count();
+  const auto attempt = std::make_shared<state::Attempt>();
+  std::promise<void> ended;
+  runner.Run(request, attempt, [&] { ended.set_value(); });
+  REQUIRE(ended.get_future().wait_for(kTimeout) == std::future_status::ready);
+  runner.Stop();
+  return attempt->Read(0, 1U << 20U, kTimeout).end.error_kind;
+}
+
+TEST_CASE("a part without a length that ends amid the upload is no answer",
+          "[runner]") {
+  using End = fakes::EarlyResponder::End;
+  const auto end = GENERATE(End::kReset, End::kClose, End::kInOrder);
+  const auto pause =
+      GENERATE(std::chrono::milliseconds(0), std::chrono::milliseconds(60));
+  CAPTURE(static_cast<int>(end), pause.count());
+  const fakes::EarlyResponder backend(
+      {.response = "HTTP/1.1 200 OK\r\n\r\npart of the body",
+       .end = end,
+       .pause = pause});
+  constexpr std::size_t upload_bytes = 8U << 20U;
+  CHECK(ErrorOfUpload(backend, true, upload_bytes) == "backend_server_crashed");
+  CHECK(ErrorOfUpload(backend, false, upload_bytes) == "outcome_unknown");
+}
+
 }  // namespace
 }  // namespace wasabiwall::transport
