A response whose status is none of the protocol fails its call at once

The side process took 000, 099, 20 and the like for 'never connected': callers of a booking were told that it had not run, which allows a repeat although it may have run.

A status outside of 100 to 599, and 101, which no call asks for, ends the connection; the attempt has failed as one that broke off (repeated where that is allowed), counts against the backend server, and response_status_invalid names the status. libcurl reports a bad status line as an unsupported protocol; once a request was sent this is a broken connection. The store's client and probes use the same connection class.

--- a/src/wasabiwall/transport/attempt.h
+++ b/src/wasabiwall/transport/attempt.h
@@ -110,6 +110,11 @@
     return m_connection->WasUsedBefore() && !m_reply.HasStarted();
   }
 
+  /// @return Status of a response that is none; only before the end.
+  std::optional<int> InvalidStatus() const {
+    return m_connection->InvalidStatus();
+  }
+
   /// @return Whether the request was withdrawn instead of being sent.
   bool IsWithdrawn() const { return m_is_withdrawn; }
 
--- a/src/wasabiwall/transport/backend_connection.cc
+++ b/src/wasabiwall/transport/backend_connection.cc
@@ -7,10 +7,20 @@
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
+/// After this status the connection speaks another protocol, which no call asks
+/// for.
+constexpr int kSwitchingProtocols = 101;
 /// Bytes that may come without a byte of the call's response body: heads,
 /// chunk framing, and responses to calls that were abandoned.
 constexpr std::size_t kMaxBytesWithoutBody = 256U << 10U;
 
+bool IsStatus(int status) {
+  return status >= kFirstStatus && status <= kLastStatus &&
+         status != kSwitchingProtocols;
+}
+
 /// @return Seconds of `timeout=N` in a Keep-Alive field.
 std::optional<std::chrono::seconds> ParseIdleTimeout(
     const std::string* keep_alive) {
@@ -123,6 +133,12 @@
 }
 
 bool BackendConnection::OnHead(MessageHead head) {
+  if (!IsStatus(head.status)) {
+    m_invalid_status = head.status;
+    m_unusable = true;
+    m_discarding = true;
+    return true;
+  }
   if (head.status < kFirstFinalStatus) {
     m_discarding = true;
     return true;
--- a/src/wasabiwall/transport/backend_connection.h
+++ b/src/wasabiwall/transport/backend_connection.h
@@ -67,6 +67,10 @@
     return m_completed_calls == 0 && !m_has_discarded;
   }
 
+  /// @return Status of a response that is no answer since its status is none of
+  /// the protocol; nothing if there was none.
+  std::optional<int> InvalidStatus() const { return m_invalid_status; }
+
   /// @return Idle timeout that the backend server stated in a Keep-Alive
   /// header.
   std::optional<std::chrono::seconds> IdleTimeout() const {
@@ -106,6 +110,7 @@
   bool m_keep_alive = true;
   bool m_unusable = false;
   bool m_ended = false;
+  std::optional<int> m_invalid_status;
   /// Bytes received since the last byte of a body of the call.
   std::size_t m_bytes_without_body = 0;
   int m_completed_calls = 0;
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -395,16 +395,26 @@
     RetryOrFail(attempt, true, ErrorKind::kNoBackendServer, "unreachable");
     return;
   }
+  const auto invalid_status = attempt.InvalidStatus();
+  if (invalid_status) {
+    LogWarn("response_status_invalid",
+            {{"id", m_call.metadata.attempt_id},
+             {"backend", attempt.Server().id.value},
+             {"status", std::to_string(*invalid_status)}});
+  }
   // An idle connection may have been dropped by the peer without notice.
-  const bool stale = attempt.IsStale();
-  attempt.CountResponse("connection_broken");
+  const bool stale = !invalid_status && attempt.IsStale();
+  attempt.CountResponse(invalid_status ? "invalid_status"
+                                       : "connection_broken");
   m_quarantine.OnBroken(attempt.Server(), attempt.GoesOn());
   if (m_quarantine.IsSuspect()) attempt.Rollout().Ignore();
   attempt.End(stale ? HealthSignal::kRefused : HealthSignal::kFailed);
   RetryOrFail(attempt, false,
               attempt.Reply().HasStarted() ? ErrorKind::kAnswerCut
                                            : ErrorKind::kBackendServerCrashed,
-              stale ? "idle_connection_dropped" : "connection_broken");
+              invalid_status ? "invalid_status"
+              : stale        ? "idle_connection_dropped"
+                             : "connection_broken");
 }
 
 void Exchange::OnConnectTimeout(Attempt& attempt) {
--- a/src/wasabiwall/transport/http_client.cc
+++ b/src/wasabiwall/transport/http_client.cc
@@ -16,8 +16,13 @@
   std::int64_t received = 0;
   bool head_given = false;
   bool too_large = false;
+  bool is_invalid = false;
 };
 
+/// Statuses that a final response may have.
+constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
+
 struct EasyDeleter {
   void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
 };
@@ -44,7 +49,8 @@
   curl_easy_getinfo(transfer->handle, CURLINFO_CONTENT_TYPE, &type);
   transfer->response.status = static_cast<int>(status);
   transfer->response.content_type = type != nullptr ? type : "";
-  if (!transfer->request->on_head) return;
+  transfer->is_invalid = status < kFirstFinalStatus || status > kLastStatus;
+  if (transfer->is_invalid || !transfer->request->on_head) return;
   transfer->request->on_head(transfer->response.status,
                              transfer->response.content_type);
 }
@@ -59,6 +65,7 @@
     return 0;
   }
   ReadHead(transfer);
+  if (transfer->is_invalid) return 0;
   if (transfer->request->on_data) {
     transfer->request->on_data({data, bytes});
   } else {
@@ -83,6 +90,12 @@
   return new_connections == 0 || connect_time > 0;
 }
 
+bool WasSent(CURL* handle) {
+  long bytes = 0;  // NOLINT(google-runtime-int): type of libcurl
+  curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &bytes);
+  return bytes > 0;
+}
+
 /// Whether the end of the connection alone marked the end of the response while
 /// part of the request was not written: nothing tells whether it is complete.
 bool EndedAmidUpload(const Transfer& transfer) {
@@ -108,8 +121,11 @@
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
     case CURLE_URL_MALFORMAT:
-    case CURLE_UNSUPPORTED_PROTOCOL:
       return HttpFailure::kNotConnected;
+    case CURLE_UNSUPPORTED_PROTOCOL:
+      // Also given for a status line that is none.
+      return WasSent(transfer.handle) ? HttpFailure::kBroken
+                                      : HttpFailure::kNotConnected;
     case CURLE_OPERATION_TIMEDOUT:
       return WasConnected(transfer.handle) ? HttpFailure::kTimeout
                                            : HttpFailure::kNotConnected;
@@ -168,7 +184,7 @@
   const CURLcode code = curl_easy_perform(handle);
   if (code != CURLE_OK) return tl::make_unexpected(FailureOf(code, transfer));
   ReadHead(&transfer);
-  if (EndedAmidUpload(transfer)) {
+  if (transfer.is_invalid || EndedAmidUpload(transfer)) {
     return tl::make_unexpected(HttpFailure::kBroken);
   }
   return std::move(transfer.response);
--- a/tests/transport/backend_runner_test.cc
+++ b/tests/transport/backend_runner_test.cc
@@ -94,5 +94,22 @@
   CHECK(ErrorOfUpload(backend, false, upload_bytes) == "outcome_unknown");
 }
 
+TEST_CASE("a status outside of 100 to 599 is no answer of an engine",
+          "[runner]") {
+  const auto status = GENERATE(as<std::string>(), "000", "099", "20", "600",
+                               "999", "1000", "101", "-20", "abc", "");
+  CAPTURE(status);
+  const fakes::EarlyResponder backend(
+      {.response = "HTTP/1.1 " + status + " X\r\nContent-Length: 4\r\n\r\nbody",
+       .end = fakes::EarlyResponder::End::kInOrder,
+       .read_bytes = 200});
+  // The call may have run, so that none of these errors may say it has not.
+  const std::string repeatable = ErrorOfUpload(backend, true, 100);
+  const bool is_failure = repeatable == "backend_server_crashed" ||
+                          repeatable == "backend_server_failed";
+  CHECK(is_failure);
+  CHECK(ErrorOfUpload(backend, false, 100) == "outcome_unknown");
+}
+
 }  // namespace
 }  // namespace wasabiwall::transport
