Responses without a body end with their head

Cause: a 2xx without a media type counts as an event stream on a streaming route, and a head was written with chunks or a length whatever its status. 204, 304, 1xx and answers to HEAD have no body.

The parser, the reader of responses and the writer of heads now ask the same function.

--- a/src/wasabiwall/transport/async_http_client.cc
+++ b/src/wasabiwall/transport/async_http_client.cc
@@ -1,7 +1,6 @@
 #include "wasabiwall/transport/async_http_client.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace wasabiwall::transport {
@@ -10,15 +9,6 @@
 /// Longest idle time of a connection: longer than the pauses between calls.
 constexpr std::chrono::milliseconds kMaxConnectionIdle{3000};
 
-/// @return The length that a head declares; 0 if it declares none.
-std::size_t DeclaredLength(const MessageHead& head) {
-  std::size_t length = 0;
-  if (const std::string* text = head.headers.Find("Content-Length")) {
-    std::from_chars(text->data(), text->data() + text->size(), length);
-  }
-  return length;
-}
-
 }  // namespace
 
 struct AsyncHttpClient::PendingCall
@@ -30,7 +20,7 @@
     reply.status = head.status;
     reply.headers = head.headers;
     reply.began_at = loop->Now();
-    if (DeclaredLength(head) > limits.max_body_bytes) {
+    if (DeclaredLength(head).value_or(0) > limits.max_body_bytes) {
       Abort(HttpCallFailure::Reason::kTooLarge);
       return;
     }
--- a/src/wasabiwall/transport/attempt.cc
+++ b/src/wasabiwall/transport/attempt.cc
@@ -52,7 +52,7 @@
 }
 
 void Attempt::Start(bool response_has_body, milliseconds max_connection_idle) {
-  m_reply.StartAttempt(m_call->service->id.value);
+  m_reply.StartAttempt(m_call->service->id.value, response_has_body);
   LogStart();
   const auto now = m_context->loop->Now();
   const state::BackendServer& server = Server();
--- a/src/wasabiwall/transport/client_connection.cc
+++ b/src/wasabiwall/transport/client_connection.cc
@@ -1,7 +1,6 @@
 #include "wasabiwall/transport/client_connection.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include "wasabiwall/transport/local_reply.h"
@@ -23,14 +22,6 @@
 constexpr std::chrono::milliseconds kUnacknowledgedTimeout{10000};
 constexpr std::size_t kHeadAllowanceBytes = 1024;
 
-std::optional<std::size_t> DeclaredLength(const MessageHead& head) {
-  const std::string* text = head.headers.Find("Content-Length");
-  if (text == nullptr) return std::nullopt;
-  std::size_t length = 0;
-  std::from_chars(text->data(), text->data() + text->size(), length);
-  return length;
-}
-
 }  // namespace
 
 ClientConnection::ClientConnection(GatewayContext* context,
@@ -400,7 +391,9 @@
 void ClientConnection::Reject(protocol::ErrorKind kind) {
   m_rejected = true;
   const LocalReply reply = LocalReplyFor({kind, "", {}});
-  m_tcp->Write(EncodeHead(reply.head, reply.body.size(), true) + reply.body);
+  std::string response = EncodeHead(reply.head, reply.body.size(), true);
+  if (m_request.head.method != "HEAD") response += reply.body;
+  m_tcp->Write(std::move(response));
   const char* name = protocol::RowOf(kind).name;
   LogEnd("request_rejected", name);
   m_context->metrics.CountCall("", name);
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -27,6 +27,8 @@
 constexpr std::string_view kLastEventId = "Last-Event-ID";
 
 constexpr int kFirstServerError = 500;
+/// Status with which a stream is resumed of which nothing is left.
+constexpr int kNoContent = 204;
 
 milliseconds ToMilliseconds(std::chrono::microseconds time) {
   return std::chrono::duration_cast<milliseconds>(time);
@@ -371,7 +373,9 @@
   if (!failed) KeepOnly(attempt);
   attempt.End(failed ? HealthSignal::kFailed : HealthSignal::kAnswered);
   if (failed && DropIfHedged(attempt)) return;
-  if (reply.IsEventStream()) {
+  const bool has_nothing_left =
+      m_response.HasBegun() && reply.Head().status == kNoContent;
+  if (reply.IsEventStream() || has_nothing_left) {
     FinishStream(reply);
     return;
   }
@@ -501,7 +505,11 @@
 }
 
 void Exchange::WriteBufferedReply(const ReplyReader& reply) {
-  WriteHead(reply, reply.Body().size());
+  // The answer to HEAD tells the length that the body would have.
+  const auto length = reply.IsBodiless()
+                          ? DeclaredLength(reply.Head()).value_or(0)
+                          : reply.Body().size();
+  WriteHead(reply, length);
   if (m_ended) return;
   m_response.Write(reply.Body());
   FinishAnswered(reply);
--- a/src/wasabiwall/transport/http1_message.cc
+++ b/src/wasabiwall/transport/http1_message.cc
@@ -44,6 +44,12 @@
   return status / kStatusClassSize == kSuccessClass;
 }
 
+bool IsBodiless(int status) {
+  constexpr int informational_class = 1;
+  return status / kStatusClassSize == informational_class ||
+         status == HTTP_STATUS_NO_CONTENT || status == HTTP_STATUS_NOT_MODIFIED;
+}
+
 const char* NameOf(BodyFraming framing) {
   switch (framing) {
     case BodyFraming::kLength:
@@ -64,6 +70,14 @@
   return bytes;
 }
 
+std::optional<std::size_t> DeclaredLength(const MessageHead& head) {
+  const std::string* text = head.headers.Find("Content-Length");
+  if (text == nullptr) return std::nullopt;
+  std::size_t length = 0;
+  std::from_chars(text->data(), text->data() + text->size(), length);
+  return length;
+}
+
 std::size_t MemoryBytesOf(const MessageHead& head) {
   return head.headers.MemoryBytes() + HeapBytesOf(head.target) +
          HeapBytesOf(head.reason);
--- a/src/wasabiwall/transport/http1_message.h
+++ b/src/wasabiwall/transport/http1_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -61,6 +62,9 @@
 /// @return Whether a status means success.
 bool IsSuccess(int status);
 
+/// @return Whether responses with this status end with their head.
+bool IsBodiless(int status);
+
 /// Head of a request or response.
 struct MessageHead {
   /// Set in requests.
@@ -76,6 +80,9 @@
   bool keep_alive = false;
 };
 
+/// @return The length that a head declares for its body, if it does.
+std::optional<std::size_t> DeclaredLength(const MessageHead& head);
+
 /// @return Bytes of memory that a head takes beyond its own object.
 std::size_t MemoryBytesOf(const MessageHead& head);
 
--- a/src/wasabiwall/transport/http1_parser.cc
+++ b/src/wasabiwall/transport/http1_parser.cc
@@ -37,13 +37,10 @@
 /// @return What marks the end of the response whose head has been parsed.
 BodyFraming FramingOf(const http_parser& parser) {
   constexpr std::uint64_t no_length = ULLONG_MAX;
+  if (IsBodiless(parser.status_code)) return BodyFraming::kLength;
   if ((parser.flags & F_CHUNKED) != 0) return BodyFraming::kChunked;
-  const bool has_no_body = parser.status_code / 100 == 1 ||
-                           parser.status_code == HTTP_STATUS_NO_CONTENT ||
-                           parser.status_code == HTTP_STATUS_NOT_MODIFIED;
-  return has_no_body || parser.content_length != no_length
-             ? BodyFraming::kLength
-             : BodyFraming::kConnectionClose;
+  return parser.content_length != no_length ? BodyFraming::kLength
+                                            : BodyFraming::kConnectionClose;
 }
 
 }  // namespace
@@ -132,8 +129,10 @@
   if (!self->FinishHead()) return kFail;
   // Upgrades are not supported; the connection continues as HTTP/1.1.
   parser->upgrade = 0;
-  return self->m_handlers.on_head(std::move(self->m_head)) ? kContinue
-                                                           : kSkipBody;
+  const bool is_bodiless =
+      self->m_kind == Kind::kResponses && IsBodiless(self->m_head.status);
+  const bool may_have_body = self->m_handlers.on_head(std::move(self->m_head));
+  return may_have_body && !is_bodiless ? kContinue : kSkipBody;
 }
 
 const http_parser_settings& Http1Parser::Callbacks() {
--- a/src/wasabiwall/transport/local_reply.cc
+++ b/src/wasabiwall/transport/local_reply.cc
@@ -36,7 +36,9 @@
   for (const Header& field : headers.Fields()) {
     AppendHeader(field.name, field.value, &bytes);
   }
-  if (length) {
+  if (IsBodiless(head.status)) {
+    // Neither a length nor chunks: the response ends with its head.
+  } else if (length) {
     AppendHeader("Content-Length", std::to_string(*length), &bytes);
   } else {
     AppendHeader("Transfer-Encoding", "chunked", &bytes);
--- a/src/wasabiwall/transport/reply_reader.cc
+++ b/src/wasabiwall/transport/reply_reader.cc
@@ -23,7 +23,8 @@
   m_events.DropPartialEvent();
 }
 
-void ReplyReader::StartAttempt(const std::string& group) {
+void ReplyReader::StartAttempt(const std::string& group, bool may_have_body) {
+  m_may_have_body = may_have_body;
   m_head.reset();
   m_metadata = {};
   m_body.clear();
@@ -52,8 +53,13 @@
   return partial <= kMaxEventBytes;
 }
 
+bool ReplyReader::IsBodiless() const {
+  return m_head && (!m_may_have_body || transport::IsBodiless(m_head->status));
+}
+
 bool ReplyReader::IsEventStream() const {
   if (!m_expects_stream || !m_head || !IsSuccess(m_head->status)) return false;
+  if (IsBodiless()) return false;
   const std::string* type = m_head->headers.Find("Content-Type");
   return protocol::MayBeEventStream(type != nullptr ? *type : "");
 }
--- a/src/wasabiwall/transport/reply_reader.h
+++ b/src/wasabiwall/transport/reply_reader.h
@@ -34,7 +34,8 @@
 
   /// Drops the response of the attempt before; keeps the last event identifier.
   /// @param group Group of calls that shares the limit of its buffers.
-  void StartAttempt(const std::string& group);
+  /// @param may_have_body False for requests whose responses have no body.
+  void StartAttempt(const std::string& group, bool may_have_body = true);
 
   void OnHead(MessageHead head, ReplyMetadata metadata);
 
@@ -57,6 +58,9 @@
   /// @return Whether the head has arrived.
   bool HasStarted() const { return m_head.has_value(); }
 
+  /// @return Whether the response ends with its head.
+  bool IsBodiless() const;
+
   /// @return Whether the response is passed on event by event.
   bool IsEventStream() const;
 
@@ -88,6 +92,7 @@
 
  private:
   bool m_expects_stream = false;
+  bool m_may_have_body = true;
   /// Whether a stream may be complete without further events.
   bool m_resumes = false;
   std::optional<MessageHead> m_head;
