--- a/src/wasabiwall/transport/attempt.cc
+++ b/src/wasabiwall/transport/attempt.cc
@@ -105,6 +105,12 @@
           .on_failed =
               [this] {
                 const auto self = shared_from_this();
+                if (const auto status = m_connection->InvalidStatus()) {
+                  LogWarn("response_status_invalid",
+                          {{"id", m_call->metadata.attempt_id},
+                           {"backend", Server().id.value},
+                           {"status", std::to_string(*status)}});
+                }
                 m_rollout.OnBrokenOff();
                 m_hooks.on_failed(*this);
               }};
--- a/src/wasabiwall/transport/attempt.h
+++ b/src/wasabiwall/transport/attempt.h
@@ -110,9 +110,10 @@
     return m_connection->WasUsedBefore() && !m_reply.HasStarted();
   }
 
-  /// @return Status of a response that is none; only before the end.
-  std::optional<int> InvalidStatus() const {
-    return m_connection->InvalidStatus();
+  /// @return Whether the response had a status that none has; only before the
+  /// end.
+  bool HasInvalidStatus() const {
+    return m_connection->InvalidStatus().has_value();
   }
 
   /// @return Whether the request was withdrawn instead of being sent.
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -27,8 +27,6 @@
 constexpr std::string_view kLastEventId = "Last-Event-ID";
 
 constexpr int kFirstServerError = 500;
-/// Status with which a stream is resumed of which nothing is left.
-constexpr int kNoContent = 204;
 
 milliseconds ToMilliseconds(std::chrono::microseconds time) {
   return std::chrono::duration_cast<milliseconds>(time);
@@ -373,9 +371,8 @@
   if (!failed) KeepOnly(attempt);
   attempt.End(failed ? HealthSignal::kFailed : HealthSignal::kAnswered);
   if (failed && DropIfHedged(attempt)) return;
-  const bool has_nothing_left =
-      m_response.HasBegun() && reply.Head().status == kNoContent;
-  if (reply.IsEventStream() || has_nothing_left) {
+  if (reply.IsEventStream() ||
+      (m_response.HasBegun() && reply.HasNothingLeft())) {
     FinishStream(reply);
     return;
   }
@@ -399,13 +396,7 @@
     RetryOrFail(attempt, true, ErrorKind::kNoBackendServer, "unreachable");
     return;
   }
-  const auto invalid_status = attempt.InvalidStatus();
-  if (invalid_status) {
-    LogWarn("response_status_invalid",
-            {{"id", m_call.metadata.attempt_id},
-             {"backend", attempt.Server().id.value},
-             {"status", std::to_string(*invalid_status)}});
-  }
+  const bool invalid_status = attempt.HasInvalidStatus();
   // An idle connection may have been dropped by the peer without notice.
   const bool stale = !invalid_status && attempt.IsStale();
   attempt.CountResponse(invalid_status ? "invalid_status"
@@ -505,11 +496,7 @@
 }
 
 void Exchange::WriteBufferedReply(const ReplyReader& reply) {
-  // The answer to HEAD tells the length that the body would have.
-  const auto length = reply.IsBodiless()
-                          ? DeclaredLength(reply.Head()).value_or(0)
-                          : reply.Body().size();
-  WriteHead(reply, length);
+  WriteHead(reply, reply.Length());
   if (m_ended) return;
   m_response.Write(reply.Body());
   FinishAnswered(reply);
--- a/src/wasabiwall/transport/reply_reader.cc
+++ b/src/wasabiwall/transport/reply_reader.cc
@@ -57,6 +57,15 @@
   return m_head && (!m_may_have_body || transport::IsBodiless(m_head->status));
 }
 
+bool ReplyReader::HasNothingLeft() const {
+  constexpr int no_content = 204;
+  return m_head && m_head->status == no_content;
+}
+
+std::size_t ReplyReader::Length() const {
+  return IsBodiless() ? DeclaredLength(*m_head).value_or(0) : m_body.size();
+}
+
 bool ReplyReader::IsEventStream() const {
   if (!m_expects_stream || !m_head || !IsSuccess(m_head->status)) return false;
   if (IsBodiless()) return false;
--- a/src/wasabiwall/transport/reply_reader.h
+++ b/src/wasabiwall/transport/reply_reader.h
@@ -61,6 +61,13 @@
   /// @return Whether the response ends with its head.
   bool IsBodiless() const;
 
+  /// @return Whether a stream was resumed of which nothing is left.
+  bool HasNothingLeft() const;
+
+  /// @return Length of the body of a buffered response; of a response without
+  /// one to HEAD, the length that the body would have.
+  std::size_t Length() const;
+
   /// @return Whether the response is passed on event by event.
   bool IsEventStream() const;
 
--- a/tests/fakes/early_responder.cc
+++ b/tests/fakes/early_responder.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 #include <vector>
 
@@ -28,8 +29,11 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof(address);
-  bind(m_listener, reinterpret_cast<sockaddr*>(&address), size);
-  listen(m_listener, 16);
+  constexpr int backlog = 16;
+  if (bind(m_listener, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
+      listen(m_listener, backlog) != 0) {
+    std::abort();
+  }
   getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size);
   m_port = ntohs(address.sin_port);
   m_thread = std::thread([this] { Run(); });
