--- a/src/wasabiwall/transport/event_loop.cc
+++ b/src/wasabiwall/transport/event_loop.cc
@@ -8,6 +8,10 @@
 namespace wasabiwall::transport {
 namespace {
 
+/// Delay with which a timer runs after the loop has looked for input; without
+/// one it would run before.
+constexpr std::chrono::milliseconds kNextTurn{1};
+
 /// Aborts on an error: libuv rejects no handle of these kinds, so a failure
 /// means a broken process.
 void AbortOnError(int status) {
@@ -109,8 +113,6 @@
 
 void Timer::StartAfterInput(std::chrono::milliseconds delay,
                             std::function<void()> callback) {
-  // A timer without a delay would run before the loop looks for input.
-  constexpr std::chrono::milliseconds next_turn{1};
   Start(delay,
         [this, callback = std::move(callback)] { Start(next_turn, callback); });
 }
