--- a/src/wasabiwall/transport/event_loop.cc
+++ b/src/wasabiwall/transport/event_loop.cc
@@ -114,7 +114,7 @@
 void Timer::StartAfterInput(std::chrono::milliseconds delay,
                             std::function<void()> callback) {
   Start(delay,
-        [this, callback = std::move(callback)] { Start(next_turn, callback); });
+        [this, callback = std::move(callback)] { Start(kNextTurn, callback); });
 }
 
 void Timer::StartRepeating(std::chrono::milliseconds period,
