CrashExplanations counts the crashes of a cause as they come

A judgement asked for the count of each cause of each suspect with a pass over all crashes that are kept, up to 1,024 after a while: a product on the event loop. The count is kept now.

--- a/src/wasabiwall/coordination/prompt_part_evidence.cc
+++ b/src/wasabiwall/coordination/prompt_part_evidence.cc
@@ -163,7 +163,7 @@
     const auto& [cause, count] = entry;
     return cause != part &&
            count < kExplainedShare * static_cast<double>(crashes) &&
-           m_explanations.CountOf(cause, now) < crashes;
+           m_explanations.CountOf(cause) < crashes;
   });
   std::erase_if(records, [&](const Record& record) {
     return std::ranges::any_of(
--- a/src/wasabiwall/quarantine/crash_explanations.cc
+++ b/src/wasabiwall/quarantine/crash_explanations.cc
@@ -15,22 +15,31 @@
     known->until = std::max(known->until, until);
   } else {
     beliefs.push_back({cause, until});
+    ++m_counts[cause];
   }
   if (!is_new) return;
   m_order.push_back(crash);
   if (m_order.size() <= m_max_crashes) return;
-  m_beliefs.erase(m_order.front());
+  Forget(m_order.front());
   m_order.pop_front();
 }
 
+void CrashExplanations::Forget(std::int64_t crash) {
+  const auto found = m_beliefs.find(crash);
+  if (found == m_beliefs.end()) return;
+  for (const Belief& belief : found->second) {
+    if (--m_counts[belief.cause] == 0) m_counts.erase(belief.cause);
+  }
+  m_beliefs.erase(found);
+}
+
 bool CrashExplanations::Withdraw(std::uint64_t cause) {
-  bool had_any = false;
+  if (m_counts.erase(cause) == 0) return false;
   for (auto& [crash, beliefs] : m_beliefs) {
-    had_any |= std::erase_if(beliefs, [cause](const Belief& belief) {
-                 return belief.cause == cause;
-               }) > 0;
+    std::erase_if(beliefs, [cause](const Belief& belief) {
+      return belief.cause == cause;
+    });
   }
-  if (!had_any) return false;
   std::erase_if(m_beliefs,
                 [](const auto& entry) { return entry.second.empty(); });
   std::erase_if(m_order, [this](std::int64_t crash) {
@@ -58,14 +67,9 @@
   return causes;
 }
 
-std::size_t CrashExplanations::CountOf(std::uint64_t cause,
-                                       TimePoint now) const {
-  return static_cast<std::size_t>(
-      std::ranges::count_if(m_beliefs, [&](const auto& entry) {
-        return std::ranges::any_of(entry.second, [&](const Belief& belief) {
-          return belief.cause == cause && now < belief.until;
-        });
-      }));
+std::size_t CrashExplanations::CountOf(std::uint64_t cause) const {
+  const auto found = m_counts.find(cause);
+  return found == m_counts.end() ? 0 : found->second;
 }
 
 }  // namespace wasabiwall::quarantine
--- a/src/wasabiwall/quarantine/crash_explanations.h
+++ b/src/wasabiwall/quarantine/crash_explanations.h
@@ -38,8 +38,9 @@
   std::vector<std::uint64_t> CausesOf(std::int64_t crash,
                                       coordination::TimePoint now) const;
 
-  /// @return Number of crashes that a cause is believed to have made.
-  std::size_t CountOf(std::uint64_t cause, coordination::TimePoint now) const;
+  /// @return Number of crashes that a cause was believed to have made, those of
+  /// beliefs that have ended by themselves included.
+  std::size_t CountOf(std::uint64_t cause) const;
 
   /// @return Number of crashes that are kept.
   std::size_t Size() const { return m_beliefs.size(); }
@@ -50,8 +51,12 @@
     coordination::TimePoint until;
   };
 
+  void Forget(std::int64_t crash);
+
   std::size_t m_max_crashes;
   std::unordered_map<std::int64_t, std::vector<Belief>> m_beliefs;
+  /// Number of beliefs in each cause.
+  std::unordered_map<std::uint64_t, std::size_t> m_counts;
   /// Crashes in the order in which they were explained.
   std::deque<std::int64_t> m_order;
 };
--- a/tests/quarantine/crash_explanations_test.cc
+++ b/tests/quarantine/crash_explanations_test.cc
@@ -17,7 +17,11 @@
   explanations.Add(1, 7);
   explanations.Add(1, 8);
   explanations.Add(2, 7);
+  explanations.Add(2, 7);
+  CHECK(explanations.CountOf(7) == 2);
+  CHECK(explanations.CausesOf(1, kNow).size() == 2);
   CHECK(explanations.Withdraw(7));
+  CHECK(explanations.CountOf(7) == 0);
   CHECK(explanations.Contains(1, kNow));
   CHECK_FALSE(explanations.Contains(2, kNow));
   CHECK_FALSE(explanations.Withdraw(7));
@@ -48,6 +52,9 @@
     if (crash == 12) explanations.Withdraw(1);
     CHECK(explanations.Size() <= 10);
   }
+  CHECK(explanations.CountOf(0) + explanations.CountOf(1) +
+            explanations.CountOf(2) ==
+        10);
   CHECK_FALSE(explanations.Contains(15, kNow));
   CHECK(explanations.Contains(16, kNow));
 }
