Established answers: one word for them, and the crashes of a part are derived

Read as a newcomer would: 'begun', 'goes on' and 'midway' stood for the same thing, an answer that has gone on for 500 ms since its first event.

An entry of the quarantine kept a list of its crashes beside the beliefs that say the same; the list follows from the beliefs now.

--- a/src/wasabiwall/coordination/crash_records.h
+++ b/src/wasabiwall/coordination/crash_records.h
@@ -23,8 +23,8 @@
   std::int64_t crash = 0;
   /// Time since the crash.
   std::chrono::milliseconds age{0};
-  /// Whether the answer to the request had been going on.
-  bool is_midway = false;
+  /// Whether the answer to the request was established.
+  bool is_established = false;
 };
 
 /// Limits of a CrashRecords table.
--- a/src/wasabiwall/coordination/prompt_part_evidence.cc
+++ b/src/wasabiwall/coordination/prompt_part_evidence.cc
@@ -32,7 +32,7 @@
 PromptPartEvidence::PromptPartEvidence(PromptPartEvidenceOptions options)
     : m_options(options),
       m_answered(options.min_answered),
-      m_begun(options.min_answered) {}
+      m_established(options.min_answered) {}
 
 void PromptPartEvidence::RecentTimes::Set(std::uint64_t part, TimePoint time) {
   if (m_latest.size() >= m_min_parts) m_before = std::exchange(m_latest, {});
@@ -115,9 +115,9 @@
   return is_cleared;
 }
 
-bool PromptPartEvidence::OnBegun(std::uint64_t part, TimePoint sent_at) {
-  const auto before = m_begun.Find(part);
-  m_begun.Set(part, sent_at);
+bool PromptPartEvidence::OnEstablished(std::uint64_t part, TimePoint sent_at) {
+  const auto before = m_established.Find(part);
+  m_established.Set(part, sent_at);
   const auto found = m_records.find(part);
   return found != m_records.end() &&
          std::ranges::any_of(found->second, [&](const Record& record) {
@@ -175,11 +175,12 @@
 
 PromptPartEvidence::Records PromptPartEvidence::Strong(
     std::uint64_t part, const Records& records) const {
-  const auto begun_at = m_begun.Find(part);
+  const auto established_at = m_established.Find(part);
   Records strong;
   std::ranges::copy_if(
       records, std::back_inserter(strong), [&](const Record& record) {
-        return record.calls > 0 && (!begun_at || record.at >= *begun_at);
+        return record.calls > 0 &&
+               (!established_at || record.at >= *established_at);
       });
   return strong;
 }
@@ -195,7 +196,7 @@
     return Suspect{.part = part, .records = std::move(strong)};
   }
   records = Unexplained(std::move(records), now);
-  if (Moments(records) < std::max(needed, m_options.crashes_if_begun)) {
+  if (Moments(records) < std::max(needed, m_options.crashes_if_established)) {
     return std::nullopt;
   }
   return Suspect{
--- a/src/wasabiwall/coordination/prompt_part_evidence.h
+++ b/src/wasabiwall/coordination/prompt_part_evidence.h
@@ -25,9 +25,8 @@
   int crashes_if_answered_before = 5;
   std::chrono::milliseconds wait_if_answered_before{2000};
   /// Crashes at different moments that make a part the cause although answers
-  /// to requests with it, sent after them, have begun and go on: it would have
-  /// to end backend servers long after it was read.
-  int crashes_if_begun = 8;
+  /// to requests with it, sent after them, are established.
+  int crashes_if_established = 8;
   /// Calls with the part that one crash broke from which the part is a popular
   /// one, which is in flight at most crashes; and the time by which its verdict
   /// comes after that of other parts, among which the cause usually is. Twice
@@ -51,7 +50,7 @@
   /// Identifiers of the crashes, in the order of their times.
   std::vector<std::int64_t> crashes;
   TimePoint first_crash_at;
-  /// Whether answers to requests with the part had gone on.
+  /// Whether answers to requests with the part were established.
   bool is_last_resort = false;
 };
 
@@ -60,11 +59,13 @@
 ///
 /// All parts in flight at a crash get a record. A request that was sent after a
 /// crash and is answered clears its parts of that crash, which the part that is
-/// the cause never experiences. One whose answer goes on for a while makes its
-/// parts suspects of last resort. Of the other suspects the cause is the one
-/// that leaves the fewest crashes unexplained and was in the fewest calls. A
-/// crash that one part explains counts against no other while that belief
-/// lasts. Does no I/O. Not safe for concurrent use.
+/// the cause never experiences. An answer is established once it has gone on
+/// for a while; the cause ends its backend server before. Parts that only
+/// established answers speak for, or that were only in calls with such, are
+/// suspects of last resort. Of the other suspects the cause is the one that
+/// leaves the fewest crashes unexplained and was in the fewest calls. A crash
+/// that one part explains counts against no other while that belief lasts. Does
+/// no I/O. Not safe for concurrent use.
 class PromptPartEvidence {
  public:
   explicit PromptPartEvidence(PromptPartEvidenceOptions options = {});
@@ -72,8 +73,9 @@
   /// Records that a backend server ended while it ran a request with the part.
   /// @param crash Identifies the end of the backend server in the fleet.
   /// @param at When it ended.
-  /// @param calls Calls with the part that it broke before their answers went
-  /// on; several reports of one crash add up. None: only others.
+  /// @param calls Calls with the part that it broke before their answers were
+  /// established; several reports of one crash add up. 0 if there were only
+  /// others.
   void OnCrash(std::uint64_t part, std::int64_t crash, TimePoint at,
                TimePoint now, int calls = 1);
 
@@ -82,10 +84,10 @@
   /// @return Whether this has cleared the part of a crash.
   bool OnAnswered(std::uint64_t part, TimePoint sent_at);
 
-  /// Records a request with the part whose answer goes on.
+  /// Records a request with the part whose answer is established.
   /// @param sent_at When the request was sent to the backend server.
   /// @return Whether this speaks against a record for the first time.
-  bool OnBegun(std::uint64_t part, TimePoint sent_at);
+  bool OnEstablished(std::uint64_t part, TimePoint sent_at);
 
   /// @return When the latest answered request with the part was sent; nothing
   /// if none is known.
@@ -120,6 +122,13 @@
     return m_explanations.Contains(crash, now);
   }
 
+  /// @return The latest crashes that a part is believed to have made, at most
+  /// `most`.
+  std::vector<std::int64_t> ExplainedBy(std::uint64_t cause,
+                                        std::size_t most) const {
+    return m_explanations.CrashesOf(cause, most);
+  }
+
   /// Ends the belief that a part is a cause; what it explained counts against
   /// the others again.
   void Withdraw(std::uint64_t cause);
@@ -188,8 +197,8 @@
     double cost = 0;
   };
   /// @return Those of the records that speak against the part: of calls whose
-  /// answers had not gone on, and of crashes since the last request whose
-  /// answer does.
+  /// answers were not established, at crashes since the last request whose
+  /// answer is.
   Records Strong(std::uint64_t part, const Records& records) const;
   std::optional<Suspect> SuspectOf(std::uint64_t part, TimePoint now) const;
   /// @return How unlikely the part is the cause.
@@ -207,8 +216,9 @@
   bool m_has_withdrawn = false;
   /// Send times of the latest answered requests with a part.
   RecentTimes m_answered;
-  /// Send times of the latest requests with a part whose answers go on.
-  RecentTimes m_begun;
+  /// Send times of the latest requests with a part whose answers are
+  /// established.
+  RecentTimes m_established;
 };
 
 }  // namespace wasabiwall::coordination
--- a/src/wasabiwall/coordination/request_quarantine.cc
+++ b/src/wasabiwall/coordination/request_quarantine.cc
@@ -71,7 +71,7 @@
   for (const CrashRecord& record : records) {
     if (const auto part = PromptPartOf(record.fingerprint)) {
       OnPartCrash(record.fingerprint, *part, record.crash, now - record.age,
-                  now, record.is_midway ? 0 : 1);
+                  now, record.is_established ? 0 : 1);
       if (m_part_evidence.AnsweredRequestSentAt(*part)) {
         answered.push_back(record.fingerprint);
       }
@@ -157,29 +157,20 @@
 
 std::vector<std::int64_t> RequestQuarantine::CrashesOf(
     const std::string& fingerprint) const {
-  const auto found = m_quarantined.find(fingerprint);
-  if (found == m_quarantined.end()) return {};
-  return found->second.crashes;
+  const auto part = PromptPartOf(fingerprint);
+  if (!part || !m_quarantined.contains(fingerprint)) return {};
+  return m_part_evidence.ExplainedBy(*part, kMaxCrashesOfPart);
 }
 
 void RequestQuarantine::Attribute(std::uint64_t cause,
                                   const std::vector<std::int64_t>& crashes,
                                   TimePoint now, TimePoint until) {
-  const std::string fingerprint = FingerprintOfPromptPart(cause);
-  const auto entry = m_quarantined.find(fingerprint);
   for (const std::int64_t crash : crashes) {
     const bool is_new = !m_part_evidence.IsExplained(crash, now);
     m_part_evidence.Explain(crash, cause, until);
     m_records.RemoveCrash(crash);
-    if (entry != m_quarantined.end()) {
-      auto& known = entry->second.crashes;
-      if (std::ranges::find(known, crash) == known.end()) {
-        known.push_back(crash);
-      }
-      if (known.size() > kMaxCrashesOfPart) known.erase(known.begin());
-    }
     if (is_new && m_hooks.on_attributed) {
-      m_hooks.on_attributed(fingerprint, crash);
+      m_hooks.on_attributed(FingerprintOfPromptPart(cause), crash);
     }
   }
 }
@@ -261,19 +252,20 @@
   }
 }
 
-void RequestQuarantine::OnPartBegun(std::uint64_t part, TimePoint sent_at) {
-  const bool is_news = m_part_evidence.OnBegun(part, sent_at);
+void RequestQuarantine::OnPartEstablished(std::uint64_t part,
+                                          TimePoint sent_at) {
+  const bool is_news = m_part_evidence.OnEstablished(part, sent_at);
   if (!is_news && m_quarantined.empty()) return;
   const std::string fingerprint = FingerprintOfPromptPart(part);
   const bool is_held = m_quarantined.contains(fingerprint);
-  if ((is_news || is_held) && m_hooks.on_part_begun) {
-    m_hooks.on_part_begun(fingerprint, sent_at);
+  if ((is_news || is_held) && m_hooks.on_part_established) {
+    m_hooks.on_part_established(fingerprint, sent_at);
   }
-  if (is_held) ReleaseIfBegun(fingerprint, sent_at);
+  if (is_held) ReleaseIfEstablished(fingerprint, sent_at);
 }
 
-void RequestQuarantine::ReleaseIfBegun(const std::string& fingerprint,
-                                       TimePoint sent_at) {
+void RequestQuarantine::ReleaseIfEstablished(const std::string& fingerprint,
+                                             TimePoint sent_at) {
   const auto found = m_quarantined.find(fingerprint);
   if (found == m_quarantined.end() || !found->second.is_judged) return;
   if (ReleasePart(fingerprint, sent_at) && m_hooks.announce_answered) {
@@ -281,12 +273,12 @@
   }
 }
 
-void RequestQuarantine::OnPeerBegun(const std::string& fingerprint,
-                                    TimePoint sent_at) {
+void RequestQuarantine::OnPeerEstablished(const std::string& fingerprint,
+                                          TimePoint sent_at) {
   const auto part = PromptPartOf(fingerprint);
   if (!part) return;
-  m_part_evidence.OnBegun(*part, sent_at);
-  ReleaseIfBegun(fingerprint, sent_at);
+  m_part_evidence.OnEstablished(*part, sent_at);
+  ReleaseIfEstablished(fingerprint, sent_at);
 }
 
 bool RequestQuarantine::ReleasePart(const std::string& fingerprint,
--- a/src/wasabiwall/coordination/request_quarantine.h
+++ b/src/wasabiwall/coordination/request_quarantine.h
@@ -87,10 +87,10 @@
     /// gateways have records.
     std::function<void(const std::string& fingerprint, TimePoint sent_at)>
         on_part_cleared;
-    /// An answer that goes on speaks for a prompt part of which other gateways
+    /// An established answer speaks for a prompt part of which other gateways
     /// have records.
     std::function<void(const std::string& fingerprint, TimePoint sent_at)>
-        on_part_begun;
+        on_part_established;
     /// @return Whether this gateway gets all records of a prompt part, so that
     /// it may judge the part. Not set: it may.
     std::function<bool(const std::string& fingerprint)> is_judge;
@@ -130,7 +130,8 @@
   void OnCauseFound(const std::string& cause,
                     const std::vector<std::int64_t>& crashes, TimePoint now);
 
-  /// @return Crashes that are attributed to a quarantined prompt part.
+  /// @return The latest crashes that are attributed to a quarantined prompt
+  /// part, as many as a message names.
   std::vector<std::int64_t> CrashesOf(const std::string& fingerprint) const;
 
   /// Merges records of another gateway.
@@ -153,14 +154,13 @@
   /// @param sent_at When the request was sent.
   void OnPartAnswered(std::uint64_t part, TimePoint sent_at);
 
-  /// Records that a backend server has been answering a request with a prompt
-  /// part for longer than one that the part ends does.
+  /// Records that the answer to a request with a prompt part is established.
   /// @param sent_at When the request was sent.
-  void OnPartBegun(std::uint64_t part, TimePoint sent_at);
+  void OnPartEstablished(std::uint64_t part, TimePoint sent_at);
 
   /// Records that another gateway knows of such an answer.
   /// @param fingerprint Of a prompt part.
-  void OnPeerBegun(const std::string& fingerprint, TimePoint sent_at);
+  void OnPeerEstablished(const std::string& fingerprint, TimePoint sent_at);
 
   /// Records that another gateway knows of an answer.
   /// @param sent_at When the answered request was sent; counts for prompt
@@ -237,11 +237,9 @@
     TimePoint announced_at;
     /// When the first crash with the content happened, or later.
     TimePoint first_crash_at;
-    /// Whether this gateway has judged the part by calls whose answers had not
-    /// gone on.
+    /// Whether this gateway has judged the part by calls without established
+    /// answers.
     bool is_judged = false;
-    /// Crashes that are attributed to a prompt part, the latest last.
-    std::vector<std::int64_t> crashes;
     /// When the next probe may be claimed, if any are left.
     TimePoint probe_at;
     /// When the outcome of a probe that is under way should be known.
@@ -268,9 +266,9 @@
   /// @param until When this ends unless the part is quarantined.
   void Attribute(std::uint64_t cause, const std::vector<std::int64_t>& crashes,
                  TimePoint now, TimePoint until = TimePoint::max());
-  /// Releases a quarantined part if an answer that goes on is not that of a
-  /// cause that ends backend servers before.
-  void ReleaseIfBegun(const std::string& fingerprint, TimePoint sent_at);
+  /// Releases a part that was judged here if an established answer shows that
+  /// it is sound.
+  void ReleaseIfEstablished(const std::string& fingerprint, TimePoint sent_at);
   /// Releases a quarantined part if the answered request was sent after its
   /// first crash.
   /// @return Whether it was released.
--- a/src/wasabiwall/protocol/crash_message.cc
+++ b/src/wasabiwall/protocol/crash_message.cc
@@ -10,8 +10,8 @@
 // First field of the message; those of other messages between gateways are
 // numbers.
 constexpr const char* kCrashType = "crash";
-constexpr const char* kCrashMidwayType = "crash_midway";
-constexpr const char* kBegunType = "begun";
+constexpr const char* kCrashEstablishedType = "crash_established";
+constexpr const char* kEstablishedType = "established";
 constexpr const char* kAttributedType = "attributed";
 constexpr const char* kAnsweredType = "answered";
 constexpr const char* kQuarantinedType = "quarantined";
@@ -20,10 +20,10 @@
   switch (kind) {
     case CrashMessage::Kind::kCrash:
       return kCrashType;
-    case CrashMessage::Kind::kCrashMidway:
-      return kCrashMidwayType;
-    case CrashMessage::Kind::kBegun:
-      return kBegunType;
+    case CrashMessage::Kind::kCrashEstablished:
+      return kCrashEstablishedType;
+    case CrashMessage::Kind::kEstablished:
+      return kEstablishedType;
     case CrashMessage::Kind::kAttributed:
       return kAttributedType;
     case CrashMessage::Kind::kAnswered:
@@ -50,8 +50,8 @@
     CrashMessage message;
     bool is_known = false;
     for (const auto kind :
-         {CrashMessage::Kind::kCrash, CrashMessage::Kind::kCrashMidway,
-          CrashMessage::Kind::kBegun, CrashMessage::Kind::kAttributed,
+         {CrashMessage::Kind::kCrash, CrashMessage::Kind::kCrashEstablished,
+          CrashMessage::Kind::kEstablished, CrashMessage::Kind::kAttributed,
           CrashMessage::Kind::kAnswered, CrashMessage::Kind::kQuarantined}) {
       if (fields.at(0) != NameOf(kind)) continue;
       message.kind = kind;
--- a/src/wasabiwall/protocol/crash_message.h
+++ b/src/wasabiwall/protocol/crash_message.h
@@ -25,10 +25,10 @@
   enum class Kind {
     /// Names the contents.
     kCrash,
-    /// Names contents that were only in calls whose answers had gone on.
-    kCrashMidway,
-    /// Names prompt parts of a request whose answer goes on.
-    kBegun,
+    /// Names contents that were only in calls whose answers were established.
+    kCrashEstablished,
+    /// Names prompt parts of a request whose answer is established.
+    kEstablished,
     /// Names prompt parts that are taken for the causes of crashes.
     kAttributed,
     /// Names contents that were answered.
--- a/src/wasabiwall/quarantine/crash_explanations.cc
+++ b/src/wasabiwall/quarantine/crash_explanations.cc
@@ -67,6 +67,20 @@
   return causes;
 }
 
+std::vector<std::int64_t> CrashExplanations::CrashesOf(std::uint64_t cause,
+                                                       std::size_t most) const {
+  std::vector<std::int64_t> crashes;
+  for (auto crash = m_order.rbegin();
+       crash != m_order.rend() && crashes.size() < most; ++crash) {
+    const auto& beliefs = m_beliefs.at(*crash);
+    if (std::ranges::find(beliefs, cause, &Belief::cause) != beliefs.end()) {
+      crashes.push_back(*crash);
+    }
+  }
+  std::ranges::reverse(crashes);
+  return crashes;
+}
+
 std::size_t CrashExplanations::CountOf(std::uint64_t cause) const {
   const auto found = m_counts.find(cause);
   return found == m_counts.end() ? 0 : found->second;
--- a/src/wasabiwall/quarantine/crash_explanations.h
+++ b/src/wasabiwall/quarantine/crash_explanations.h
@@ -38,6 +38,11 @@
   std::vector<std::uint64_t> CausesOf(std::int64_t crash,
                                       coordination::TimePoint now) const;
 
+  /// @return The latest crashes that a cause is believed to have made, at most
+  /// `most`; the latest last.
+  std::vector<std::int64_t> CrashesOf(std::uint64_t cause,
+                                      std::size_t most) const;
+
   /// @return Number of crashes that a cause was believed to have made, those of
   /// beliefs that have ended by themselves included.
   std::size_t CountOf(std::uint64_t cause) const;
--- a/src/wasabiwall/transport/attempt.cc
+++ b/src/wasabiwall/transport/attempt.cc
@@ -15,7 +15,7 @@
 
 /// Time from the first event of a stream after which its backend server has
 /// survived the beginning of the answer. Crashes were seen within 100 ms.
-constexpr milliseconds kGoingOnTime{500};
+constexpr milliseconds kEstablishedTime{500};
 
 std::vector<LogField> LogFieldsOf(const coordination::Placement& placement) {
   return {
@@ -235,9 +235,9 @@
   StartIdleTimer();
 }
 
-bool Attempt::GoesOn() const {
+bool Attempt::IsEstablished() const {
   return m_first_event_at &&
-         m_context->loop->Now() - *m_first_event_at >= kGoingOnTime;
+         m_context->loop->Now() - *m_first_event_at >= kEstablishedTime;
 }
 
 void Attempt::CountResponse(const char* end) {
--- a/src/wasabiwall/transport/attempt.h
+++ b/src/wasabiwall/transport/attempt.h
@@ -87,11 +87,11 @@
 
   /// @return Whether the stream has gone on for a while since its first event:
   /// a prompt that ends its backend server does so before.
-  bool GoesOn() const;
+  bool IsEstablished() const;
 
-  /// @return Whether it goes on and this is the first call that says so.
-  bool HasJustGoneOn() {
-    return GoesOn() && !std::exchange(m_has_told_going_on, true);
+  /// @return Whether it is established and this call is the first to say so.
+  bool HasJustBeenEstablished() {
+    return IsEstablished() && !std::exchange(m_has_told_established, true);
   }
 
   /// Counts the response by how it ended.
@@ -161,7 +161,7 @@
   bool m_is_withdrawn = false;
   /// When the backend server sent the first event of the stream.
   std::optional<coordination::TimePoint> m_first_event_at;
-  bool m_has_told_going_on = false;
+  bool m_has_told_established = false;
 };
 
 }  // namespace wasabiwall::transport
--- a/src/wasabiwall/transport/crash_monitor.cc
+++ b/src/wasabiwall/transport/crash_monitor.cc
@@ -82,9 +82,9 @@
 
 void CrashMonitor::OnConnectionBroken(
     const state::BackendServer& server,
-    const std::vector<std::string>& fingerprints, bool is_midway) {
+    const std::vector<std::string>& fingerprints, bool is_established) {
   auto& check = m_checks[server.id];
-  const int calls = is_midway ? 0 : 1;
+  const int calls = is_established ? 0 : 1;
   if (check) {
     ++check->calls.count;
     for (const auto& content : fingerprints) {
@@ -157,8 +157,8 @@
   const auto now = m_loop->Now();
   protocol::CrashMessage crash{.crash = CrashIdOf(calls.server),
                                .age = AgeOf(calls.broken_at)};
-  protocol::CrashMessage midway = crash;
-  midway.kind = protocol::CrashMessage::Kind::kCrashMidway;
+  protocol::CrashMessage established = crash;
+  established.kind = protocol::CrashMessage::Kind::kCrashEstablished;
   AttributeToQuarantined(calls, crash.crash);
   std::size_t suspects = 0;
   for (const auto& [fingerprint, count] : calls.fingerprints) {
@@ -170,7 +170,7 @@
     ++suspects;
     const bool is_part = coordination::PromptPartOf(fingerprint).has_value();
     if (is_part && count == 0) {
-      midway.fingerprints.push_back(fingerprint);
+      established.fingerprints.push_back(fingerprint);
       continue;
     }
     const int times = is_part ? std::min(count, protocol::kMaxCallsPerPart) : 1;
@@ -184,7 +184,7 @@
            {"suspects", std::to_string(suspects)},
            {"known_after_ms", std::to_string(crash.age.count())}});
   SendToHomes(crash);
-  SendToHomes(midway);
+  SendToHomes(established);
   TellKnownAnswers(calls.fingerprints);
   JudgeSoon();
 }
@@ -220,11 +220,12 @@
   }
 }
 
-void CrashMonitor::TellBegun(const std::string& fingerprint,
-                             coordination::TimePoint sent_at) {
-  SendToJudges({fingerprint}, {.kind = protocol::CrashMessage::Kind::kBegun,
-                               .age = AgeOf(sent_at),
-                               .fingerprints = {fingerprint}});
+void CrashMonitor::TellEstablished(const std::string& fingerprint,
+                                   coordination::TimePoint sent_at) {
+  SendToJudges({fingerprint},
+               {.kind = protocol::CrashMessage::Kind::kEstablished,
+                .age = AgeOf(sent_at),
+                .fingerprints = {fingerprint}});
 }
 
 void CrashMonitor::JudgeSoon() {
@@ -332,9 +333,9 @@
         m_quarantine->OnCauseFound(fingerprint, message.caused_crashes, now);
       }
       return;
-    case protocol::CrashMessage::Kind::kBegun:
+    case protocol::CrashMessage::Kind::kEstablished:
       for (const std::string& fingerprint : message.fingerprints) {
-        m_quarantine->OnPeerBegun(fingerprint, now - message.age);
+        m_quarantine->OnPeerEstablished(fingerprint, now - message.age);
       }
       return;
     case protocol::CrashMessage::Kind::kAttributed:
@@ -343,7 +344,7 @@
       }
       return;
     case protocol::CrashMessage::Kind::kCrash:
-    case protocol::CrashMessage::Kind::kCrashMidway:
+    case protocol::CrashMessage::Kind::kCrashEstablished:
       break;
   }
   std::vector<coordination::CrashRecord> records;
@@ -351,7 +352,7 @@
   for (const std::string& fingerprint : message.fingerprints) {
     records.push_back(
         {fingerprint, message.crash, message.age,
-         message.kind == protocol::CrashMessage::Kind::kCrashMidway});
+         message.kind == protocol::CrashMessage::Kind::kCrashEstablished});
   }
   protocol::CrashMessage requests{
       .kind = protocol::CrashMessage::Kind::kAnswered, .crash = message.crash};
--- a/src/wasabiwall/transport/crash_monitor.h
+++ b/src/wasabiwall/transport/crash_monitor.h
@@ -54,15 +54,14 @@
   /// Records that the connection to a backend server broke while it may have
   /// run a call.
   /// @param fingerprints The call's request and the parts of its prompt.
-  /// @param is_midway Whether the answer to the call had been going on.
+  /// @param is_established Whether the answer to the call was established.
   void OnConnectionBroken(const state::BackendServer& server,
                           const std::vector<std::string>& fingerprints,
-                          bool is_midway);
+                          bool is_established);
 
-  /// Tells the judges of a prompt part of a request with it whose answer goes
-  /// on.
-  void TellBegun(const std::string& fingerprint,
-                 coordination::TimePoint sent_at);
+  /// Tells the judges of a prompt part of an established answer.
+  void TellEstablished(const std::string& fingerprint,
+                       coordination::TimePoint sent_at);
 
   /// Judges prompt parts anew, since crashes may have lost their explanation.
   void OnReleased() { JudgeSoon(); }
@@ -97,8 +96,8 @@
   struct BrokenCalls {
     state::BackendServer server;
     std::size_t count = 0;
-    /// Contents of the calls, with the number of calls whose answers had not
-    /// gone on.
+    /// Contents of the calls, with the number of calls whose answers were
+    /// not established.
     std::map<std::string, int> fingerprints;
     coordination::TimePoint broken_at;
   };
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -324,7 +324,8 @@
   // A backend server that sends nothing else may have stalled.
   if (protocol::HasContent(events)) {
     attempt.OnProgress(m_response.OnEvents(m_call.WorkspaceName()));
-    if (attempt.HasJustGoneOn()) m_quarantine.OnGoesOn(attempt.SentAt());
+    if (attempt.HasJustBeenEstablished())
+      m_quarantine.OnEstablished(attempt.SentAt());
   }
   if (!m_response.HasBegun()) WriteHead(attempt.Reply(), std::nullopt);
   m_response.Write(EncodeChunk(events));
@@ -359,7 +360,7 @@
     return;
   }
   if (truncation != nullptr) {
-    m_quarantine.OnBroken(attempt.Server(), attempt.GoesOn());
+    m_quarantine.OnBroken(attempt.Server(), attempt.IsEstablished());
     attempt.Rollout().OnBrokenOff();
     if (m_quarantine.IsSuspect()) attempt.Rollout().Ignore();
     attempt.End(HealthSignal::kFailed);
@@ -401,7 +402,7 @@
   const bool stale = !invalid_status && attempt.IsStale();
   attempt.CountResponse(invalid_status ? "invalid_status"
                                        : "connection_broken");
-  m_quarantine.OnBroken(attempt.Server(), attempt.GoesOn());
+  m_quarantine.OnBroken(attempt.Server(), attempt.IsEstablished());
   if (m_quarantine.IsSuspect()) attempt.Rollout().Ignore();
   attempt.End(stale ? HealthSignal::kRefused : HealthSignal::kFailed);
   RetryOrFail(attempt, false,
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -158,10 +158,10 @@
                       coordination::TimePoint sent_at) {
                  crash_monitor.TellAnswered(fingerprint, sent_at);
                },
-           .on_part_begun =
+           .on_part_established =
                [this](const std::string& fingerprint,
                       coordination::TimePoint sent_at) {
-                 crash_monitor.TellBegun(fingerprint, sent_at);
+                 crash_monitor.TellEstablished(fingerprint, sent_at);
                },
            .is_judge =
                [this](const std::string& fingerprint) {
--- a/src/wasabiwall/transport/quarantine_guard.cc
+++ b/src/wasabiwall/transport/quarantine_guard.cc
@@ -116,17 +116,18 @@
 }
 
 void QuarantineGuard::OnBroken(const state::BackendServer& server,
-                               bool is_midway) {
+                               bool is_established) {
   std::vector<std::string> fingerprints{m_fingerprint};
   for (const std::uint64_t part : m_prompt_parts) {
     fingerprints.push_back(coordination::FingerprintOfPromptPart(part));
   }
-  m_context->crash_monitor.OnConnectionBroken(server, fingerprints, is_midway);
+  m_context->crash_monitor.OnConnectionBroken(server, fingerprints,
+                                              is_established);
 }
 
-void QuarantineGuard::OnGoesOn(coordination::TimePoint sent_at) {
+void QuarantineGuard::OnEstablished(coordination::TimePoint sent_at) {
   for (const std::uint64_t part : m_prompt_parts) {
-    m_context->quarantine.OnPartBegun(part, sent_at);
+    m_context->quarantine.OnPartEstablished(part, sent_at);
   }
 }
 
--- a/src/wasabiwall/transport/quarantine_guard.h
+++ b/src/wasabiwall/transport/quarantine_guard.h
@@ -44,12 +44,12 @@
   std::chrono::milliseconds RetryAfter() const;
 
   /// Records that the connection broke while the call may have run.
-  /// @param is_midway Whether the answer had been going on.
-  void OnBroken(const state::BackendServer& server, bool is_midway);
+  /// @param is_established Whether the answer was established.
+  void OnBroken(const state::BackendServer& server, bool is_established);
 
-  /// Records that the answer goes on.
+  /// Records that the answer is established.
   /// @param sent_at When the request was sent to the backend server.
-  void OnGoesOn(coordination::TimePoint sent_at);
+  void OnEstablished(coordination::TimePoint sent_at);
 
   /// Records that a backend server has answered in full. An error of its own,
   /// such as a deadline that passed in its queue, does not show that it has run
