--- a/tests/coordination/prompt_part_evidence_test.cc
+++ b/tests/coordination/prompt_part_evidence_test.cc
@@ -164,6 +164,38 @@
   }
 }
 
+// Parts of long streams were convicted before any of the streams was complete.
+TEST_CASE("an established answer makes a part a suspect of last resort",
+          "[prompt_part_evidence]") {
+  PromptPartEvidence evidence;
+  const auto last = Crash(&evidence, 3, milliseconds(400));
+  SECTION("if the request was sent after the crashes") {
+    CHECK(evidence.OnEstablished(kPart, last + milliseconds(1)));
+    CHECK_FALSE(evidence.OnEstablished(kPart, last + milliseconds(2)));
+    CHECK_FALSE(evidence.IsSuspect(kPart, last + seconds(1)));
+    // Three more since then are enough.
+    const auto again = last + seconds(1);
+    CHECK(evidence.IsSuspect(kPart,
+                             Crash(&evidence, 3, milliseconds(400), again)));
+  }
+  SECTION("not if it was sent before them") {
+    evidence.OnEstablished(kPart, kStart);
+    CHECK(evidence.IsSuspect(kPart, last));
+  }
+}
+
+TEST_CASE("eight crashes convict a part whose answers are established",
+          "[prompt_part_evidence]") {
+  PromptPartEvidence evidence;
+  TimePoint at = kStart;
+  for (int crash = 1; crash <= 8; ++crash, at += milliseconds(400)) {
+    CHECK(evidence.LikelyCauses(at).empty());
+    evidence.OnCrash(kPart, crash, at, at, 0);
+  }
+  REQUIRE(evidence.LikelyCauses(at).size() == 1);
+  CHECK(evidence.LikelyCauses(at).front().is_last_resort);
+}
+
 TEST_CASE("new parts at each crash do not displace the cause",
           "[prompt_part_evidence]") {
   PromptPartEvidence evidence({.max_parts = 1000});
--- a/tests/gateway/bodiless_response_test.cc
+++ b/tests/gateway/bodiless_response_test.cc
@@ -73,6 +73,9 @@
     CHECK(head.find("Content-Length") == std::string::npos);
     CHECK(head.find("Transfer-Encoding") == std::string::npos);
   }
+  const bool tells_length =
+      response.method == "HEAD" && framing.starts_with("Content-Length");
+  CHECK((head.find("Content-Length: 5") != std::string::npos) == tells_length);
   const std::string rest = received.substr(end + 4);
   CHECK(rest.starts_with("HTTP/1.1 200 "));
   CHECK(rest.ends_with("\r\n\r\nsecond"));
--- a/tests/quarantine/crash_explanations_test.cc
+++ b/tests/quarantine/crash_explanations_test.cc
@@ -20,6 +20,8 @@
   explanations.Add(2, 7);
   CHECK(explanations.CountOf(7) == 2);
   CHECK(explanations.CausesOf(1, kNow).size() == 2);
+  CHECK(explanations.CrashesOf(7, 9) == std::vector<std::int64_t>{1, 2});
+  CHECK(explanations.CrashesOf(7, 1) == std::vector<std::int64_t>{2});
   CHECK(explanations.Withdraw(7));
   CHECK(explanations.CountOf(7) == 0);
   CHECK(explanations.Contains(1, kNow));
