--- a/review/standin-3/answered_before.cc
+++ b/review/standin-3/answered_before.cc
@@ -185,8 +185,7 @@
   first.Launch();
   second.Launch();
   if (!first.WaitReady(10) || !second.WaitReady(10)) {
-    Note("a gateway is not ready");
-    return 2;
+    CannotRun("a gateway is not ready");
   }
   Sleep(4);
   std::vector<std::thread> callers;
--- a/review/standin-3/fleet.h
+++ b/review/standin-3/fleet.h
@@ -297,12 +297,20 @@
   return fd;
 }
 
-/// A port that was free a moment ago.
+/// A port that is free, below those that the system gives to connections, so
+/// that none takes it before its process listens.
 inline int FreePort() {
-  int port = 0;
-  const int fd = BoundSocket(0, &port);
-  close(fd);
-  return port;
+  static std::atomic<int> next{0};
+  const int base = 10000 + (getpid() * 97) % 20000;
+  for (int tries = 0; tries < 20000; ++tries) {
+    const int port = 10000 + (base - 10000 + next++) % 20000;
+    const int fd = BoundSocket(port, nullptr);
+    if (fd < 0) continue;
+    close(fd);
+    return port;
+  }
+  std::fprintf(stderr, "no free port\n");
+  std::_Exit(2);
 }
 
 inline std::shared_ptr<Socket> Connect(int port) {
@@ -329,7 +337,7 @@
     m_listener = BoundSocket(port, &m_port);
     if (m_listener < 0 || listen(m_listener, 256) != 0) {
       std::fprintf(stderr, "cannot listen\n");
-      std::exit(2);
+      std::_Exit(2);
     }
     std::thread([this] { Accept(); }).detach();
   }
@@ -832,6 +840,12 @@
             {"idle_timeout_ms", 30000}}}};
 }
 
+/// Ends a case that could not run; threads of the stand-ins still run.
+[[noreturn]] inline void CannotRun(const std::string& reason) {
+  Note("the case could not run: " + reason);
+  std::_Exit(2);
+}
+
 inline std::string NewId() {
   static std::atomic<std::uint64_t> next{0x9c41d07be2a30000};
   char text[24];
--- a/review/standin-3/silence.cc
+++ b/review/standin-3/silence.cc
@@ -193,8 +193,7 @@
   Gateway gateway(folder, "edge-a-1", "a", store.Address());
   gateway.Launch();
   if (!gateway.WaitReady(10)) {
-    Note("the gateway is not ready");
-    return 2;
+    CannotRun("the gateway is not ready");
   }
   Sleep(4);  // in touch
 
