--- a/review/standin-3/refused.cc
+++ b/review/standin-3/refused.cc
@@ -8,7 +8,8 @@
 
 /// One of them fails.
 constexpr int kWorkers = 7;
-constexpr int kBookings = 300;
+constexpr int kBookings = 1000;
+constexpr int kCallers = 20;
 
 bool trouble = true;
 
@@ -117,23 +118,30 @@
 
   int untrue = 0;
   std::map<int, int> statuses;
-  for (int i = 0; i < kBookings; ++i) {
-    const std::string booking = "booking-" + std::to_string(i);
-    // A client repeats an unsafe request once, and only after a promise.
-    for (int tries = 0; tries < 2; ++tries) {
-      const Answer answer = Book(gateway.callers, booking);
-      ++statuses[answer.status];
-      const bool is_promise = answer.status == 408 || answer.status == 421 ||
-                              answer.status == 429 || answer.status == 503;
-      if (!is_promise) break;
-      const std::lock_guard lock(table_mutex);
-      if (ran.count(answer.attempt) != 0) {
+  std::atomic<int> next_booking{0};
+  const auto call = [&] {
+    while (true) {
+      const int number = next_booking++;
+      if (number >= kBookings) return;
+      const std::string booking = "booking-" + std::to_string(number);
+      // A client repeats an unsafe request once, and only after a promise.
+      for (int tries = 0; tries < 2; ++tries) {
+        const Answer answer = Book(gateway.callers, booking);
+        const bool is_promise = answer.status == 408 || answer.status == 421 ||
+                                answer.status == 429 || answer.status == 503;
+        const std::lock_guard lock(table_mutex);
+        ++statuses[answer.status];
+        if (!is_promise) break;
+        if (ran.count(answer.attempt) == 0) continue;
         ++untrue;
         Note("REFUSED: " + answer.attempt + " of " + booking + " is answered " +
              std::to_string(answer.status) + " and has run");
       }
     }
-  }
+  };
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kCallers; ++i) callers.emplace_back(call);
+  for (auto& caller : callers) caller.join();
   const std::lock_guard lock(table_mutex);
   int doubled = 0;
   for (const auto& [booking, count] : runs_of_booking) doubled += count > 1;
