--- a/review/standin-3/silence.cc
+++ b/review/standin-3/silence.cc
@@ -14,15 +14,16 @@
 constexpr double kPreempted = 1.3;
 
 bool trouble = true;
-/// Set once memory runs out; each worker then preempts one run, once.
+/// Set once memory runs out at a worker, which then preempts one run, once.
 std::atomic<bool> preempting{false};
 
 /// An engine with a few slots. A request that finds all of them taken is turned
 /// away. When memory runs out, it preempts the newest run and reads it in again.
 class Worker {
  public:
-  explicit Worker(std::string id)
+  Worker(std::string id, bool preempts)
       : m_id(std::move(id)),
+        m_preempts(preempts),
         m_server([this](const auto& socket) { Serve(socket); }) {}
   std::string Address() const { return m_server.Address(); }
 
@@ -84,13 +85,13 @@
                                attempt + " " + std::to_string(event) + "\n\n";
       if (!socket->Write(Chunk(text))) return false;
       Sleep(kEventGap);
-      if (preempting && IsNewest(run) && !m_has_preempted.exchange(true)) {
+      if (preempting && m_preempts && IsNewest(run) && !m_has_preempted.exchange(true)) {
         preempted_until = Seconds() + kPreempted;
         Note(m_id + " preempts " + attempt + " after event " +
              std::to_string(event) + " and reads it in again");
       }
       while (Seconds() < preempted_until) {
-        Sleep(0.02);
+        Sleep(0.005);
         if (socket->IsGone()) {
           Note(m_id + " sees the connection of " + attempt + " closed, " +
                std::to_string(preempted_until - Seconds()) +
@@ -104,6 +105,7 @@
   }
 
   std::string m_id;
+  bool m_preempts;
   std::mutex m_mutex;
   std::set<int> m_running;
   int m_runs = 0;
@@ -173,8 +175,8 @@
   trouble = setting == nullptr || std::string(setting) != "0";
 
   Store store;
-  Worker first("i-7f3a91c2");
-  Worker second("i-3df7fc1c");
+  Worker first("i-7f3a91c2", true);
+  Worker second("i-3df7fc1c", false);
   json route = Route("plan", "/plan/", "streaming", "engines", 12000, 500, 2);
   route["resumable"] = true;
   const json service = {{"name", "engines"},
