--- a/review/standin-3/cold.h
+++ b/review/standin-3/cold.h
@@ -17,7 +17,7 @@
 
 /// Requests in a second beyond what the rule allows at which a cold worker
 /// crashes.
-inline constexpr int kCrashMargin = 4;
+inline constexpr int kCrashMargin = 2;
 
 /// A plain worker. While it is cold, it crashes in a second in which well more
 /// requests arrive than the rule allows.
--- a/review/standin-3/late_write.cc
+++ b/review/standin-3/late_write.cc
@@ -7,7 +7,9 @@
 
 namespace {
 
-constexpr int kGateways = 4;
+constexpr int kGateways = 5;
+/// A share of 0.6.
+constexpr int kKilled = 3;
 /// Time after which a write without an answer is carried out.
 constexpr double kLateSeconds = 5;
 
@@ -30,7 +32,7 @@
     Note("store: the answer to a write is lost, " + call.dump());
     return kLateSeconds;
   };
-  const ColdLimits limits;
+  const ColdLimits limits{.seconds = 12, .per_second = 21};
   store.Put("op/config", Config(7, json::array({BookingRoute()}),
                                 json::array({BookingService(limits)}))
                              .dump());
@@ -62,15 +64,15 @@
 
   const auto kill_three = [&](const char* text) {
     Note(text);
-    for (int i = 1; i < kGateways; ++i) gateways[i]->Kill();
+    for (int i = kGateways - kKilled; i < kGateways; ++i) gateways[i]->Kill();
     Sleep(0.5);
-    for (int i = 1; i < kGateways; ++i) gateways[i]->Launch();
-    for (int i = 1; i < kGateways; ++i) gateways[i]->WaitReady(10);
+    for (int i = kGateways - kKilled; i < kGateways; ++i) gateways[i]->Launch();
+    for (int i = kGateways - kKilled; i < kGateways; ++i) gateways[i]->WaitReady(10);
   };
   if (trouble) {
     Note("the store loses the answers of three writes and carries them out 5 s later");
     loses_answers = true;
-    kill_three("SIGKILL to three of four gateways, which start again");
+    kill_three("SIGKILL to three of five gateways, which start again");
     Sleep(0.5);
     loses_answers = false;
     Note("the store answers again");
@@ -87,7 +89,7 @@
     }
   }
   Callers callers;
-  for (int c = 0; c < 48; ++c) {
+  for (int c = 0; c < 60; ++c) {
     callers.Add(gateways[static_cast<std::size_t>(c % kGateways)]->callers, 0.1);
   }
   Sleep(4);
