A silent stream stays where it is until another backend server has room

Cause: Exchange::OnIdleTimeout aborted the attempt before it looked for another place. With all slots taken the call waited in the queue for 0.75 times the objective and was refused.

Change: CallMove keeps the attempt and queues the call for room at another backend server. A response that has begun waits for room until its deadline instead of being truncated. A queued call that may not go everywhere no longer blocks those that may, which would now last as long as the silence.

Why it works: nothing is aborted before a placement and a retry token are in hand.

--- a/src/wasabiwall/coordination/admission_queue.cc
+++ b/src/wasabiwall/coordination/admission_queue.cc
@@ -24,7 +24,8 @@
   std::vector<Key> keys;
   keys.reserve(m_waiters.size());
   for (const auto& [key, waiter] : m_waiters) keys.push_back(key);
-  std::set<state::ServiceId> blocked;
+  // What the calls that could not be placed excluded, by service.
+  std::map<state::ServiceId, Exclusions> blocked;
   for (const Key& key : keys) {
     const auto found = m_waiters.find(key);
     if (found == m_waiters.end()) continue;
@@ -34,11 +35,16 @@
       waiter.on_expired();
       continue;
     }
-    if (blocked.contains(waiter.service)) continue;
+    const auto same_service = blocked.find(waiter.service);
+    if (same_service != blocked.end() &&
+        (same_service->second.contains({}) ||
+         same_service->second.contains(waiter.excluded))) {
+      continue;
+    }
     if (waiter.try_place()) {
       Remove(key.second);
     } else {
-      blocked.insert(waiter.service);
+      blocked[waiter.service].insert(waiter.excluded);
     }
   }
 }
--- a/src/wasabiwall/coordination/admission_queue.h
+++ b/src/wasabiwall/coordination/admission_queue.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "wasabiwall/coordination/clock.h"
 #include "wasabiwall/state/service_config.h"
@@ -22,6 +23,8 @@
   /// Waiting call with its callbacks.
   struct Waiter {
     state::ServiceId service;
+    /// Backend servers of the service at which the call is not to be placed.
+    std::vector<state::BackendServerId> excluded;
     /// 0 is the most urgent.
     int priority = 0;
     /// Time at which the call leaves the queue and on_expired is called.
@@ -43,14 +46,16 @@
   /// Removes a call, for instance because its caller disconnected.
   void Remove(WaiterId id);
 
-  /// Removes expired calls and tries to place the others. Skips the remaining
-  /// calls of a service once one of them could not be placed.
+  /// Removes expired calls and tries to place the others. Once a call could not
+  /// be placed, skips the remaining ones of its service that have at most the
+  /// same choice of backend servers.
   void Run(TimePoint now);
 
   std::size_t Size() const { return m_waiters.size(); }
 
  private:
   using Key = std::pair<int, WaiterId>;
+  using Exclusions = std::set<std::vector<state::BackendServerId>>;
 
   std::size_t m_capacity;
   WaiterId m_next_id = 1;
--- a/src/wasabiwall/coordination/attempt_policy.cc
+++ b/src/wasabiwall/coordination/attempt_policy.cc
@@ -76,15 +76,19 @@
 }
 
 milliseconds AttemptPolicy::QueueTimeout(PlacementRefusal refusal,
-                                         bool tried_before,
+                                         QueueStage stage,
                                          milliseconds left) const {
   const bool is_futile =
       refusal == PlacementRefusal::kUnreachable ||
-      (refusal == PlacementRefusal::kNoneEligible && !tried_before);
+      (refusal == PlacementRefusal::kNoneEligible && stage == QueueStage::kNew);
   if (is_futile) return milliseconds{0};
-  const auto wait = std::min(Scale(m_route.objective, kQueueObjectiveShare),
-                             left - kMinAttemptTime);
-  return std::max(milliseconds{0}, wait);
+  const auto longest = std::max(milliseconds{0}, left - kMinAttemptTime);
+  // The caller has given up on the objective, not on the response.
+  const bool lacks_room = refusal == PlacementRefusal::kFull ||
+                          refusal == PlacementRefusal::kCold ||
+                          refusal == PlacementRefusal::kHeldOff;
+  if (stage == QueueStage::kResponseBegun && lacks_room) return longest;
+  return std::min(Scale(m_route.objective, kQueueObjectiveShare), longest);
 }
 
 bool AttemptPolicy::MayRunAgain(const AttemptCounts& counts) const {
--- a/src/wasabiwall/coordination/attempt_policy.h
+++ b/src/wasabiwall/coordination/attempt_policy.h
@@ -22,6 +22,15 @@
 /// failed attempt may be retried. Does no I/O.
 class AttemptPolicy {
  public:
+  /// How far a call is that no backend server can take now.
+  enum class QueueStage {
+    kNew,
+    /// It was already sent to a backend server.
+    kTried,
+    /// The caller has a part of the response, which would be truncated.
+    kResponseBegun,
+  };
+
   /// @param route Must outlive the policy.
   explicit AttemptPolicy(const state::Route& route) : m_route(route) {}
 
@@ -39,10 +48,9 @@
 
   /// @return Longest time in the admission queue; 0 if the call must not be
   /// queued.
-  /// @param tried_before Whether the call was already sent to a backend server.
   /// @param left Time until the deadline of the call.
   std::chrono::milliseconds QueueTimeout(PlacementRefusal refusal,
-                                         bool tried_before,
+                                         QueueStage stage,
                                          std::chrono::milliseconds left) const;
 
   /// @return Whether the call may be executed again although a backend server
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -45,6 +45,12 @@
       m_deadline_timer(context->loop),
       m_quarantine(context),
       m_holder_lookup(context),
+      m_queue_wait(&context->queue),
+      m_move(context,
+             [this] {
+               const auto self = shared_from_this();
+               return MoveAttempt();
+             }),
       m_hedge(context) {}
 
 void Exchange::Start() {
@@ -61,24 +67,21 @@
   const auto wait =
       std::min(kMaxStartWait,
                metadata.deadline.value_or(kMaxStartWait) / kStartWaitDivisor);
-  return m_context->queue.Add({.service = {},
-                               .priority = 0,
-                               .expires = m_request.received + wait,
-                               .try_place =
-                                   [this] {
-                                     if (!m_context->Config()) return false;
-                                     const auto self = shared_from_this();
-                                     m_waiter_id = 0;
-                                     Resolve();
-                                     return true;
-                                   },
-                               .on_expired =
-                                   [this] {
-                                     const auto self = shared_from_this();
-                                     m_waiter_id = 0;
-                                     Resolve();
-                                   }},
-                              &m_waiter_id);
+  const auto resolve = [this] {
+    const auto self = shared_from_this();
+    m_queue_wait.Leave();
+    Resolve();
+  };
+  return m_queue_wait.Enter({.service = {},
+                             .priority = 0,
+                             .expires = m_request.received + wait,
+                             .try_place =
+                                 [this, resolve] {
+                                   if (!m_context->Config()) return false;
+                                   resolve();
+                                   return true;
+                                 },
+                             .on_expired = resolve});
 }
 
 void Exchange::Resolve() {
@@ -125,7 +128,7 @@
     case QuarantineGuard::Verdict::kRun:
       return false;
     case QuarantineGuard::Verdict::kUndecided:
-      m_waiter_id = 0;
+      m_queue_wait.Leave();
       return true;
     case QuarantineGuard::Verdict::kRefuse:
       break;
@@ -141,7 +144,7 @@
       m_call.deadline <= *stop_deadline) {
     return false;
   }
-  m_waiter_id = 0;
+  m_queue_wait.Leave();
   Refuse(ErrorKind::kDraining, "stopping");
   return true;
 }
@@ -151,7 +154,7 @@
   const auto placement =
       m_context->placement.Choose(Query(), m_context->loop->Now());
   if (!placement) {
-    if (m_waiter_id == 0) Enqueue(placement.error());
+    if (!m_queue_wait.IsWaiting()) Enqueue(placement.error());
     return false;
   }
   StartAttempt(*placement);
@@ -159,28 +162,26 @@
 }
 
 void Exchange::Enqueue(PlacementRefusal refusal) {
-  auto wait =
-      Policy().QueueTimeout(refusal, !m_tried_servers.empty(), TimeLeft());
+  auto wait = Policy().QueueTimeout(refusal, QueueStage(), TimeLeft());
   if (refusal == PlacementRefusal::kHeldOff && HoldOffLeft() > wait) {
     wait = milliseconds(0);
   }
   m_tried_servers.clear();
   const bool waits =
       wait > milliseconds{0} &&
-      m_context->queue.Add({.service = m_call.service->id,
-                            .priority = m_call.Priority(),
-                            .expires = m_context->loop->Now() + wait,
-                            .try_place =
-                                [this] {
-                                  const auto self = shared_from_this();
-                                  return Place();
-                                },
-                            .on_expired =
-                                [this, refusal] {
-                                  const auto self = shared_from_this();
-                                  RefuseUnplaced(refusal);
-                                }},
-                           &m_waiter_id);
+      m_queue_wait.Enter({.service = m_call.service->id,
+                          .priority = m_call.Priority(),
+                          .expires = m_context->loop->Now() + wait,
+                          .try_place =
+                              [this] {
+                                const auto self = shared_from_this();
+                                return Place();
+                              },
+                          .on_expired =
+                              [this, refusal] {
+                                const auto self = shared_from_this();
+                                RefuseUnplaced(refusal);
+                              }});
   LogInfo("no_backend_available",
           {{"id", m_call.metadata.attempt_id},
            {"reason", NameOf(refusal)},
@@ -189,8 +190,14 @@
   if (!waits) RefuseUnplaced(refusal);
 }
 
+coordination::AttemptPolicy::QueueStage Exchange::QueueStage() const {
+  using Stage = coordination::AttemptPolicy::QueueStage;
+  if (m_response.HasBegun()) return Stage::kResponseBegun;
+  return m_tried_servers.empty() ? Stage::kNew : Stage::kTried;
+}
+
 void Exchange::RefuseUnplaced(PlacementRefusal refusal) {
-  m_waiter_id = 0;
+  m_queue_wait.Leave();
   const bool held_off = refusal == PlacementRefusal::kHeldOff;
   Refuse(coordination::ErrorOf(refusal), NameOf(refusal),
          held_off ? HoldOffLeft() : milliseconds(0));
@@ -215,7 +222,7 @@
 }
 
 void Exchange::StartAttempt(coordination::Placement placement) {
-  m_waiter_id = 0;
+  m_queue_wait.Leave();
   const bool is_first = m_contacted_servers.empty();
   m_attempt = MakeAttempt(std::move(placement));
   if (is_first) {
@@ -249,6 +256,7 @@
   const auto guarded = [this](auto method) {
     return [this, method](Attempt& attempt) {
       const auto self = shared_from_this();
+      m_move.Cancel();
       (this->*method)(attempt);
     };
   };
@@ -294,6 +302,7 @@
   }
   auto placement = m_hedge.Choose(m_call, *m_attempt, m_counts, Query());
   if (!placement) return;
+  m_move.Cancel();
   m_hedge_attempt = MakeAttempt(std::move(*placement));
   StartSending(*m_hedge_attempt);
 }
@@ -323,6 +332,7 @@
   KeepOnly(attempt);
   // A backend server that sends nothing else may have stalled.
   if (protocol::HasContent(events)) {
+    m_move.Cancel();
     attempt.OnProgress(m_response.OnEvents(m_call.WorkspaceName()));
     if (attempt.HasJustBeenEstablished())
       m_quarantine.OnEstablished(attempt.SentAt());
@@ -425,26 +435,23 @@
 void Exchange::OnIdleTimeout(Attempt& attempt) {
   // The other attempt is the retry.
   if (m_hedge_attempt) return;
-  const bool will_retry = Policy().MayRunAgain(m_counts) &&
-                          Policy().MayRetry(m_counts, false, TimeLeft()) &&
-                          TakeRetryToken();
-  const state::BackendServerId& id = attempt.Server().id;
-  // The duration of plain calls varies too much for one call that times out to
-  // indicate a failing backend server.
-  const bool is_ejected =
-      m_call.IsStream() && m_context->health.OnResponseTimeout(
-                               id, attempt.SentAt(), m_context->loop->Now());
-  LogInfo("attempt_idle_timeout",
-          {{"id", m_call.metadata.attempt_id},
-           {"backend", id.value},
-           {"begun", attempt.Reply().HasStarted() ? "true" : "false"},
-           {"spared", is_ejected ? "true" : "false"},
-           {"repeats", will_retry ? "true" : "false"}});
-  if (!will_retry) return;
-  attempt.Rollout().OnSilent();
-  attempt.Abort(m_call.IsStream() ? HealthSignal::kRefused
-                                  : HealthSignal::kFailed);
-  Place();
+  m_move.OnSilent(m_call, attempt, m_tried_servers,
+                  Policy().MayRetry(m_counts, false, TimeLeft()));
+}
+
+bool Exchange::MoveAttempt() {
+  if (m_quarantine.IsSuspect()) return false;
+  auto placement = m_context->placement.Choose(Query(), m_context->loop->Now());
+  if (!placement || !TakeRetryToken()) return false;
+  m_move.Cancel();
+  LogInfo("attempt_moved", {{"id", m_call.metadata.attempt_id},
+                            {"from", m_attempt->Server().id.value},
+                            {"to", placement->server.id.value}});
+  m_attempt->Rollout().OnSilent();
+  m_attempt->Abort(m_call.IsStream() ? HealthSignal::kRefused
+                                     : HealthSignal::kFailed);
+  StartAttempt(std::move(*placement));
+  return true;
 }
 
 void Exchange::AbortAttempt(HealthSignal signal) {
@@ -535,9 +542,7 @@
 
 void Exchange::OnDeadline() {
   const auto self = shared_from_this();
-  if (m_waiter_id != 0) {
-    m_context->queue.Remove(std::exchange(m_waiter_id, 0));
-  }
+  m_queue_wait.Leave();
   const bool has_started = m_attempt && m_attempt->Reply().HasStarted();
   if (m_attempt) m_attempt->Rollout().OnDeadline();
   AbortAttempt(has_started ? HealthSignal::kRefused : HealthSignal::kFailed);
@@ -568,27 +573,20 @@
   CancelHedge();
   m_quarantine.OnEnded(m_counts.runs > 0);
   m_holder_lookup.Cancel();
-  if (m_waiter_id != 0) m_context->queue.Remove(std::exchange(m_waiter_id, 0));
+  m_queue_wait.Leave();
+  m_move.Cancel();
   const auto now = m_context->loop->Now();
-  const std::string workspace = m_call.WorkspaceName();
   const bool answered = outcome.starts_with("answered");
   if (answered) m_context->retry_after_scheduler.OnAnswered(now);
-  m_context->metrics.CountCall(workspace, answered ? "" : outcome);
+  m_context->metrics.CountCall(m_call.WorkspaceName(), answered ? "" : outcome);
   m_context->metrics.CountAttempts(m_counts.sends);
-  std::vector<LogField> fields = {
-      {"id", m_call.metadata.attempt_id},
-      {"fingerprint",
-       m_quarantine.Fingerprint().empty() ? "-" : m_quarantine.Fingerprint()},
-      {"parts", coordination::NamesOfPromptParts(m_call.metadata.prompt_parts)},
-      {"held_by", m_quarantine.HeldBy()},
-      {"outcome", outcome},
-      {"route", m_call.route != nullptr ? m_call.route->name : "-"},
-      {"workspace", workspace.empty() ? "-" : workspace},
-      {"config", std::to_string(m_call.config ? m_call.config->version : 0)},
-      {"sends", std::to_string(m_counts.sends)},
-      {"may_have_run", std::to_string(m_counts.runs)},
-      {"total_ms",
-       std::to_string(ToMilliseconds(now - m_request.received).count())}};
+  std::vector<LogField> fields = m_call.LogFields();
+  std::ranges::move(m_quarantine.LogFields(), std::back_inserter(fields));
+  const auto took = ToMilliseconds(now - m_request.received);
+  fields.insert(fields.end(), {{"outcome", outcome},
+                               {"sends", std::to_string(m_counts.sends)},
+                               {"may_have_run", std::to_string(m_counts.runs)},
+                               {"total_ms", std::to_string(took.count())}});
   std::ranges::move(m_response.LogFields(), std::back_inserter(fields));
   const ReplyReader none(&m_context->response_buffers);
   const ReplyReader& reply = m_attempt ? m_attempt->Reply() : none;
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -12,10 +12,12 @@
 #include "wasabiwall/protocol/error_kind.h"
 #include "wasabiwall/transport/attempt.h"
 #include "wasabiwall/transport/call_hedge.h"
+#include "wasabiwall/transport/call_move.h"
 #include "wasabiwall/transport/caller_response.h"
 #include "wasabiwall/transport/gateway_context.h"
 #include "wasabiwall/transport/prompt_holder_lookup.h"
 #include "wasabiwall/transport/quarantine_guard.h"
+#include "wasabiwall/transport/queue_wait.h"
 #include "wasabiwall/transport/resolved_call.h"
 
 namespace wasabiwall::transport {
@@ -83,6 +85,8 @@
   /// @return Whether it was refused.
   bool RefuseIfStopping();
   void Enqueue(coordination::PlacementRefusal refusal);
+  /// @return How far the call is as it enters the queue.
+  coordination::AttemptPolicy::QueueStage QueueStage() const;
   void RefuseUnplaced(coordination::PlacementRefusal refusal);
   /// @return Time until a backend server of the service that is held off may
   /// get calls again.
@@ -110,6 +114,10 @@
   void OnReplyTooLarge(Attempt& attempt);
   void OnConnectTimeout(Attempt& attempt);
   void OnIdleTimeout(Attempt& attempt);
+  /// Ends the attempt, whose backend server is silent, and starts one at
+  /// another backend server, if one has room and the retry budget allows it.
+  /// @return Whether the call was moved; if not, the attempt goes on.
+  bool MoveAttempt();
   /// Aborts the attempt that is running, if there is one.
   void AbortAttempt(coordination::HealthSignal signal);
 
@@ -150,7 +158,9 @@
   Timer m_deadline_timer;
   QuarantineGuard m_quarantine;
   PromptHolderLookup m_holder_lookup;
-  coordination::AdmissionQueue::WaiterId m_waiter_id = 0;
+  /// Set while no attempt runs and the call waits for a backend server.
+  QueueWait m_queue_wait;
+  CallMove m_move;
 
   /// The latest attempt; stays after its end until the next one starts.
   std::shared_ptr<Attempt> m_attempt;
--- a/src/wasabiwall/transport/quarantine_guard.cc
+++ b/src/wasabiwall/transport/quarantine_guard.cc
@@ -106,13 +106,14 @@
   return longest;
 }
 
-std::string QuarantineGuard::HeldBy() const {
+std::vector<LogField> QuarantineGuard::LogFields() const {
   std::string names;
   for (const std::string& fingerprint : m_held_by) {
     if (!names.empty()) names += ',';
     names += fingerprint;
   }
-  return names.empty() ? "-" : names;
+  return {{"fingerprint", m_fingerprint.empty() ? "-" : m_fingerprint},
+          {"held_by", names.empty() ? "-" : names}};
 }
 
 void QuarantineGuard::OnBroken(const state::BackendServer& server,
--- a/src/wasabiwall/transport/quarantine_guard.h
+++ b/src/wasabiwall/transport/quarantine_guard.h
@@ -64,9 +64,9 @@
   /// @return Fingerprint of the request; empty before Start.
   const std::string& Fingerprint() const { return m_fingerprint; }
 
-  /// @return Contents for which the call was refused, separated by commas, or
-  /// `-`.
-  std::string HeldBy() const;
+  /// @return The request and the contents for which the call was refused, for
+  /// the log.
+  std::vector<LogField> LogFields() const;
 
  private:
   /// @return The quarantined contents of the call.
--- a/src/wasabiwall/transport/resolved_call.cc
+++ b/src/wasabiwall/transport/resolved_call.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "wasabiwall/coordination/attempt_policy.h"
+#include "wasabiwall/coordination/request_fingerprint.h"
 #include "wasabiwall/state/digest.h"
 
 namespace wasabiwall::transport {
@@ -44,6 +45,15 @@
   return workspace != nullptr ? workspace->id.value : "";
 }
 
+std::vector<LogField> ResolvedCall::LogFields() const {
+  const std::string workspace_name = WorkspaceName();
+  return {{"id", metadata.attempt_id},
+          {"parts", coordination::NamesOfPromptParts(metadata.prompt_parts)},
+          {"route", route != nullptr ? route->name : "-"},
+          {"workspace", workspace_name.empty() ? "-" : workspace_name},
+          {"config", std::to_string(config ? config->version : 0)}};
+}
+
 std::optional<Error> ResolveCall(const GatewayContext& context,
                                  const MessageHead& request,
                                  coordination::TimePoint received,
--- a/src/wasabiwall/transport/resolved_call.h
+++ b/src/wasabiwall/transport/resolved_call.h
@@ -2,6 +2,8 @@
 
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "wasabiwall/protocol/error_kind.h"
 #include "wasabiwall/transport/gateway_context.h"
@@ -28,6 +30,9 @@
 
   /// @return Identifier of the workspace, or empty.
   std::string WorkspaceName() const;
+
+  /// @return What identifies the call, for the log.
+  std::vector<LogField> LogFields() const;
 };
 
 /// Looks up route, workspace and service of a request, and its deadline.
--- a/tests/gateway/attempt_policy_test.cc
+++ b/tests/gateway/attempt_policy_test.cc
@@ -53,16 +53,36 @@
 TEST_CASE("calls are queued only if capacity may become free") {
   const AttemptPolicy policy(kNonIdempotentRoute);
   using Refusal = PlacementRefusal;
-  CHECK(policy.QueueTimeout(Refusal::kNoneEligible, false, kAmple).count() ==
-        0);
-  CHECK(policy.QueueTimeout(Refusal::kUnreachable, true, kAmple).count() == 0);
-  CHECK(policy.QueueTimeout(Refusal::kNoneEligible, true, kAmple).count() > 0);
-  CHECK(policy.QueueTimeout(Refusal::kFull, false, kAmple) <
+  using Stage = AttemptPolicy::QueueStage;
+  CHECK(policy.QueueTimeout(Refusal::kNoneEligible, Stage::kNew, kAmple)
+            .count() == 0);
+  CHECK(policy.QueueTimeout(Refusal::kUnreachable, Stage::kTried, kAmple)
+            .count() == 0);
+  CHECK(policy.QueueTimeout(Refusal::kNoneEligible, Stage::kTried, kAmple)
+            .count() > 0);
+  CHECK(policy.QueueTimeout(Refusal::kFull, Stage::kNew, kAmple) <
         kNonIdempotentRoute.objective);
-  CHECK(policy.QueueTimeout(Refusal::kFull, false, milliseconds(30)) <=
+  CHECK(policy.QueueTimeout(Refusal::kFull, Stage::kNew, milliseconds(30)) <=
         milliseconds(10));
-  CHECK(policy.QueueTimeout(Refusal::kFull, false, milliseconds(5)).count() ==
-        0);
+  CHECK(policy.QueueTimeout(Refusal::kFull, Stage::kNew, milliseconds(5))
+            .count() == 0);
+}
+
+TEST_CASE("a call whose response has begun waits for room until its deadline") {
+  // Guards against a stream that is truncated for want of room.
+  const AttemptPolicy policy(kNonIdempotentRoute);
+  using Refusal = PlacementRefusal;
+  const auto wait = [&](Refusal refusal) {
+    return policy.QueueTimeout(
+        refusal, AttemptPolicy::QueueStage::kResponseBegun, kAmple);
+  };
+  for (const auto refusal :
+       {Refusal::kFull, Refusal::kCold, Refusal::kHeldOff}) {
+    CHECK(wait(refusal) > kNonIdempotentRoute.objective);
+    CHECK(wait(refusal) < kAmple);
+  }
+  CHECK(wait(Refusal::kUnreachable).count() == 0);
+  CHECK(wait(Refusal::kNoneEligible) < kNonIdempotentRoute.objective);
 }
 
 TEST_CASE("the longest Retry-After time is within a third of the time left") {
--- a/tests/gateway/queue_test.cc
+++ b/tests/gateway/queue_test.cc
@@ -72,6 +72,43 @@
   CHECK(fixture.placed == std::vector<std::string>{"b", "c"});
 }
 
+TEST_CASE("a call that may not go everywhere blocks no call that may") {
+  // Guards against a stream at a silent backend server that waits for another
+  // one: it must not keep other calls from the one where it is.
+  QueueFixture fixture;
+  const std::vector<state::BackendServerId> silent{
+      state::BackendServerId("silent")};
+  int tries = 0;
+  AdmissionQueue::WaiterId ids[2] = {0, 0};
+  for (auto& id : ids) {
+    fixture.queue.Add({.service = state::ServiceId("s"),
+                       .excluded = silent,
+                       .priority = 0,
+                       .expires = kStart + seconds(1),
+                       .try_place =
+                           [&tries] {
+                             ++tries;
+                             return false;
+                           },
+                       .on_expired = [] {}},
+                      &id);
+  }
+  fixture.Add("unrestricted", 1);
+  SECTION("with room at the silent one") {
+    fixture.free_slots = 1;
+    fixture.queue.Run(kStart);
+    CHECK(fixture.placed == std::vector<std::string>{"unrestricted"});
+    CHECK(tries == 1);
+  }
+  SECTION("without room, the others are not tried") {
+    fixture.queue.Remove(ids[0]);
+    fixture.Add("urgent", -1);
+    fixture.queue.Run(kStart);
+    CHECK(fixture.placed.empty());
+    CHECK(tries == 0);
+  }
+}
+
 TEST_CASE("a service without capacity does not block the calls of another") {
   QueueFixture fixture;
   bool other_placed = false;
--- /dev/null
+++ b/tests/gateway/silent_stream_test.cc
@@ -0,0 +1,190 @@
+// Backend servers that fall silent during a response: the call stays where it
+// is unless another backend server has room for it.
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "fakes/gateway_fixture.h"
+
+namespace wasabiwall::fakes {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Longer than the time after which a silent stream of /chat/ is moved, four
+/// times the gap of 200 ms that its route wants.
+constexpr milliseconds kSilence{1000};
+/// Longer than a plain call of /safe/ waits for a silent backend server, 0.6
+/// times the objective of 400 ms, and than a queued call waits, 0.75 times.
+constexpr milliseconds kSlowAnswer{700};
+
+/// A gateway before two engines with one slot each, whose responses the test
+/// writes call by call.
+class TwoEngines {
+ public:
+  TwoEngines() {
+    auto config = GatewayFixture::MakeConfig(2);
+    config->services[state::ServiceId("s")].engine = state::EngineConfig{};
+    fixture.context.ApplyConfig(config);
+    for (const char* id : {"b1", "b2"}) {
+      fixture.AddBackend(id, [this](const ScriptedBackend::Received& call) {
+        const std::string& attempt = *call.head.headers.Find("Attempt");
+        sessions[attempt] = call.session;
+        heads[attempt] = call.head;
+        ++sends;
+      });
+      auto server =
+          fixture.context.registry.Find(state::BackendServerId(id))->server;
+      server.capacity = 1;
+      fixture.context.registry.Put(server, fixture.loop.Now(), milliseconds(0),
+                                   false);
+    }
+  }
+
+  /// Starts a call and waits until an engine has it.
+  TestClient& Start(const std::string& path, const std::string& attempt) {
+    TestClient& client = fixture.Call(path, attempt);
+    REQUIRE(fixture.RunUntil([&] { return sessions.contains(attempt); }));
+    return client;
+  }
+
+  /// Starts a stream and waits until its caller has the first event.
+  TestClient& StartStream(const std::string& attempt) {
+    TestClient& client = Start("/chat/x", attempt);
+    sessions[attempt]->Write(StreamHead(attempt) + EventChunk(1, "one"));
+    REQUIRE(fixture.RunUntil([&] { return client.Has("data: one"); }));
+    return client;
+  }
+
+  void EndStream(const std::string& attempt, int event) {
+    sessions[attempt]->Write(EventChunk(event, "last") +
+                             std::string(transport::kLastChunk));
+  }
+
+  /// @return The engine that has the call.
+  std::string Server(const std::string& attempt) const {
+    return *heads.at(attempt).headers.Find("Expect-Backend");
+  }
+
+  GatewayFixture fixture;
+  /// Connection of the latest send, by call.
+  std::map<std::string, std::shared_ptr<ScriptedBackend::Session>> sessions;
+  std::map<std::string, transport::MessageHead> heads;
+  int sends = 0;
+};
+
+/// Keeps a stream going until it is ended.
+class BusyStream {
+ public:
+  BusyStream(TwoEngines* engines, std::string attempt)
+      : m_engines(engines),
+        m_attempt(std::move(attempt)),
+        m_timer(&engines->fixture.loop) {
+    m_timer.StartRepeating(milliseconds(100), [this] {
+      m_engines->sessions[m_attempt]->Write(EventChunk(++m_event, "more"));
+    });
+  }
+
+  void End() {
+    m_timer.Stop();
+    m_engines->EndStream(m_attempt, m_event + 1);
+  }
+
+ private:
+  TwoEngines* m_engines;
+  std::string m_attempt;
+  transport::Timer m_timer;
+  int m_event = 1;
+};
+
+TEST_CASE("a silent stream is not given up while no other engine has room") {
+  TwoEngines engines;
+  TestClient& other = engines.StartStream("busy");
+  TestClient& silent = engines.StartStream("silent");
+  BusyStream busy(&engines, "busy");
+  // Takes each slot that becomes free.
+  engines.fixture.Call("/chat/x", "waiting");
+  SECTION("while the gateway serves") {}
+  SECTION("while the gateway stops") { engines.fixture.gateway.Stop(); }
+  engines.fixture.RunFor(kSilence);
+  CHECK_FALSE(engines.sessions["silent"]->Ended());
+  CHECK_FALSE(silent.Ended());
+  engines.EndStream("silent", 2);
+  REQUIRE(engines.fixture.RunUntil(
+      [&] { return silent.Ended() || silent.Has("0\r\n\r\n"); }));
+  CHECK(silent.Has("data: last"));
+  CHECK_FALSE(silent.Broken());
+  busy.End();
+  REQUIRE(engines.fixture.RunUntil([&] { return other.Has("0\r\n\r\n"); }));
+}
+
+TEST_CASE("a silent stream moves once another engine has room for it") {
+  TwoEngines engines;
+  engines.StartStream("busy");
+  TestClient& silent = engines.StartStream("silent");
+  const auto first = engines.sessions["silent"];
+  BusyStream busy(&engines, "busy");
+  engines.fixture.RunFor(kSilence);
+  REQUIRE_FALSE(first->Ended());
+  busy.End();
+  REQUIRE(engines.fixture.RunUntil(
+      [&] { return engines.sessions["silent"] != first; }));
+  CHECK(*engines.heads["silent"].headers.Find("Last-Event-Id") == "1");
+  CHECK(engines.fixture.RunUntil([&] { return first->Ended(); }));
+  engines.sessions["silent"]->Write(StreamHead("silent"));
+  engines.EndStream("silent", 2);
+  REQUIRE(engines.fixture.RunUntil([&] { return silent.Has("0\r\n\r\n"); }));
+  CHECK(silent.Has("data: last"));
+}
+
+TEST_CASE("a stream that goes on after a silence is not moved later") {
+  TwoEngines engines;
+  engines.StartStream("busy");
+  TestClient& silent = engines.StartStream("silent");
+  BusyStream busy(&engines, "busy");
+  engines.fixture.RunFor(kSilence);
+  engines.sessions["silent"]->Write(EventChunk(2, "two"));
+  REQUIRE(engines.fixture.RunUntil([&] { return silent.Has("data: two"); }));
+  busy.End();
+  engines.fixture.RunFor(milliseconds(200));
+  CHECK(engines.sends == 2);
+  engines.EndStream("silent", 3);
+  REQUIRE(engines.fixture.RunUntil([&] { return silent.Has("0\r\n\r\n"); }));
+}
+
+TEST_CASE("a slow plain call is not given up while no other engine has room") {
+  TwoEngines engines;
+  engines.Start("/once/x", "busy");
+  TestClient& slow = engines.Start("/safe/x", "slow");
+  const auto first = engines.sessions["slow"];
+  engines.fixture.RunFor(kSlowAnswer);
+  CHECK_FALSE(first->Ended());
+  CHECK(engines.sends == 2);
+  first->Write(PlainAnswer("slow", 200, "answer"));
+  REQUIRE(engines.fixture.RunUntil([&] { return slow.Status() != 0; }));
+  CHECK(slow.Status() == 200);
+}
+
+TEST_CASE("a stream that breaks off waits for room until its deadline") {
+  TwoEngines engines;
+  engines.StartStream("busy");
+  TestClient& cut = engines.StartStream("cut");
+  BusyStream busy(&engines, "busy");
+  engines.fixture.context.registry.Drop(
+      state::BackendServerId(engines.Server("cut")),
+      engines.fixture.loop.Now());
+  engines.sessions["cut"]->Reset();
+  engines.fixture.RunFor(kSlowAnswer);
+  CHECK_FALSE(cut.Ended());
+  busy.End();
+  REQUIRE(engines.fixture.RunUntil([&] { return engines.sends == 3; }));
+  engines.sessions["cut"]->Write(StreamHead("cut"));
+  engines.EndStream("cut", 2);
+  REQUIRE(engines.fixture.RunUntil([&] { return cut.Has("0\r\n\r\n"); }));
+  CHECK(cut.Has("data: last"));
+}
+
+}  // namespace
+}  // namespace wasabiwall::fakes
