A silent attempt goes on until another one is answered

What callers saw: a stream whose engine is silent was let go as soon as another engine was believed to have room. If that one refused (503), failed, did not know the stream or was silent as well, the response was truncated, although the first engine would have gone on.

Cause: what a gateway believes of room elsewhere is old or wrong; the first attempt was aborted before the second one was answered.

Change: the second attempt runs beside the first, as a hedged one does; the first event or whole response of either ends the other. A failed second attempt leaves the first as it is, whose idle timer starts anew. Comments of the silent engine do not count as events. Responses that have begun wait for room before new calls, also in a full queue. An attempt that is not read for a slow caller is not silent: its idle timer stops.

--- a/src/wasabiwall/coordination/admission_queue.cc
+++ b/src/wasabiwall/coordination/admission_queue.cc
@@ -1,22 +1,24 @@
 #include "wasabiwall/coordination/admission_queue.h"
 
+#include <utility>
 #include <vector>
 
 namespace wasabiwall::coordination {
 
 bool AdmissionQueue::Add(Waiter waiter, WaiterId* id) {
-  if (m_waiters.size() >= m_capacity) return false;
+  if (m_waiters.size() >= m_capacity && !waiter.response_begun) return false;
   *id = m_next_id++;
-  m_priorities[*id] = waiter.priority;
-  m_waiters.emplace(Key{waiter.priority, *id}, std::move(waiter));
+  const Key key{waiter.priority, !waiter.response_begun, *id};
+  m_keys[*id] = key;
+  m_waiters.emplace(key, std::move(waiter));
   return true;
 }
 
 void AdmissionQueue::Remove(WaiterId id) {
-  const auto priority = m_priorities.find(id);
-  if (priority == m_priorities.end()) return;
-  m_waiters.erase({priority->second, id});
-  m_priorities.erase(priority);
+  const auto key = m_keys.find(id);
+  if (key == m_keys.end()) return;
+  m_waiters.erase(key->second);
+  m_keys.erase(key);
 }
 
 void AdmissionQueue::Run(TimePoint now) {
@@ -31,7 +33,7 @@
     if (found == m_waiters.end()) continue;
     const Waiter waiter = found->second;
     if (now >= waiter.expires) {
-      Remove(key.second);
+      Remove(std::get<WaiterId>(key));
       waiter.on_expired();
       continue;
     }
@@ -42,7 +44,7 @@
       continue;
     }
     if (waiter.try_place()) {
-      Remove(key.second);
+      Remove(std::get<WaiterId>(key));
     } else {
       blocked[waiter.service].insert(waiter.excluded);
     }
--- a/src/wasabiwall/coordination/admission_queue.h
+++ b/src/wasabiwall/coordination/admission_queue.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <map>
 #include <set>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 #include "wasabiwall/coordination/clock.h"
@@ -13,7 +13,8 @@
 namespace wasabiwall::coordination {
 
 /// Priority queue of calls that wait for a backend server: the most urgent
-/// first, in order of arrival among equals. Does no I/O. Not safe for
+/// first, those whose response has begun before others, in order of arrival
+/// among equals. Does no I/O. Not safe for
 /// concurrent use.
 class AdmissionQueue {
  public:
@@ -27,6 +28,10 @@
     std::vector<state::BackendServerId> excluded;
     /// 0 is the most urgent.
     int priority = 0;
+    /// Whether its caller has a part of the response. It goes before others of
+    /// its priority, and enters a full queue, since there are no more of these
+    /// than calls in progress.
+    bool response_begun = false;
     /// Time at which the call leaves the queue and on_expired is called.
     TimePoint expires;
     /// Tries to place the call.
@@ -54,13 +59,14 @@
   std::size_t Size() const { return m_waiters.size(); }
 
  private:
-  using Key = std::pair<int, WaiterId>;
+  /// Priority, whether the response has not begun, order of arrival.
+  using Key = std::tuple<int, bool, WaiterId>;
   using Exclusions = std::set<std::vector<state::BackendServerId>>;
 
   std::size_t m_capacity;
   WaiterId m_next_id = 1;
   std::map<Key, Waiter> m_waiters;
-  std::map<WaiterId, int> m_priorities;
+  std::map<WaiterId, Key> m_keys;
 };
 
 }  // namespace wasabiwall::coordination
--- a/src/wasabiwall/transport/attempt.cc
+++ b/src/wasabiwall/transport/attempt.cc
@@ -214,12 +214,16 @@
 void Attempt::PauseReading() {
   m_reading_paused = true;
   m_rollout.Ignore();
+  // The backend server is not silent, it is not read.
+  m_timer.Stop();
   if (m_connection) m_connection->PauseReading();
 }
 
 void Attempt::ResumeReading() {
   if (!std::exchange(m_reading_paused, false)) return;
-  if (m_connection && !m_waits_for_room) m_connection->ResumeReading();
+  if (!m_connection || m_waits_for_room) return;
+  m_connection->ResumeReading();
+  StartIdleTimer();
 }
 
 void Attempt::OnProgress(std::optional<std::chrono::microseconds> gap) {
--- a/src/wasabiwall/transport/attempt.h
+++ b/src/wasabiwall/transport/attempt.h
@@ -81,6 +81,11 @@
   /// Resumes reading after PauseReading; does nothing without one.
   void ResumeReading();
 
+  /// Waits anew for data from the backend server, if the request was sent.
+  void RestartIdleTimer() {
+    if (m_connection && HasSent()) StartIdleTimer();
+  }
+
   /// Records that the stream has made progress.
   /// @param gap Time since the event before, if there was one.
   void OnProgress(std::optional<std::chrono::microseconds> gap);
--- a/src/wasabiwall/transport/call_move.cc
+++ b/src/wasabiwall/transport/call_move.cc
@@ -18,15 +18,15 @@
       {"backend", id.value},
       {"begun", attempt.Reply().HasStarted() ? "true" : "false"},
       {"spared", is_ejected ? "true" : "false"}};
-  const bool has_moved = may_move && m_try_move();
-  const bool waits = may_move && !has_moved &&
+  const bool has_started = may_move && m_try_move();
+  const bool waits = may_move && !has_started &&
                      m_wait.Enter({.service = call.service->id,
                                    .excluded = excluded,
                                    .priority = call.Priority(),
                                    .expires = call.deadline,
                                    .try_place = m_try_move,
                                    .on_expired = [this] { m_wait.Leave(); }});
-  fields.push_back({"repeats", has_moved ? "true" : "false"});
+  fields.push_back({"repeats", has_started ? "true" : "false"});
   fields.push_back({"waits_for_room", waits ? "true" : "false"});
   LogInfo("attempt_idle_timeout", fields);
 }
--- a/src/wasabiwall/transport/call_move.h
+++ b/src/wasabiwall/transport/call_move.h
@@ -10,20 +10,20 @@
 
 namespace wasabiwall::transport {
 
-/// Moves a call from a silent backend server to another one once that has room;
-/// until then the silent one may still answer.
+/// Starts a second attempt for a call whose backend server is silent once
+/// another one has room.
 class CallMove {
  public:
-  /// @param try_move Moves the call if another backend server has room now.
-  /// Returns whether it was moved.
+  /// @param try_move Starts the second attempt if another backend server has
+  /// room now. Returns whether it was started.
   CallMove(GatewayContext* context, std::function<bool()> try_move)
       : m_context(context),
         m_try_move(std::move(try_move)),
         m_wait(&context->queue) {}
 
-  /// Moves the call now or queues it, after its attempt has received no data
-  /// for the idle timeout.
-  /// @param excluded Backend servers to which the call is not to be moved.
+  /// Starts the second attempt now or queues the call for it, after the first
+  /// has received no data for the idle timeout.
+  /// @param excluded Backend servers at which it is not to be started.
   /// @param may_move Whether the call may run again.
   void OnSilent(const ResolvedCall& call, const Attempt& attempt,
                 const std::vector<state::BackendServerId>& excluded,
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -49,7 +49,7 @@
       m_move(context,
              [this] {
                const auto self = shared_from_this();
-               return MoveAttempt();
+               return StartMove();
              }),
       m_hedge(context) {}
 
@@ -171,6 +171,7 @@
       wait > milliseconds{0} &&
       m_queue_wait.Enter({.service = m_call.service->id,
                           .priority = m_call.Priority(),
+                          .response_begun = m_response.HasBegun(),
                           .expires = m_context->loop->Now() + wait,
                           .try_place =
                               [this] {
@@ -203,11 +204,6 @@
          held_off ? HoldOffLeft() : milliseconds(0));
 }
 
-milliseconds Exchange::HoldOffLeft() const {
-  return m_context->placement.HoldOffLeft(*m_call.service,
-                                          m_context->loop->Now());
-}
-
 void Exchange::Refuse(ErrorKind kind, const char* detail,
                       milliseconds hold_off) {
   const auto longest = coordination::MaxRetryAfter(TimeLeft());
@@ -217,10 +213,6 @@
   Fail({kind, detail, hold_off + std::min(after, longest)});
 }
 
-coordination::AttemptPolicy Exchange::Policy() const {
-  return coordination::AttemptPolicy(*m_call.route);
-}
-
 void Exchange::StartAttempt(coordination::Placement placement) {
   m_queue_wait.Leave();
   const bool is_first = m_contacted_servers.empty();
@@ -296,59 +288,67 @@
 
 void Exchange::OnHedgeDue() {
   const auto self = shared_from_this();
-  if (m_ended || m_response.HasBegun() || !m_attempt->IsRunning() ||
-      m_quarantine.IsWithdrawn()) {
+  if (m_ended || m_second_attempt || m_response.HasBegun() ||
+      !m_attempt->IsRunning() || m_quarantine.IsWithdrawn()) {
     return;
   }
   auto placement = m_hedge.Choose(m_call, *m_attempt, m_counts, Query());
   if (!placement) return;
   m_move.Cancel();
-  m_hedge_attempt = MakeAttempt(std::move(*placement));
-  StartSending(*m_hedge_attempt);
+  m_second_attempt = MakeAttempt(std::move(*placement));
+  StartSending(*m_second_attempt);
 }
 
 void Exchange::KeepOnly(Attempt& winner) {
-  const bool is_hedge = &winner == m_hedge_attempt.get();
-  const auto loser = is_hedge ? m_attempt : m_hedge_attempt;
-  m_hedge.OnAnswered(m_call, winner, loser.get());
+  const bool is_second = &winner == m_second_attempt.get();
+  const auto loser = is_second ? m_attempt : m_second_attempt;
+  const bool is_move = std::exchange(m_is_moving, false);
+  m_hedge.OnAnswered(m_call, winner, is_move ? nullptr : loser.get());
   if (!loser) return;
-  if (is_hedge) m_attempt = m_hedge_attempt;
-  m_hedge_attempt.reset();
-  loser->Abort(HealthSignal::kRefused);
-}
-
-bool Exchange::DropIfHedged(const Attempt& attempt) {
-  if (!m_hedge_attempt) return false;
-  const auto other = std::exchange(m_hedge_attempt, nullptr);
+  if (is_second) m_attempt = m_second_attempt;
+  m_second_attempt.reset();
+  const bool was_silent = is_move && is_second;
+  if (was_silent) loser->Rollout().OnSilent();
+  // The health of engines has counted the silence of a stream already.
+  loser->Abort(was_silent && !m_call.IsStream() ? HealthSignal::kFailed
+                                                : HealthSignal::kRefused);
+}
+
+bool Exchange::DropIfSecond(const Attempt& attempt) {
+  if (!m_second_attempt) return false;
+  const bool is_move = std::exchange(m_is_moving, false);
+  const auto other = std::exchange(m_second_attempt, nullptr);
   if (&attempt != other.get()) m_attempt = other;
-  LogInfo("hedged_attempt_failed",
+  LogInfo(is_move ? "moved_attempt_failed" : "hedged_attempt_failed",
           {{"id", m_call.metadata.attempt_id},
            {"backend", attempt.Server().id.value},
            {"remaining_backend", m_attempt->Server().id.value}});
+  // It may have fallen silent meanwhile; the one that failed may have room
+  // again by then.
+  m_tried_servers = {m_attempt->Server().id};
+  m_attempt->RestartIdleTimer();
   return true;
 }
 
 void Exchange::OnEvents(Attempt& attempt, const std::string& events) {
-  KeepOnly(attempt);
   // A backend server that sends nothing else may have stalled.
   if (protocol::HasContent(events)) {
     m_move.Cancel();
+    KeepOnly(attempt);
     attempt.OnProgress(m_response.OnEvents(m_call.WorkspaceName()));
     if (attempt.HasJustBeenEstablished())
       m_quarantine.OnEstablished(attempt.SentAt());
+  } else if (&attempt == m_second_attempt.get()) {
+    return;
   }
   if (!m_response.HasBegun()) WriteHead(attempt.Reply(), std::nullopt);
   m_response.Write(EncodeChunk(events));
   if (!m_ended && m_response.IsBehind()) attempt.PauseReading();
 }
 
-void Exchange::OnOutputDrained() {
-  if (m_attempt) m_attempt->ResumeReading();
-}
-
 void Exchange::OnReplyTooLarge(Attempt& attempt) {
   attempt.Abort(HealthSignal::kFailed);
-  if (DropIfHedged(attempt)) return;
+  if (DropIfSecond(attempt)) return;
   Fail({ErrorKind::kAnswerCut, "answer too large", {}});
 }
 
@@ -379,9 +379,11 @@
   }
   m_quarantine.OnAnswered(reply.Head().status, attempt.SentAt());
   const bool failed = reply.Head().status >= kFirstServerError;
-  if (!failed) KeepOnly(attempt);
+  const bool continues = reply.IsEventStream() || reply.HasNothingLeft();
+  const bool is_usable = !failed && (continues || !m_response.HasBegun());
+  if (is_usable) KeepOnly(attempt);
   attempt.End(failed ? HealthSignal::kFailed : HealthSignal::kAnswered);
-  if (failed && DropIfHedged(attempt)) return;
+  if (!is_usable && DropIfSecond(attempt)) return;
   if (reply.IsEventStream() ||
       (m_response.HasBegun() && reply.HasNothingLeft())) {
     FinishStream(reply);
@@ -398,7 +400,7 @@
 void Exchange::OnAttemptFailed(Attempt& attempt) {
   if (attempt.IsWithdrawn()) {
     attempt.End(HealthSignal::kRefused);
-    if (!DropIfHedged(attempt)) Place();
+    if (!DropIfSecond(attempt)) Place();
     return;
   }
   if (!attempt.HasSent()) {
@@ -434,34 +436,33 @@
 
 void Exchange::OnIdleTimeout(Attempt& attempt) {
   // The other attempt is the retry.
-  if (m_hedge_attempt) return;
+  if (m_second_attempt) return;
   m_move.OnSilent(m_call, attempt, m_tried_servers,
                   Policy().MayRetry(m_counts, false, TimeLeft()));
 }
 
-bool Exchange::MoveAttempt() {
+bool Exchange::StartMove() {
   if (m_quarantine.IsSuspect()) return false;
   auto placement = m_context->placement.Choose(Query(), m_context->loop->Now());
   if (!placement || !TakeRetryToken()) return false;
   m_move.Cancel();
-  LogInfo("attempt_moved", {{"id", m_call.metadata.attempt_id},
+  LogInfo("attempt_moves", {{"id", m_call.metadata.attempt_id},
                             {"from", m_attempt->Server().id.value},
                             {"to", placement->server.id.value}});
-  m_attempt->Rollout().OnSilent();
-  m_attempt->Abort(m_call.IsStream() ? HealthSignal::kRefused
-                                     : HealthSignal::kFailed);
-  StartAttempt(std::move(*placement));
+  m_is_moving = true;
+  m_second_attempt = MakeAttempt(std::move(*placement));
+  StartSending(*m_second_attempt);
   return true;
 }
 
 void Exchange::AbortAttempt(HealthSignal signal) {
-  CancelHedge();
+  CancelSecond();
   if (m_attempt) m_attempt->Abort(signal);
 }
 
-void Exchange::CancelHedge() {
+void Exchange::CancelSecond() {
   m_hedge.Disarm();
-  const auto hedge = std::exchange(m_hedge_attempt, nullptr);
+  const auto hedge = std::exchange(m_second_attempt, nullptr);
   if (hedge) hedge->Abort(HealthSignal::kRefused);
 }
 
@@ -472,7 +473,7 @@
 
 void Exchange::RetryOrFail(const Attempt& attempt, bool not_run, ErrorKind kind,
                            const char* reason) {
-  if (DropIfHedged(attempt)) return;
+  if (DropIfSecond(attempt)) return;
   const ReplyReader& reply = attempt.Reply();
   const bool will_retry =
       Policy().MayRetry(m_counts, not_run, TimeLeft()) && TakeRetryToken();
@@ -570,7 +571,7 @@
 void Exchange::Finish(End end, const std::string& outcome) {
   if (std::exchange(m_ended, true)) return;
   m_deadline_timer.Stop();
-  CancelHedge();
+  CancelSecond();
   m_quarantine.OnEnded(m_counts.runs > 0);
   m_holder_lookup.Cancel();
   m_queue_wait.Leave();
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -63,7 +63,9 @@
 
   /// Resumes reading from the backend server once the caller's socket has
   /// accepted all output.
-  void OnOutputDrained();
+  void OnOutputDrained() {
+    if (m_attempt) m_attempt->ResumeReading();
+  }
 
  private:
   // Admission.
@@ -90,7 +92,10 @@
   void RefuseUnplaced(coordination::PlacementRefusal refusal);
   /// @return Time until a backend server of the service that is held off may
   /// get calls again.
-  std::chrono::milliseconds HoldOffLeft() const;
+  std::chrono::milliseconds HoldOffLeft() const {
+    return m_context->placement.HoldOffLeft(*m_call.service,
+                                            m_context->loop->Now());
+  }
   /// Answers with an error and a retry-after time that spreads the retries of
   /// refused callers.
   /// @param hold_off Time until a backend server takes calls again, if all have
@@ -98,7 +103,9 @@
   void Refuse(
       protocol::ErrorKind kind, const char* detail,
       std::chrono::milliseconds hold_off = std::chrono::milliseconds(0));
-  coordination::AttemptPolicy Policy() const;
+  coordination::AttemptPolicy Policy() const {
+    return coordination::AttemptPolicy(*m_call.route);
+  }
 
   // One attempt.
   void StartAttempt(coordination::Placement placement);
@@ -114,10 +121,10 @@
   void OnReplyTooLarge(Attempt& attempt);
   void OnConnectTimeout(Attempt& attempt);
   void OnIdleTimeout(Attempt& attempt);
-  /// Ends the attempt, whose backend server is silent, and starts one at
-  /// another backend server, if one has room and the retry budget allows it.
-  /// @return Whether the call was moved; if not, the attempt goes on.
-  bool MoveAttempt();
+  /// Starts a second attempt, beside the one whose backend server is silent,
+  /// if another backend server has room and the retry budget allows it.
+  /// @return Whether it was started.
+  bool StartMove();
   /// Aborts the attempt that is running, if there is one.
   void AbortAttempt(coordination::HealthSignal signal);
 
@@ -127,9 +134,9 @@
   void KeepOnly(Attempt& winner);
   /// Forgets an attempt that has failed while the other one goes on.
   /// @return Whether there is another one.
-  bool DropIfHedged(const Attempt& attempt);
+  bool DropIfSecond(const Attempt& attempt);
   /// Cancels the second attempt, or the wait for it.
-  void CancelHedge();
+  void CancelSecond();
 
   // After an attempt.
   void RetryOrFail(const Attempt& attempt, bool not_run,
@@ -165,7 +172,10 @@
   /// The latest attempt; stays after its end until the next one starts.
   std::shared_ptr<Attempt> m_attempt;
   /// Second attempt beside the first one, until either is answered or fails.
-  std::shared_ptr<Attempt> m_hedge_attempt;
+  std::shared_ptr<Attempt> m_second_attempt;
+  /// Whether the second attempt was started since the first one was silent, and
+  /// not to hedge it.
+  bool m_is_moving = false;
   CallHedge m_hedge;
   std::vector<state::BackendServerId> m_tried_servers;
   /// Backend servers to which the call was sent, those before a wait too.
--- a/tests/gateway/queue_test.cc
+++ b/tests/gateway/queue_test.cc
@@ -72,6 +72,29 @@
   CHECK(fixture.placed == std::vector<std::string>{"b", "c"});
 }
 
+TEST_CASE(
+    "a call whose response has begun goes first, also into a full queue") {
+  QueueFixture fixture;
+  fixture.Add("urgent", 0);
+  fixture.Add("new", 1);
+  fixture.Add("newer", 1);
+  AdmissionQueue::WaiterId id = 0;
+  REQUIRE(fixture.queue.Add({.service = state::ServiceId("s"),
+                             .priority = 1,
+                             .response_begun = true,
+                             .expires = kStart + seconds(1),
+                             .try_place =
+                                 [&] {
+                                   fixture.placed.push_back("begun");
+                                   return true;
+                                 },
+                             .on_expired = [] {}},
+                            &id));
+  fixture.free_slots = 2;
+  fixture.queue.Run(kStart);
+  CHECK(fixture.placed == std::vector<std::string>{"urgent", "begun", "new"});
+}
+
 TEST_CASE("a call that may not go everywhere blocks no call that may") {
   // Guards against a stream at a silent backend server that waits for another
   // one: it must not keep other calls from the one where it is.
--- a/tests/gateway/silent_stream_test.cc
+++ b/tests/gateway/silent_stream_test.cc
@@ -68,6 +68,13 @@
     return *heads.at(attempt).headers.Find("Expect-Backend");
   }
 
+  /// @return Attempts that the gateway has not ended.
+  int InFlight() const {
+    const auto& loads = fixture.context.loads;
+    return loads.OwnInFlight(state::BackendServerId("b1")) +
+           loads.OwnInFlight(state::BackendServerId("b2"));
+  }
+
   GatewayFixture fixture;
   /// Connection of the latest send, by call.
   std::map<std::string, std::shared_ptr<ScriptedBackend::Session>> sessions;
@@ -132,9 +139,13 @@
   REQUIRE(engines.fixture.RunUntil(
       [&] { return engines.sessions["silent"] != first; }));
   CHECK(*engines.heads["silent"].headers.Find("Last-Event-Id") == "1");
+  engines.fixture.RunFor(milliseconds(50));
+  CHECK_FALSE(first->Ended());
+  engines.sessions["silent"]->Write(StreamHead("silent") +
+                                    EventChunk(2, "moved"));
   CHECK(engines.fixture.RunUntil([&] { return first->Ended(); }));
-  engines.sessions["silent"]->Write(StreamHead("silent"));
-  engines.EndStream("silent", 2);
+  CHECK(silent.Has("data: moved"));
+  engines.EndStream("silent", 3);
   REQUIRE(engines.fixture.RunUntil([&] { return silent.Has("0\r\n\r\n"); }));
   CHECK(silent.Has("data: last"));
 }
@@ -154,6 +165,123 @@
   REQUIRE(engines.fixture.RunUntil([&] { return silent.Has("0\r\n\r\n"); }));
 }
 
+/// A stream whose first engine is silent and that was sent to the other one.
+struct MovedStream {
+  explicit MovedStream(TwoEngines* engines)
+      : client(&engines->StartStream("a")), first(engines->sessions["a"]) {
+    REQUIRE(engines->fixture.RunUntil([&] { return engines->sends == 2; }));
+    second = engines->sessions["a"];
+  }
+
+  TestClient* client;
+  std::shared_ptr<ScriptedBackend::Session> first;
+  std::shared_ptr<ScriptedBackend::Session> second;
+};
+
+TEST_CASE("a silent stream goes on where it is if no other engine takes it") {
+  // Guards against a stream that is let go for an engine that was only
+  // believed to have room.
+  TwoEngines engines;
+  const MovedStream stream(&engines);
+  SECTION("since it is full") {
+    stream.second->Write(PlainAnswer("a", 503, "", "Not-Run: 1\r\n"));
+  }
+  SECTION("since it fails") {
+    stream.second->Write(PlainAnswer("a", 500, "error"));
+  }
+  SECTION("since it knows no such stream") {
+    stream.second->Write(PlainAnswer("a", 404, "unknown"));
+  }
+  SECTION("since it crashes") { stream.second->Reset(); }
+  SECTION("since it is silent too") {}
+  engines.fixture.RunFor(milliseconds(100));
+  CHECK_FALSE(stream.first->Ended());
+  stream.first->Write(EventChunk(2, "two") + EventChunk(3, "last") +
+                      std::string(transport::kLastChunk));
+  REQUIRE(engines.fixture.RunUntil([&] {
+    return stream.client->Ended() || stream.client->Has("0\r\n\r\n");
+  }));
+  CHECK(stream.client->Has("data: two"));
+  CHECK(stream.client->Has("data: last"));
+  CHECK(engines.fixture.RunUntil([&] { return engines.InFlight() == 0; }));
+}
+
+TEST_CASE("a silent stream is sent again after a refusal") {
+  TwoEngines engines;
+  const MovedStream stream(&engines);
+  stream.second->Write(PlainAnswer("a", 503, "", "Not-Run: 1\r\n"));
+  REQUIRE(engines.fixture.RunUntil([&] { return engines.sends == 3; }));
+  engines.sessions["a"]->Write(StreamHead("a"));
+  engines.EndStream("a", 2);
+  REQUIRE(engines.fixture.RunUntil(
+      [&] { return stream.client->Has("0\r\n\r\n"); }));
+  CHECK(engines.fixture.RunUntil([&] { return engines.InFlight() == 0; }));
+}
+
+TEST_CASE("each event of a moved stream reaches its caller once") {
+  TwoEngines engines;
+  const MovedStream stream(&engines);
+  const std::string rest = EventChunk(2, "two") + EventChunk(3, "last") +
+                           std::string(transport::kLastChunk);
+  SECTION("the first engine goes on") {
+    stream.first->Write(rest);
+    stream.second->Write(StreamHead("a") + rest);
+  }
+  SECTION("the second engine goes on, in one turn of the loop") {
+    stream.second->Write(StreamHead("a") + rest);
+    stream.first->Write(rest);
+  }
+  SECTION("the first engine says that it is there, the second goes on") {
+    stream.first->Write(transport::EncodeChunk(": there\n\n"));
+    engines.fixture.RunFor(milliseconds(20));
+    CHECK_FALSE(stream.second->Ended());
+    stream.second->Write(StreamHead("a") + rest);
+  }
+  SECTION("the second engine says that it is there, the first goes on") {
+    stream.second->Write(StreamHead("a") +
+                         transport::EncodeChunk(": there\n\n"));
+    engines.fixture.RunFor(milliseconds(20));
+    CHECK_FALSE(stream.first->Ended());
+    stream.first->Write(rest);
+  }
+  SECTION("the first engine breaks off, the second goes on") {
+    stream.first->Reset();
+    engines.fixture.RunFor(milliseconds(20));
+    stream.second->Write(StreamHead("a") + rest);
+  }
+  REQUIRE(engines.fixture.RunUntil([&] {
+    return stream.client->Ended() || stream.client->Has("0\r\n\r\n");
+  }));
+  const std::string& all = stream.client->Received();
+  for (const char* event :
+       {"data: one", "data: two", "data: last", "HTTP/1.1"}) {
+    CAPTURE(event);
+    CHECK(all.find(event) != std::string::npos);
+    CHECK(all.find(event) == all.rfind(event));
+  }
+  CHECK(all.find("data: two") < all.find("data: last"));
+  CHECK(engines.fixture.RunUntil([&] { return engines.InFlight() == 0; }));
+  CHECK(engines.sends == 2);
+}
+
+TEST_CASE("a stream whose caller reads slowly is not taken for silent") {
+  // Guards against the idle timeout of a connection that is not read.
+  TwoEngines engines;
+  TestClient& client = engines.StartStream("slow");
+  client.PauseReading();
+  constexpr int events = 240;
+  const std::string data(64U << 10U, 'x');
+  for (int event = 2; event <= events; ++event) {
+    engines.sessions["slow"]->Write(EventChunk(event, data));
+  }
+  engines.fixture.RunFor(kSilence);
+  CHECK(engines.sends == 1);
+  client.ResumeReading();
+  engines.EndStream("slow", events + 1);
+  REQUIRE(engines.fixture.RunUntil([&] { return client.Has("0\r\n\r\n"); }));
+  CHECK(client.Has("data: last"));
+}
+
 TEST_CASE("a slow plain call is not given up while no other engine has room") {
   TwoEngines engines;
   engines.Start("/once/x", "busy");
