The cold time of a service is asked of the configuration in force

Cause: the cold time was copied from the configuration when the entry of a backend server was first read, 0 if there was none yet, and was kept for the life of the incarnation.

BackendRegistry::Put loses its parameter, so that tests pass the time to the registry; the check of KnownBackendServer::cold_time in store_follower_test became one of the time for which the server is cold after an evacuation.

--- a/src/wasabiwall/coordination/backend_placement.cc
+++ b/src/wasabiwall/coordination/backend_placement.cc
@@ -225,13 +225,12 @@
 bool BackendPlacement::AllowsColdCall(const state::KnownBackendServer& known,
                                       const state::Service& service,
                                       TimePoint now) const {
-  if (service.cold_calls_per_second <= 0 || now >= known.cold_until) {
-    return true;
-  }
+  const auto cold_until = m_inputs.registry->ColdUntil(known);
+  if (service.cold_calls_per_second <= 0 || now >= cold_until) return true;
   const double rate = ColdStartLimiter::PerProcessRate(
       service.cold_calls_per_second * kColdMargin, m_inputs.processes());
   return m_inputs.cold_starts->Allows(known.server.id, rate,
-                                      known.cold_until - known.cold_time, now);
+                                      cold_until - service.cold_time, now);
 }
 
 double BackendPlacement::AffinityCost(const state::KnownBackendServer& known,
--- a/src/wasabiwall/state/backend_registry.cc
+++ b/src/wasabiwall/state/backend_registry.cc
@@ -54,7 +54,7 @@
 }
 
 bool BackendRegistry::Put(const BackendServer& server, MonotonicTime now,
-                          std::chrono::milliseconds cold_time, bool appeared) {
+                          bool appeared) {
   if (IsOutdated(server, now)) return false;
   ++m_revision;
   m_removed.erase(server.id);
@@ -68,14 +68,16 @@
   if (same_incarnation) {
     found->second.server = server;
     found->second.kept_until.reset();
-    found->second.cold_until =
-        std::max(found->second.cold_until, now + server.cold_left);
+    found->second.reported_cold_until =
+        std::max(found->second.reported_cold_until, now + server.cold_left);
     return false;
   }
   if (!IsLeaving(server)) m_leaving.erase(server.id);
-  const auto cold_left =
-      appeared ? std::max(server.cold_left, cold_time) : server.cold_left;
-  m_servers[server.id] = {server, now, now + cold_left, cold_time};
+  m_servers[server.id] = {
+      .server = server,
+      .first_seen = now,
+      .reported_cold_until = now + server.cold_left,
+      .assumed_cold_since = appeared ? std::optional(now) : std::nullopt};
   return true;
 }
 
@@ -150,7 +152,7 @@
   if (m_evacuated.erase(domain) == 0) return;
   for (auto& [id, known] : m_servers) {
     if (known.server.failure_domain != domain) continue;
-    known.cold_until = std::max(known.cold_until, now + known.cold_time);
+    known.assumed_cold_since = now;
   }
 }
 
@@ -190,7 +192,18 @@
                                  MonotonicTime until) {
   const auto found = m_servers.find(id);
   if (found == m_servers.end()) return;
-  found->second.cold_until = std::max(found->second.cold_until, until);
+  found->second.reported_cold_until =
+      std::max(found->second.reported_cold_until, until);
+}
+
+MonotonicTime BackendRegistry::ColdUntil(
+    const KnownBackendServer& known) const {
+  if (!known.assumed_cold_since || !m_cold_time) {
+    return known.reported_cold_until;
+  }
+  return std::max(
+      known.reported_cold_until,
+      *known.assumed_cold_since + m_cold_time(known.server.service));
 }
 
 bool BackendRegistry::IsEligible(const KnownBackendServer& known,
--- a/src/wasabiwall/state/backend_registry.h
+++ b/src/wasabiwall/state/backend_registry.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "wasabiwall/state/service_config.h"
@@ -57,10 +58,11 @@
   BackendServer server;
   /// Time at which this process first saw this incarnation.
   MonotonicTime first_seen;
-  /// Time until which it is treated as cold.
-  MonotonicTime cold_until;
-  /// Time for which new backend servers of its service stay cold.
-  std::chrono::milliseconds cold_time{0};
+  /// Time until which it is cold by its own word.
+  MonotonicTime reported_cold_until;
+  /// When it may last have become cold without saying so: when it appeared or
+  /// its evacuation ended. It then stays cold for the time of its service.
+  std::optional<MonotonicTime> assumed_cold_since;
   /// Until when it may be used although its entry is missing; nothing while the
   /// entry is there.
   std::optional<MonotonicTime> kept_until;
@@ -83,8 +85,16 @@
 /// contact. Not safe for concurrent use.
 class BackendRegistry {
  public:
-  explicit BackendRegistry(LapseTimes lapse_times)
-      : m_lapse_times(lapse_times) {}
+  /// @return Time for which a backend server of a service stays cold, as the
+  /// configuration in force says; zero if it says nothing.
+  using ColdTimeHook =
+      std::function<std::chrono::milliseconds(const ServiceId&)>;
+
+  /// @param cold_time Asked whenever it is needed, since the configuration may
+  /// come later than the backend servers, and change. Null for zero.
+  explicit BackendRegistry(LapseTimes lapse_times,
+                           ColdTimeHook cold_time = nullptr)
+      : m_lapse_times(lapse_times), m_cold_time(std::move(cold_time)) {}
 
   /// @return Whether an entry is older than what is known of its backend
   /// server: an earlier write that was carried out late, or one of a copy from
@@ -92,13 +102,10 @@
   bool IsOutdated(const BackendServer& server, MonotonicTime now) const;
 
   /// Adds or updates an entry; ignores one that is outdated.
-  /// @param cold_time Time for which new backend servers of its service stay
-  /// cold.
   /// @param appeared Whether the entry was absent at the first full read, so
   /// that a new incarnation is assumed to be cold.
   /// @return Whether this is a new incarnation.
-  bool Put(const BackendServer& server, MonotonicTime now,
-           std::chrono::milliseconds cold_time, bool appeared);
+  bool Put(const BackendServer& server, MonotonicTime now, bool appeared);
 
   /// Removes an entry. Within the grace time after an outage of the registry,
   /// an entry that is not leaving is kept for the rest of that time.
@@ -159,6 +166,9 @@
   /// Extends the cold time of a backend server that reports that it is cold.
   void ExtendCold(const BackendServerId& id, MonotonicTime until);
 
+  /// @return Time until which a backend server is treated as cold.
+  MonotonicTime ColdUntil(const KnownBackendServer& known) const;
+
   bool IsEvacuated(const FailureDomainId& domain) const {
     return m_evacuated.contains(domain);
   }
@@ -204,6 +214,7 @@
              bool may_live = false);
 
   LapseTimes m_lapse_times;
+  ColdTimeHook m_cold_time;
   std::unordered_map<BackendServerId, KnownBackendServer> m_servers;
   std::unordered_map<BackendServerId, LeavingMark> m_leaving;
   std::unordered_map<BackendServerId, RemovedEntry> m_removed;
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -104,7 +104,13 @@
     : loop(event_loop),
       options(std::move(gateway_options)),
       codec(std::move(call_codec)),
-      registry(options.lapse_times),
+      registry(options.lapse_times,
+               [this](const state::ServiceId& id) {
+                 const state::Service* service =
+                     m_config ? m_config->FindService(id) : nullptr;
+                 return service == nullptr ? milliseconds{0}
+                                           : service->cold_time;
+               }),
       load_announcer(&loads, LoadAnnouncerHooks()),
       failure_domains(options.failure_domain, FailureDomainHooks()),
       cold_starts(SeededRandom()()),
--- a/src/wasabiwall/transport/rollout_observer.cc
+++ b/src/wasabiwall/transport/rollout_observer.cc
@@ -61,7 +61,8 @@
               .objective = call.route->objective,
               .started_at = Now(),
               // Cold backend servers of any version are slow.
-              .is_ignored = known == nullptr || Now() < known->cold_until};
+              .is_ignored = known == nullptr ||
+                            Now() < m_context->registry.ColdUntil(*known)};
   m_context->rollouts->OnSent(call.service->id, server.version, is_idempotent);
 }
 
--- a/tests/fakes/gateway_fixture.cc
+++ b/tests/fakes/gateway_fixture.cc
@@ -174,7 +174,7 @@
   server.address = address;
   server.failure_domain = state::FailureDomainId("z");
   server.capacity = 10;
-  context.registry.Put(server, loop.Now(), milliseconds(0), false);
+  context.registry.Put(server, loop.Now(), false);
 }
 
 TestClient& GatewayFixture::Connect() {
--- a/tests/fakes/placement_fixture.h
+++ b/tests/fakes/placement_fixture.h
@@ -16,7 +16,8 @@
  public:
   /// @param seed Of what is left to chance.
   explicit PlacementFixture(std::uint64_t seed = 7)
-      : registry(state::LapseTimes{}),
+      : registry(state::LapseTimes{},
+                 [this](const state::ServiceId&) { return service.cold_time; }),
         cold_starts(1),
         hold_offs([] { return 0U; }),
         prompt_cache(1000),
@@ -55,7 +56,7 @@
     server.failure_domain =
         state::FailureDomainId("z" + std::to_string(m_port % 3));
     server.capacity = 64;
-    registry.Put(server, now, service.cold_time, appeared);
+    registry.Put(server, now, appeared);
   }
 
   tl::expected<coordination::Placement, coordination::PlacementRefusal> Choose(
--- a/tests/fakes/rollout_fleet.cc
+++ b/tests/fakes/rollout_fleet.cc
@@ -240,7 +240,7 @@
 void RolloutFleet::StartServers(const std::string& version) {
   for (const auto& server : m_servers) {
     if (server->entry.version != version) continue;
-    m_registry.Put(server->entry, m_now, milliseconds(0), false);
+    m_registry.Put(server->entry, m_now, false);
   }
 }
 
--- a/tests/gateway/crashing_request_test.cc
+++ b/tests/gateway/crashing_request_test.cc
@@ -240,8 +240,7 @@
       state::BackendServer next =
           fleet.context.registry.Find(state::BackendServerId(id))->server;
       ++next.incarnation;
-      REQUIRE(fleet.context.registry.Put(next, fleet.loop.Now(),
-                                         milliseconds(0), false));
+      REQUIRE(fleet.context.registry.Put(next, fleet.loop.Now(), false));
       fleet.context.ForgetBackendServer(next.id);
     }
   }
--- a/tests/gateway/endless_response_test.cc
+++ b/tests/gateway/endless_response_test.cc
@@ -226,7 +226,7 @@
   server.address = sound.Address();
   server.failure_domain = state::FailureDomainId("z");
   server.capacity = 10;
-  fleet.context.registry.Put(server, fleet.loop.Now(), milliseconds(0), false);
+  fleet.context.registry.Put(server, fleet.loop.Now(), false);
   int faulty_calls = 0;
   std::vector<TestClient*> faulty(endless_calls, nullptr);
   const std::string route = is_stream ? "/talk/" : "/once/";
--- a/tests/gateway/failure_domain_loss_test.cc
+++ b/tests/gateway/failure_domain_loss_test.cc
@@ -59,7 +59,7 @@
   const SilentListener nobody;
   for (const auto& id : silent) {
     fleet.context.registry.Put(ServerAt(id, nobody.Address(), kLostDomain),
-                               fleet.loop.Now(), milliseconds(0), false);
+                               fleet.loop.Now(), false);
   }
   ScriptedBackend backend(
       &fleet.loop, [](const ScriptedBackend::Received& call) {
@@ -68,7 +68,7 @@
       });
   const state::FailureDomainId good_domain("d");
   fleet.context.registry.Put(ServerAt("good", backend.Address(), good_domain),
-                             fleet.loop.Now(), milliseconds(0), false);
+                             fleet.loop.Now(), false);
   const auto part = PartThatPrefersOthers("good", silent);
   TestClient& caller =
       fleet.Call("/chat/x", "a1", "Part: " + std::to_string(part) + "\r\n");
--- a/tests/gateway/leaving_test.cc
+++ b/tests/gateway/leaving_test.cc
@@ -97,8 +97,7 @@
   REQUIRE(fixture.RunUntil([&] { return first.Status() == 200; }));
   auto restarted = server;
   restarted.incarnation = server.incarnation + 1;
-  fixture.context.registry.Put(restarted, fixture.loop.Now(), milliseconds(0),
-                               true);
+  fixture.context.registry.Put(restarted, fixture.loop.Now(), true);
   TestClient& second = fixture.Call("/once/x", "a2");
   REQUIRE(fixture.RunUntil([&] { return second.Status() != 0; }));
   CHECK(second.Status() == 200);
--- a/tests/gateway/load_announcer_test.cc
+++ b/tests/gateway/load_announcer_test.cc
@@ -261,7 +261,7 @@
   server.service = state::ServiceId("s");
   server.address = backend.Address();
   server.capacity = 64;
-  fleet.context.registry.Put(server, fleet.loop.Now(), milliseconds(0), false);
+  fleet.context.registry.Put(server, fleet.loop.Now(), false);
   fakes::TestClient& caller = fleet.Call("/safe/x", "a1");
   REQUIRE(fleet.RunUntil([&] { return caller.Status() == 200; }));
   REQUIRE(fleet.RunUntil([&] { return !received.empty(); }));
--- a/tests/gateway/placement_test.cc
+++ b/tests/gateway/placement_test.cc
@@ -110,7 +110,7 @@
   // The prompt is fetched from where calls go while the home is out.
   auto draining = home->server;
   draining.draining = true;
-  fixture.registry.Put(draining, fixture.now, seconds(3), true);
+  fixture.registry.Put(draining, fixture.now, true);
   CHECK(fixture.Choose(42)->server.id == home->fetch_from->id);
 }
 
@@ -174,7 +174,7 @@
   fixture.Add("b");
   auto draining = fixture.registry.Find(Id("a"))->server;
   draining.draining = true;
-  fixture.registry.Put(draining, fixture.now, seconds(3), true);
+  fixture.registry.Put(draining, fixture.now, true);
   for (std::uint64_t part = 1; part < 30; ++part) {
     CHECK(fixture.Choose(part)->server.id == Id("b"));
   }
@@ -184,7 +184,8 @@
   fixture.registry.SetEvacuated(domain, false, fixture.now);
   CHECK(fixture.Choose(1));
   // It may have become cold during the evacuation.
-  CHECK(fixture.registry.Find(Id("b"))->cold_until > fixture.now);
+  CHECK(fixture.registry.ColdUntil(*fixture.registry.Find(Id("b"))) >
+        fixture.now);
 }
 
 TEST_CASE(
--- a/tests/gateway/registry_order_test.cc
+++ b/tests/gateway/registry_order_test.cc
@@ -97,7 +97,7 @@
     server.address = "10.0.0.1:80";
     server.failure_domain = FailureDomainId("z");
     std::tie(server.incarnation, server.sequence) = write;
-    m_registry.Put(server, m_now, milliseconds(0), true);
+    m_registry.Put(server, m_now, true);
     // The oracle.
     const bool is_return = write == m_newest && (m_is_there || m_may_live);
     if (write <= m_newest && !is_return) return;
--- a/tests/gateway/registry_test.cc
+++ b/tests/gateway/registry_test.cc
@@ -12,6 +12,9 @@
 constexpr milliseconds kShortestOutage{2400};
 constexpr LapseTimes kLapseTimes{kShortestOutage, kLapseGrace};
 constexpr milliseconds kColdTime{3000};
+
+milliseconds ColdTimeOf(const ServiceId& /*service*/) { return kColdTime; }
+
 const MonotonicTime kStart{seconds(100)};
 
 BackendServer Server(const std::string& id, std::int64_t start_time = 1,
@@ -27,8 +30,8 @@
 }
 
 TEST_CASE("a missing entry is removed at once without an outage") {
-  BackendRegistry registry(kLapseTimes);
-  registry.Put(Server("a"), kStart, kColdTime, false);
+  BackendRegistry registry(kLapseTimes, ColdTimeOf);
+  registry.Put(Server("a"), kStart, false);
   registry.Remove(BackendServerId("a"), kStart);
   CHECK(registry.Find(BackendServerId("a")) == nullptr);
 }
@@ -39,7 +42,7 @@
                        milliseconds outage = kShortestOutage)
       : back(kStart + outage) {
     registry.OnContact(kStart);
-    registry.Put(server, kStart, kColdTime, false);
+    registry.Put(server, kStart, false);
     registry.OnContactLost();
     registry.OnContact(back);
   }
@@ -49,7 +52,7 @@
     return known != nullptr && registry.IsEligible(*known, now);
   }
 
-  BackendRegistry registry{kLapseTimes};
+  BackendRegistry registry{kLapseTimes, ColdTimeOf};
   MonotonicTime back;
 };
 
@@ -68,10 +71,11 @@
   }
   SECTION("and stays if it registers again") {
     const auto now = outage.back + seconds(1);
-    outage.registry.Put(Server("a", 1, 2), now, kColdTime, true);
+    outage.registry.Put(Server("a", 1, 2), now, true);
     CHECK(outage.registry.Expire(kStart + seconds(60)).empty());
     CHECK(outage.IsUsed(kStart + seconds(60)));
-    CHECK(outage.registry.Find(BackendServerId("a"))->cold_until <= now);
+    CHECK(outage.registry.ColdUntil(
+              *outage.registry.Find(BackendServerId("a"))) <= now);
   }
   SECTION("and longer while there is no contact") {
     outage.registry.OnContactLost();
@@ -107,9 +111,9 @@
 }
 
 TEST_CASE("a registry that was quiet for long has not been out") {
-  BackendRegistry registry(kLapseTimes);
+  BackendRegistry registry(kLapseTimes, ColdTimeOf);
   registry.OnContact(kStart);
-  registry.Put(Server("a"), kStart, kColdTime, false);
+  registry.Put(Server("a"), kStart, false);
   const auto now = kStart + 2 * kShortestOutage;
   registry.OnContact(now);
   CHECK_FALSE(registry.Remove(BackendServerId("a"), now));
@@ -133,17 +137,63 @@
 }
 
 TEST_CASE("a new incarnation with a known identifier is detected and cold") {
-  BackendRegistry registry(kLapseTimes);
-  CHECK(registry.Put(Server("a", 1), kStart, kColdTime, false));
-  CHECK(registry.Find(BackendServerId("a"))->cold_until == kStart);
-  CHECK_FALSE(registry.Put(Server("a", 1), kStart, kColdTime, true));
-  CHECK(registry.Put(Server("a", 2), kStart, kColdTime, true));
-  CHECK(registry.Find(BackendServerId("a"))->cold_until == kStart + kColdTime);
+  BackendRegistry registry(kLapseTimes, ColdTimeOf);
+  CHECK(registry.Put(Server("a", 1), kStart, false));
+  CHECK(registry.ColdUntil(*registry.Find(BackendServerId("a"))) == kStart);
+  CHECK_FALSE(registry.Put(Server("a", 1), kStart, true));
+  CHECK(registry.Put(Server("a", 2), kStart, true));
+  CHECK(registry.ColdUntil(*registry.Find(BackendServerId("a"))) ==
+        kStart + kColdTime);
+}
+
+TEST_CASE("the cold time is the one that the configuration says now") {
+  // Guards against a cold time that is copied when the entry is first seen.
+  milliseconds cold_time{0};
+  BackendRegistry registry(kLapseTimes,
+                           [&](const ServiceId&) { return cold_time; });
+  const FailureDomainId domain = Server("a").failure_domain;
+  const auto cold_until = [&] {
+    return registry.ColdUntil(*registry.Find(BackendServerId("a")));
+  };
+  const auto check_follows = [&](MonotonicTime since) {
+    for (const int seconds_cold : {3, 1, 0, 30}) {
+      cold_time = seconds(seconds_cold);
+      CHECK(cold_until() == since + cold_time);
+    }
+  };
+  SECTION("of one that appears") {
+    registry.Put(Server("a"), kStart, true);
+    check_follows(kStart);
+  }
+  SECTION("of one that was there at the start and is taken back") {
+    registry.Put(Server("a"), kStart, false);
+    cold_time = kColdTime;
+    CHECK(cold_until() == kStart);
+    registry.SetEvacuated(domain, true, kStart);
+    const auto later = kStart + seconds(60);
+    registry.SetEvacuated(domain, false, later);
+    check_follows(later);
+  }
+  SECTION("of one that starts while its domain is evacuated") {
+    registry.SetEvacuated(domain, true, kStart);
+    registry.Put(Server("a"), kStart + seconds(1), true);
+    check_follows(kStart + seconds(1));
+    const auto later = kStart + seconds(60);
+    registry.SetEvacuated(domain, false, later);
+    check_follows(later);
+  }
+  SECTION("but what it says of itself holds without one") {
+    BackendServer server = Server("a");
+    server.cold_left = seconds(7);
+    registry.Put(server, kStart, true);
+    cold_time = seconds(2);
+    CHECK(cold_until() == kStart + seconds(7));
+  }
 }
 
 TEST_CASE("a backend server that announces that it leaves gets no new calls") {
-  BackendRegistry registry(kLapseTimes);
-  registry.Put(Server("a"), kStart, kColdTime, false);
+  BackendRegistry registry(kLapseTimes, ColdTimeOf);
+  registry.Put(Server("a"), kStart, false);
   const auto is_eligible = [&] {
     const auto* known = registry.Find(BackendServerId("a"));
     return known != nullptr && registry.IsEligible(*known, kStart);
@@ -154,18 +204,18 @@
   CHECK(registry.LeavingCount() == 1);
 
   SECTION("also when its entry says otherwise") {
-    registry.Put(Server("a"), kStart + seconds(1), kColdTime, true);
+    registry.Put(Server("a"), kStart + seconds(1), true);
     CHECK_FALSE(is_eligible());
   }
   SECTION("also when its entry was lost and returns") {
     registry.Remove(BackendServerId("a"), kStart);
     registry.Expire(kStart + seconds(60));
-    registry.Put(Server("a", 1, 2), kStart + seconds(60), kColdTime, true);
+    registry.Put(Server("a", 1, 2), kStart + seconds(60), true);
     REQUIRE(registry.Find(BackendServerId("a")) != nullptr);
     CHECK_FALSE(is_eligible());
   }
   SECTION("until a new incarnation registers") {
-    registry.Put(Server("a", 2), kStart, kColdTime, true);
+    registry.Put(Server("a", 2), kStart, true);
     CHECK(is_eligible());
     CHECK(registry.LeavingCount() == 0);
   }
@@ -176,27 +226,27 @@
   SECTION("and is forgotten long after it has left") {
     registry.Remove(BackendServerId("a"), kStart);
     registry.Expire(kStart + std::chrono::hours(5));
-    registry.Put(Server("a"), kStart + std::chrono::hours(5), kColdTime, true);
+    registry.Put(Server("a"), kStart + std::chrono::hours(5), true);
     CHECK(is_eligible());
   }
 }
 
 TEST_CASE("an announcement to leave counts before the entry is known") {
-  BackendRegistry registry(kLapseTimes);
+  BackendRegistry registry(kLapseTimes, ColdTimeOf);
   CHECK(registry.MarkLeaving(Server("a"), kStart));
-  registry.Put(Server("a"), kStart, kColdTime, true);
+  registry.Put(Server("a"), kStart, true);
   CHECK_FALSE(
       registry.IsEligible(*registry.Find(BackendServerId("a")), kStart));
 }
 
 TEST_CASE("an older write of an entry that is carried out late is ignored") {
-  BackendRegistry registry(kLapseTimes);
+  BackendRegistry registry(kLapseTimes, ColdTimeOf);
   const BackendServerId id("a");
   const auto later = kStart + seconds(6);
   const auto put = [&](std::int64_t start_time, std::int64_t sequence) {
-    registry.Put(Server("a", start_time, sequence), later, kColdTime, true);
+    registry.Put(Server("a", start_time, sequence), later, true);
   };
-  registry.Put(Server("a", 5, 4), kStart, kColdTime, false);
+  registry.Put(Server("a", 5, 4), kStart, false);
   const auto known = [&]() -> const BackendServer& {
     return registry.Find(id)->server;
   };
@@ -232,7 +282,7 @@
   SECTION("but an entry of another writer does not outdate the next one") {
     BackendServer foreign = Server("a", 5, 1000);
     foreign.service = ServiceId("other");
-    registry.Put(foreign, kStart, kColdTime, true);
+    registry.Put(foreign, kStart, true);
     put(5, 5);
     CHECK(known().service == ServiceId("s"));
   }
@@ -242,7 +292,7 @@
   AfterOutage outage;
   const auto end = outage.back + kLapseGrace;
   outage.registry.Remove(BackendServerId("a"), outage.back);
-  outage.registry.Put(Server("a", 1, 0), outage.back, kColdTime, true);
+  outage.registry.Put(Server("a", 1, 0), outage.back, true);
   CHECK(outage.registry.MissingCount() == 1);
   outage.registry.Expire(end);
   CHECK(outage.registry.Find(BackendServerId("a")) == nullptr);
@@ -253,29 +303,29 @@
   const auto end = outage.back + kLapseGrace;
   outage.registry.Remove(BackendServerId("a"), outage.back);
   SECTION("within the grace time") {
-    outage.registry.Put(Server("a"), outage.back, kColdTime, true);
+    outage.registry.Put(Server("a"), outage.back, true);
     CHECK(outage.registry.MissingCount() == 0);
   }
   SECTION("later") {
     outage.registry.Expire(end);
-    outage.registry.Put(Server("a"), end + seconds(1), kColdTime, true);
+    outage.registry.Put(Server("a"), end + seconds(1), true);
   }
   CHECK(outage.IsUsed(end + seconds(1)));
 }
 
 TEST_CASE(
     "a backend server whose clock was set back before a restart is used") {
-  BackendRegistry registry(kLapseTimes);
-  registry.Put(Server("a", 5, 4), kStart, kColdTime, false);
+  BackendRegistry registry(kLapseTimes, ColdTimeOf);
+  registry.Put(Server("a", 5, 4), kStart, false);
   registry.Remove(BackendServerId("a"), kStart);
-  registry.Put(Server("a", 3, 30), kStart + seconds(30), kColdTime, true);
+  registry.Put(Server("a", 3, 30), kStart + seconds(30), true);
   CHECK(registry.Find(BackendServerId("a")) != nullptr);
 }
 
 TEST_CASE("a full read removes the entries that it does not contain") {
-  BackendRegistry registry(kLapseTimes);
-  registry.Put(Server("a"), kStart, kColdTime, false);
-  registry.Put(Server("b"), kStart, kColdTime, false);
+  BackendRegistry registry(kLapseTimes, ColdTimeOf);
+  registry.Put(Server("a"), kStart, false);
+  registry.Put(Server("b"), kStart, false);
   registry.RetainOnly({BackendServerId("b")}, kStart);
   CHECK(registry.Size() == 1);
 }
--- a/tests/gateway/silent_stream_model_test.cc
+++ b/tests/gateway/silent_stream_model_test.cc
@@ -43,8 +43,7 @@
       auto server =
           fixture.context.registry.Find(state::BackendServerId(id))->server;
       server.capacity = kSlots;
-      fixture.context.registry.Put(server, fixture.loop.Now(), milliseconds(0),
-                                   false);
+      fixture.context.registry.Put(server, fixture.loop.Now(), false);
     }
   }
 
--- a/tests/gateway/silent_stream_test.cc
+++ b/tests/gateway/silent_stream_test.cc
@@ -38,8 +38,7 @@
       auto server =
           fixture.context.registry.Find(state::BackendServerId(id))->server;
       server.capacity = 1;
-      fixture.context.registry.Put(server, fixture.loop.Now(), milliseconds(0),
-                                   false);
+      fixture.context.registry.Put(server, fixture.loop.Now(), false);
     }
   }
 
--- a/tests/platform/store_follower_test.cc
+++ b/tests/platform/store_follower_test.cc
@@ -75,9 +75,13 @@
                                   Item("op/config", config, 3)));
   const FollowedStore followed(&fleet, store.Address());
   REQUIRE(followed.RunUntilLoaded());
-  const auto* known = fleet.context.registry.Find(state::BackendServerId("b"));
+  auto& registry = fleet.context.registry;
+  const auto* known = registry.Find(state::BackendServerId("b"));
   REQUIRE(known != nullptr);
-  CHECK(known->cold_time == seconds(3));
+  const auto now = fleet.loop.Now();
+  registry.SetEvacuated(state::FailureDomainId("z"), true, now);
+  registry.SetEvacuated(state::FailureDomainId("z"), false, now);
+  CHECK(registry.ColdUntil(*known) == now + seconds(3));
 }
 
 TEST_CASE("an unreadable configuration leaves the former one in force") {
--- a/tests/rollout/rollout_controller_test.cc
+++ b/tests/rollout/rollout_controller_test.cc
@@ -58,7 +58,7 @@
     server.service = kService;
     server.version = version;
     server.incarnation = 1;
-    registry.Put(server, now, milliseconds(0), false);
+    registry.Put(server, now, false);
   }
 
   void RemoveServers(int from, int to) {
--- a/tests/rollout/rollout_parts_test.cc
+++ b/tests/rollout/rollout_parts_test.cc
@@ -232,8 +232,7 @@
     CAPTURE(count);
     state::BackendRegistry registry{state::LapseTimes{}};
     for (int i = 0; i < 2 * count; ++i) {
-      registry.Put(ServerOf(i, i < count ? "v1" : "v2"), kStart,
-                   milliseconds(0), false);
+      registry.Put(ServerOf(i, i < count ? "v1" : "v2"), kStart, false);
     }
     TrialServers trial(state::ServiceId("service"), "v2", 0.08);
     trial.Update(registry);
