An idle connection of a caller has the time of the configuration in force

What callers see: a connection that fell idle under a short idle time, as before the first configuration, was closed at that time although a later configuration had raised it, and callers reuse connections by the new one.

Cause: the limit is read when the timer starts.

Change: the timer asks again when it runs out. The three places that read the limits share one function.

Evidence: the new test of slow_reader_test.cc passes; it was not run on the code before.

--- a/src/wasabiwall/transport/client_connection.cc
+++ b/src/wasabiwall/transport/client_connection.cc
@@ -199,10 +199,7 @@
 }
 
 void ClientConnection::Parse(std::string_view data) {
-  const state::IngressLimits limits = m_context->Config()
-                                          ? m_context->Config()->limits
-                                          : state::IngressLimits{};
-  m_parser.SetMaxHeadBytes(limits.max_header_bytes + kHeadAllowanceBytes);
+  m_parser.SetMaxHeadBytes(Limits().max_header_bytes + kHeadAllowanceBytes);
   const bool idle = !m_parser.InMessage();
   std::size_t consumed = 0;
   const auto status = m_parser.Feed(data, &consumed);
@@ -238,9 +235,7 @@
   const auto length = DeclaredLength(head);
   m_request.head = std::move(head);
   m_request_bytes = MemoryBytesOf(m_request.head);
-  const std::size_t limit = m_context->Config()
-                                ? m_context->Config()->limits.max_body_bytes
-                                : state::IngressLimits{}.max_body_bytes;
+  const std::size_t limit = Limits().max_body_bytes;
   if (length && *length > limit) {
     Reject(protocol::ErrorKind::kBodyTooLarge);
     return true;
@@ -252,9 +247,7 @@
 
 void ClientConnection::OnBody(std::string_view data) {
   if (m_rejected) return;
-  const std::size_t limit = m_context->Config()
-                                ? m_context->Config()->limits.max_body_bytes
-                                : state::IngressLimits{}.max_body_bytes;
+  const std::size_t limit = Limits().max_body_bytes;
   if (m_request.body.size() + data.size() > limit) {
     Reject(protocol::ErrorKind::kBodyTooLarge);
     return;
@@ -357,10 +350,13 @@
   Close();
 }
 
+state::IngressLimits ClientConnection::Limits() const {
+  return m_context->Config() ? m_context->Config()->limits
+                             : state::IngressLimits{};
+}
+
 void ClientConnection::StartReadTimer() {
-  const state::IngressLimits limits = m_context->Config()
-                                          ? m_context->Config()->limits
-                                          : state::IngressLimits{};
+  const state::IngressLimits limits = Limits();
   const auto timeout =
       m_parser.InMessage() ? limits.header_timeout : limits.idle_timeout;
   if (!m_parser.InMessage()) m_idle_since = m_context->loop->Now();
@@ -385,6 +381,14 @@
     StartTimer(m_timeout);
     return;
   }
+  // The configuration may have raised the limit since the timer was started.
+  const auto idle_left =
+      m_idle_since + Limits().idle_timeout - m_context->loop->Now();
+  const bool is_idle = !m_rejected && !IsBusy() && !IsDelivering();
+  if (is_idle && idle_left > std::chrono::microseconds(0)) {
+    StartTimer(std::chrono::ceil<std::chrono::milliseconds>(idle_left));
+    return;
+  }
   Close();
 }
 
--- a/src/wasabiwall/transport/client_connection.h
+++ b/src/wasabiwall/transport/client_connection.h
@@ -70,6 +70,8 @@
   void Evict(ingress::EvictionReason reason);
   /// Logs why the connection ends early, within an allowance for all clients.
   void LogEnd(const char* event, const char* reason);
+  /// @return Limits of the configuration in force.
+  state::IngressLimits Limits() const;
   void StartReadTimer();
   void StartTimer(std::chrono::milliseconds timeout);
   /// @return Whether bytes of a response wait for the caller.
--- a/tests/gateway/slow_reader_test.cc
+++ b/tests/gateway/slow_reader_test.cc
@@ -117,6 +117,26 @@
   CHECK_FALSE(SlowReaderFixture::HasAll(client));
 }
 
+TEST_CASE("an idle connection has the time of the configuration in force") {
+  // Guards against a limit that is read when the connection falls idle and
+  // then kept, as from before the first configuration.
+  GatewayFixture fixture;
+  fixture.context.ApplyConfig(ConfigWithIdleTimeout(milliseconds(200)));
+  fixture.AddBackend("b", [](const ScriptedBackend::Received& call) {
+    call.session->Write(
+        PlainAnswer(*call.head.headers.Find("Attempt"), 200, "x"));
+  });
+  TestClient& client = fixture.Call("/safe/x", "a1");
+  REQUIRE(fixture.RunUntil([&] { return client.Status() == 200; }));
+  auto raised = ConfigWithIdleTimeout(milliseconds(900));
+  raised->version = 3;
+  fixture.context.ApplyConfig(raised);
+  fixture.RunFor(milliseconds(600));
+  CHECK_FALSE(client.Ended());
+  fixture.RunFor(milliseconds(500));
+  CHECK(client.Ended());
+}
+
 TEST_CASE("a connection that delivers a response is not evicted") {
   auto options = GatewayFixture::DefaultOptions();
   options.max_descriptors = 20;  // Half of it for callers.
