An answer clears a request of the crashes before it, not of later ones

Cause: a request among the last answered ones was no suspect of any crash, however old the answer was and whatever version gave it; each gateway that remembered one cleared the others as well.

Change: answers to requests have the time at which the request was sent, as those to parts of prompts had. They remove the records of earlier crashes. A request that was answered before is quarantined after four crashes without an answer since (two if it never was). What is known of answers is told before the records of a crash.

New: a property of random fleets (1 to 100 gateways, lost messages, restarts, answered at any share of them).

Tests changed: "an answer shows that a request is not the cause" demanded that an answer clears a request of all later crashes, which is this fault. In its place are a request that is answered between crashes (20 rounds of three), four crashes after an answer, and a copy that was on its way. Others pass the time of the answer.

--- a/src/wasabiwall/coordination/crash_records.cc
+++ b/src/wasabiwall/coordination/crash_records.cc
@@ -62,6 +62,17 @@
   }
 }
 
+void CrashRecords::ForgetBefore(const std::string& fingerprint,
+                                TimePoint time) {
+  const std::lock_guard lock(m_mutex);
+  const auto found = m_table.find(fingerprint);
+  if (found == m_table.end()) return;
+  m_size -= std::erase_if(found->second, [time](const Record& record) {
+    return record.crashed_at < time;
+  });
+  if (found->second.empty()) m_table.erase(found);
+}
+
 void CrashRecords::Forget(const std::string& fingerprint) {
   const std::lock_guard lock(m_mutex);
   const auto found = m_table.find(fingerprint);
@@ -140,8 +151,7 @@
   if (known) return;
   m_size -= std::erase_if(
       crashes, [&](const Record& other) { return Expired(other, now); });
-  // Records beyond the quarantine threshold change nothing.
-  if (crashes.size() >= kQuarantineCrashes) return;
+  if (crashes.size() >= m_options.max_records_per_request) return;
   crashes.push_back(record);
   ++m_size;
   if (m_size <= m_options.max_records) return;
--- a/src/wasabiwall/coordination/crash_records.h
+++ b/src/wasabiwall/coordination/crash_records.h
@@ -31,6 +31,8 @@
 struct CrashRecordsOptions {
   /// Time after which a crash no longer counts.
   std::chrono::milliseconds retention = std::chrono::minutes(10);
+  /// Records of one request, beyond which further ones change nothing.
+  std::size_t max_records_per_request = kQuarantineCrashes;
   /// Largest number of records kept; the oldest are evicted.
   std::size_t max_records = 4096;
   /// Rate limit of records gossiped to peers.
@@ -56,6 +58,9 @@
   /// Removes the records of a crash.
   void RemoveCrash(std::int64_t crash);
 
+  /// Removes the records of a request of crashes before a time.
+  void ForgetBefore(const std::string& fingerprint, TimePoint time);
+
   /// Removes all records of a request.
   void Forget(const std::string& fingerprint);
 
--- a/src/wasabiwall/coordination/prompt_part_evidence.cc
+++ b/src/wasabiwall/coordination/prompt_part_evidence.cc
@@ -34,21 +34,6 @@
       m_answered(options.min_answered),
       m_established(options.min_answered) {}
 
-void PromptPartEvidence::RecentTimes::Set(std::uint64_t part, TimePoint time) {
-  if (m_latest.size() >= m_min_parts) m_before = std::exchange(m_latest, {});
-  const auto [entry, is_new] = m_latest.try_emplace(part, time);
-  entry->second = std::max(entry->second, time);
-}
-
-std::optional<TimePoint> PromptPartEvidence::RecentTimes::Find(
-    std::uint64_t part) const {
-  const auto found = m_latest.find(part);
-  if (found != m_latest.end()) return found->second;
-  const auto before = m_before.find(part);
-  if (before != m_before.end()) return before->second;
-  return std::nullopt;
-}
-
 void PromptPartEvidence::OnCrash(std::uint64_t part, std::int64_t crash,
                                  TimePoint at, TimePoint now, int calls) {
   const auto answered = AnsweredRequestSentAt(part);
--- a/src/wasabiwall/coordination/prompt_part_evidence.h
+++ b/src/wasabiwall/coordination/prompt_part_evidence.h
@@ -9,6 +9,7 @@
 
 #include "wasabiwall/coordination/clock.h"
 #include "wasabiwall/quarantine/crash_explanations.h"
+#include "wasabiwall/quarantine/recent_times.h"
 
 namespace wasabiwall::coordination {
 
@@ -152,24 +153,6 @@
   /// Ordered by time.
   using Records = std::vector<Record>;
 
-  /// The latest time of each of the parts seen lately.
-  class RecentTimes {
-   public:
-    /// @param min_parts Number of parts that are remembered at least.
-    explicit RecentTimes(std::size_t min_parts) : m_min_parts(min_parts) {}
-
-    void Set(std::uint64_t part, TimePoint time);
-    std::optional<TimePoint> Find(std::uint64_t part) const;
-
-   private:
-    using Table = std::unordered_map<std::uint64_t, TimePoint>;
-
-    std::size_t m_min_parts;
-    Table m_latest;
-    /// Those of the parts seen before.
-    Table m_before;
-  };
-
   bool IsExpired(const Record& record, TimePoint now) const {
     return now - record.at >= m_options.retention;
   }
@@ -215,10 +198,10 @@
   TimePoint m_last_change_at;
   bool m_has_withdrawn = false;
   /// Send times of the latest answered requests with a part.
-  RecentTimes m_answered;
+  quarantine::RecentTimes m_answered;
   /// Send times of the latest requests with a part whose answers are
   /// established.
-  RecentTimes m_established;
+  quarantine::RecentTimes m_established;
 };
 
 }  // namespace wasabiwall::coordination
--- a/src/wasabiwall/coordination/request_quarantine.cc
+++ b/src/wasabiwall/coordination/request_quarantine.cc
@@ -32,26 +32,36 @@
                                      RequestQuarantineOptions options)
     : m_hooks(std::move(hooks)),
       m_options(options),
-      m_records({.retention = options.quarantine_time}),
-      m_part_evidence(options.prompt_parts) {}
+      m_records({.retention = options.quarantine_time,
+                 .max_records_per_request = static_cast<std::size_t>(
+                     options.crashes_if_answered_before)}),
+      m_part_evidence(options.prompt_parts),
+      m_answered(options.min_answered) {}
 
-bool RequestQuarantine::WasAnswered(const std::string& fingerprint) const {
-  const std::uint64_t hash = state::FastHash(fingerprint);
-  return m_answered.contains(hash) || m_answered_before.contains(hash);
+int RequestQuarantine::CrashesNeeded(const std::string& fingerprint) const {
+  return m_answered.Find(state::FastHash(fingerprint))
+             ? m_options.crashes_if_answered_before
+             : kQuarantineCrashes;
+}
+
+bool RequestQuarantine::IsClearedOf(const std::string& fingerprint,
+                                    TimePoint crash_at) const {
+  const auto answered = m_answered.Find(state::FastHash(fingerprint));
+  return answered && *answered > crash_at;
 }
 
 bool RequestQuarantine::OnCrash(const std::string& fingerprint,
                                 std::int64_t crash, TimePoint now,
                                 milliseconds age, int calls) {
   const auto part = PromptPartOf(fingerprint);
-  if (!part && WasAnswered(fingerprint)) return false;
+  if (!part && IsClearedOf(fingerprint, now - age)) return false;
   if (m_own_crashes.size() >= kMaxOwnCrashes) m_own_crashes.clear();
   m_own_crashes[fingerprint] = now;
   if (part) {
     OnPartCrash(fingerprint, *part, crash, now - age, now, calls);
   } else {
     if (!m_part_evidence.IsExplained(crash, now)) {
-      m_records.Add(fingerprint, crash, now);
+      m_records.Add(fingerprint, crash, now - age);
     }
     Judge(fingerprint, "crashes", now);
   }
@@ -77,10 +87,10 @@
       }
       continue;
     }
-    if (WasAnswered(record.fingerprint)) {
+    if (AnsweredRequestSentAt(record.fingerprint)) {
       answered.push_back(record.fingerprint);
-      continue;
     }
+    if (IsClearedOf(record.fingerprint, now - record.age)) continue;
     if (!m_part_evidence.IsExplained(record.crash, now)) {
       m_records.Observe({record}, now);
     }
@@ -91,12 +101,17 @@
 
 void RequestQuarantine::Judge(const std::string& fingerprint,
                               const char* source, TimePoint now) {
-  const int crashes = m_records.Count(fingerprint, now);
-  if (crashes < kQuarantineCrashes) return;
+  const std::vector<CrashRecord> crashes = m_records.Of(fingerprint, now);
+  const auto needed = static_cast<std::size_t>(CrashesNeeded(fingerprint));
+  if (crashes.size() < needed) return;
   const bool is_known = TimeLeft(fingerprint, now).has_value();
-  Entry& entry = Insert(
-      fingerprint,
-      {.source = source, .crashes = static_cast<std::size_t>(crashes)}, now);
+  const auto first = std::ranges::max_element(crashes, {}, &CrashRecord::age);
+  Entry& entry = Insert(fingerprint,
+                        {.source = source,
+                         .crashes = crashes.size(),
+                         .first_crash_age = first->age},
+                        now);
+  entry.judged_crashes = static_cast<int>(crashes.size());
   if (!is_known && MayAnnounce(fingerprint)) {
     Announce(fingerprint, &entry, now);
   }
@@ -183,7 +198,8 @@
 
 void RequestQuarantine::OnAnnounced(const std::string& fingerprint, int probes,
                                     TimePoint now, milliseconds age) {
-  if (WasAnswered(fingerprint)) {
+  const bool is_part = PromptPartOf(fingerprint).has_value();
+  if (!is_part && IsClearedOf(fingerprint, now - age)) {
     // Few gateways reply, since all that have answered it get here.
     const bool replies =
         m_hooks.is_announcer && m_hooks.is_announcer(fingerprint);
@@ -233,8 +249,23 @@
   if (m_hooks.announce) m_hooks.announce(fingerprint);
 }
 
-void RequestQuarantine::OnAnswered(const std::string& fingerprint) {
-  const bool was_quarantined = Release(fingerprint);
+bool RequestQuarantine::ClearRequest(const std::string& fingerprint,
+                                     TimePoint sent_at) {
+  m_answered.Set(state::FastHash(fingerprint), sent_at);
+  m_records.ForgetBefore(fingerprint, sent_at);
+  const auto found = m_quarantined.find(fingerprint);
+  if (found == m_quarantined.end()) return false;
+  const Entry& entry = found->second;
+  // Of an announced quarantine the crashes are not known here.
+  const bool is_premature = entry.judged_crashes > 0 &&
+                            entry.judged_crashes < CrashesNeeded(fingerprint);
+  if (sent_at <= entry.first_crash_at && !is_premature) return false;
+  return Release(fingerprint);
+}
+
+void RequestQuarantine::OnAnswered(const std::string& fingerprint,
+                                   TimePoint sent_at) {
+  const bool was_quarantined = ClearRequest(fingerprint, sent_at);
   if (was_quarantined && m_hooks.announce_answered) {
     m_hooks.announce_answered(fingerprint);
   }
@@ -291,7 +322,7 @@
 std::optional<TimePoint> RequestQuarantine::AnsweredRequestSentAt(
     const std::string& fingerprint) const {
   const auto part = PromptPartOf(fingerprint);
-  if (!part) return std::nullopt;
+  if (!part) return m_answered.Find(state::FastHash(fingerprint));
   return m_part_evidence.AnsweredRequestSentAt(*part);
 }
 
@@ -319,16 +350,20 @@
     return;
   }
   const bool announces = MayAnnounce(fingerprint);
-  const bool was_quarantined = Release(fingerprint);
+  const bool was_quarantined = ClearRequest(fingerprint, sent_at);
   if (was_quarantined && announces && m_hooks.announce_answered) {
     m_hooks.announce_answered(fingerprint);
   }
 }
 
-void RequestQuarantine::OnAnsweredAnnounced(const std::string& fingerprint) {
+void RequestQuarantine::OnAnsweredAnnounced(const std::string& fingerprint,
+                                            TimePoint now) {
   // The announcement does not tell when the answered request was sent.
   if (const auto part = PromptPartOf(fingerprint)) {
     m_part_evidence.Forget(*part);
+  } else {
+    m_answered.Set(state::FastHash(fingerprint), now);
+    m_records.ForgetBefore(fingerprint, now);
   }
   Release(fingerprint);
 }
@@ -336,12 +371,6 @@
 bool RequestQuarantine::Release(const std::string& fingerprint) {
   if (const auto part = PromptPartOf(fingerprint)) {
     m_part_evidence.Withdraw(*part);
-  } else {
-    if (m_answered.size() >= m_options.min_answered) {
-      m_answered_before = std::exchange(m_answered, {});
-    }
-    m_answered.insert(state::FastHash(fingerprint));
-    m_records.Forget(fingerprint);
   }
   m_own_crashes.erase(fingerprint);
   const bool was_quarantined = m_quarantined.erase(fingerprint) > 0;
--- a/src/wasabiwall/coordination/request_quarantine.h
+++ b/src/wasabiwall/coordination/request_quarantine.h
@@ -8,12 +8,12 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "wasabiwall/coordination/clock.h"
 #include "wasabiwall/coordination/crash_records.h"
 #include "wasabiwall/coordination/prompt_part_evidence.h"
+#include "wasabiwall/quarantine/recent_times.h"
 
 namespace wasabiwall::coordination {
 
@@ -26,6 +26,10 @@
   std::size_t max_quarantined = 4096;
   /// Number of answered requests that are remembered at least.
   std::size_t min_answered = 8192;
+  /// Crashes since its last answer that quarantine a request that was answered
+  /// before: two calls with a repeat each. One that is popular is in flight at
+  /// most crashes and usually answered between two of them.
+  int crashes_if_answered_before = 4;
   /// Time until the first probe: longer than the answers of copies that were in
   /// flight, and the records of the same crashes, usually take.
   std::chrono::milliseconds first_probe_delay = std::chrono::seconds(2);
@@ -56,10 +60,12 @@
 /// send them.
 ///
 /// A content is a whole request or a part of prompts, known by its fingerprint.
-/// All contents in flight when a backend server ends get a record. A request
-/// with kQuarantineCrashes records and no answer is quarantined; one that was
-/// answered lately is never a suspect, so that a popular one that is in flight
-/// at every crash keeps running. Parts are judged by PromptPartEvidence.
+/// All contents in flight when a backend server ends get a record. An answer to
+/// a request that was sent after the crash removes it. A request with
+/// kQuarantineCrashes records is quarantined; one that was answered before
+/// needs more, so that a popular one that is in flight at every crash keeps
+/// running, and one that a new version does not bear is held off. Parts are
+/// judged by PromptPartEvidence.
 /// A crash that is attributed to a part counts against nothing else until the
 /// part turns out to be sound.
 ///
@@ -135,8 +141,8 @@
   std::vector<std::int64_t> CrashesOf(const std::string& fingerprint) const;
 
   /// Merges records of another gateway.
-  /// @return Fingerprints of requests that were answered lately, so that they
-  /// are not the cause, and of prompt parts that were in such requests.
+  /// @return Fingerprints of requests that were answered lately, and of prompt
+  /// parts that were in such requests.
   std::vector<std::string> OnPeerRecords(
       const std::vector<CrashRecord>& records, TimePoint now);
 
@@ -148,7 +154,9 @@
       std::chrono::milliseconds age = std::chrono::milliseconds(0));
 
   /// Records that a backend server has answered a request in full.
-  void OnAnswered(const std::string& fingerprint);
+  /// @param sent_at When the request was sent. What the answer shows ends with
+  /// the next crash: another version may not bear the request.
+  void OnAnswered(const std::string& fingerprint, TimePoint sent_at);
 
   /// Records that a backend server has answered a request with a prompt part.
   /// @param sent_at When the request was sent.
@@ -163,12 +171,11 @@
   void OnPeerEstablished(const std::string& fingerprint, TimePoint sent_at);
 
   /// Records that another gateway knows of an answer.
-  /// @param sent_at When the answered request was sent; counts for prompt
-  /// parts.
+  /// @param sent_at When the answered request was sent.
   void OnPeerAnswered(const std::string& fingerprint, TimePoint sent_at);
 
-  /// @return When the latest answered request with a prompt part was sent;
-  /// nothing if none is known, or for a request.
+  /// @return When the latest answered request with the content was sent;
+  /// nothing if none is known.
   std::optional<TimePoint> AnsweredRequestSentAt(
       const std::string& fingerprint) const;
 
@@ -188,8 +195,9 @@
   /// @return Whether anything is quarantined.
   bool IsEmpty() const { return m_quarantined.empty(); }
 
-  /// Records that it was announced that a request has been answered.
-  void OnAnsweredAnnounced(const std::string& fingerprint);
+  /// Records that it was announced that a content has been answered.
+  /// @param now The answer counts against crashes before this.
+  void OnAnsweredAnnounced(const std::string& fingerprint, TimePoint now);
 
   /// Records that a quarantined request was repeated, which extends the
   /// quarantine.
@@ -240,6 +248,8 @@
     /// Whether this gateway has judged the part by calls without established
     /// answers.
     bool is_judged = false;
+    /// Crashes by which this gateway has judged a request; 0 if it has not.
+    int judged_crashes = 0;
     /// When the next probe may be claimed, if any are left.
     TimePoint probe_at;
     /// When the outcome of a probe that is under way should be known.
@@ -251,7 +261,16 @@
     bool has_probe = false;
   };
 
-  bool WasAnswered(const std::string& fingerprint) const;
+  /// @return Crashes since its last answer that quarantine a request.
+  int CrashesNeeded(const std::string& fingerprint) const;
+  /// @return Whether a request that was sent after a crash is answered, so that
+  /// the crash does not count against it.
+  bool IsClearedOf(const std::string& fingerprint, TimePoint crash_at) const;
+  /// Records an answer to a request, and releases it if the answered request
+  /// was sent after its first crash, or if it was judged here without knowledge
+  /// of the answer.
+  /// @return Whether it was quarantined and is released.
+  bool ClearRequest(const std::string& fingerprint, TimePoint sent_at);
   /// @return Whether it is up to this gateway to announce the quarantine.
   bool MayAnnounce(const std::string& fingerprint) const;
   /// Quarantines the request if it has enough records.
@@ -289,9 +308,9 @@
   /// Last crash that this gateway saw of a request by itself.
   std::unordered_map<std::string, TimePoint> m_own_crashes;
   std::unordered_map<std::string, Entry> m_quarantined;
-  /// Hashes of the fingerprints answered lately, and of those before them.
-  std::unordered_set<std::uint64_t> m_answered;
-  std::unordered_set<std::uint64_t> m_answered_before;
+  /// When the latest answered copy of a request was sent, by the hash of its
+  /// fingerprint.
+  quarantine::RecentTimes m_answered;
 };
 
 }  // namespace wasabiwall::coordination
--- a/src/wasabiwall/transport/crash_monitor.cc
+++ b/src/wasabiwall/transport/crash_monitor.cc
@@ -160,6 +160,8 @@
   protocol::CrashMessage established = crash;
   established.kind = protocol::CrashMessage::Kind::kCrashEstablished;
   AttributeToQuarantined(calls, crash.crash);
+  // Before the records, which homes judge as they arrive.
+  TellKnownAnswers(calls.fingerprints);
   std::size_t suspects = 0;
   for (const auto& [fingerprint, count] : calls.fingerprints) {
     if (calls.count > 1) m_quarantine->OnAmbiguousCrash(fingerprint, now);
@@ -185,7 +187,6 @@
            {"known_after_ms", std::to_string(crash.age.count())}});
   SendToHomes(crash);
   SendToHomes(established);
-  TellKnownAnswers(calls.fingerprints);
   JudgeSoon();
 }
 
@@ -241,18 +242,27 @@
   return std::max(age, milliseconds(0));
 }
 
+std::optional<coordination::TimePoint> CrashMonitor::AddKnownAnswer(
+    const std::string& fingerprint, AnswerMessages* answers) const {
+  const auto sent_at = m_quarantine->AnsweredRequestSentAt(fingerprint);
+  if (!sent_at) return std::nullopt;
+  protocol::CrashMessage& message = coordination::PromptPartOf(fingerprint)
+                                        ? answers->parts
+                                        : answers->requests;
+  message.fingerprints.push_back(fingerprint);
+  // The oldest holds for all of them.
+  message.age = std::max(message.age, AgeOf(*sent_at));
+  return sent_at;
+}
+
 void CrashMonitor::TellKnownAnswers(
     const std::map<std::string, int>& fingerprints) {
-  protocol::CrashMessage message{.kind =
-                                     protocol::CrashMessage::Kind::kAnswered};
+  AnswerMessages answers;
   for (const auto& [fingerprint, count] : fingerprints) {
-    const auto sent_at = m_quarantine->AnsweredRequestSentAt(fingerprint);
-    if (!sent_at) continue;
-    message.fingerprints.push_back(fingerprint);
-    // The oldest holds for all of them.
-    message.age = std::max(message.age, AgeOf(*sent_at));
+    AddKnownAnswer(fingerprint, &answers);
   }
-  SendToHomes(message);
+  SendToHomes(answers.requests);
+  SendToHomes(answers.parts);
 }
 
 void CrashMonitor::TellAnswered(const std::string& fingerprint,
@@ -354,21 +364,17 @@
         {fingerprint, message.crash, message.age,
          message.kind == protocol::CrashMessage::Kind::kCrashEstablished});
   }
-  protocol::CrashMessage requests{
-      .kind = protocol::CrashMessage::Kind::kAnswered, .crash = message.crash};
-  protocol::CrashMessage parts = requests;
-  for (std::string& fingerprint : m_quarantine->OnPeerRecords(records, now)) {
-    const auto sent_at = m_quarantine->AnsweredRequestSentAt(fingerprint);
-    protocol::CrashMessage& reply = sent_at ? parts : requests;
-    if (sent_at) {
-      reply.age = std::max(reply.age, AgeOf(*sent_at));
+  AnswerMessages answers;
+  for (const std::string& fingerprint :
+       m_quarantine->OnPeerRecords(records, now)) {
+    const auto sent_at = AddKnownAnswer(fingerprint, &answers);
+    if (sent_at && coordination::PromptPartOf(fingerprint)) {
       TellJudges(fingerprint, *sent_at);
     }
-    reply.fingerprints.push_back(std::move(fingerprint));
   }
   JudgeSoon();
-  if (!requests.fingerprints.empty()) m_send(from, requests);
-  if (!parts.fingerprints.empty()) m_send(from, parts);
+  if (!answers.requests.fingerprints.empty()) m_send(from, answers.requests);
+  if (!answers.parts.fingerprints.empty()) m_send(from, answers.parts);
 }
 
 }  // namespace wasabiwall::transport
--- a/src/wasabiwall/transport/crash_monitor.h
+++ b/src/wasabiwall/transport/crash_monitor.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -115,6 +116,18 @@
   /// Sends to the homes of each content what the message says of it.
   void SendToHomes(const protocol::CrashMessage& message);
   void SendToAll(const protocol::CrashMessage& message);
+  /// What this gateway knows of answers, for other gateways.
+  struct AnswerMessages {
+    protocol::CrashMessage requests{
+        .kind = protocol::CrashMessage::Kind::kAnswered};
+    protocol::CrashMessage parts{.kind =
+                                     protocol::CrashMessage::Kind::kAnswered};
+  };
+
+  /// @return When the latest answered request with the content was sent;
+  /// nothing if none is known, and nothing is added.
+  std::optional<coordination::TimePoint> AddKnownAnswer(
+      const std::string& fingerprint, AnswerMessages* answers) const;
   /// Tells of which of the contents other requests have been answered.
   void TellKnownAnswers(const std::map<std::string, int>& fingerprints);
   /// Judges prompt parts once the records of a crash are complete.
--- a/src/wasabiwall/transport/quarantine_guard.cc
+++ b/src/wasabiwall/transport/quarantine_guard.cc
@@ -135,7 +135,7 @@
 void QuarantineGuard::OnAnswered(int status, coordination::TimePoint sent_at) {
   constexpr int first_server_error = 500;
   if (status >= first_server_error) return;
-  m_context->quarantine.OnAnswered(m_fingerprint);
+  m_context->quarantine.OnAnswered(m_fingerprint, sent_at);
   if (!IsSuccess(status)) return;
   for (const std::uint64_t part : m_prompt_parts) {
     m_context->quarantine.OnPartAnswered(part, sent_at);
--- a/tests/coordination/request_quarantine_test.cc
+++ b/tests/coordination/request_quarantine_test.cc
@@ -19,6 +19,8 @@
 using std::chrono::seconds;
 
 const TimePoint kStart{seconds(100)};
+/// When the first probe of a request that is quarantined at kStart is due.
+const TimePoint kProbedAt = kStart + seconds(2);
 const std::string kRequest(32, 'a');
 
 TEST_CASE("a request is quarantined after two crashes and announced once",
@@ -75,28 +77,80 @@
   CHECK(announced == 1);
 }
 
-TEST_CASE("an answer shows that a request is not the cause",
+TEST_CASE("a request that is answered between crashes is not the cause",
           "[request_quarantine]") {
+  // Popular requests are in flight at every crash.
   RequestQuarantine quarantine({});
-  quarantine.OnCrash(kRequest, 1, kStart);
-  SECTION("between two crashes") { quarantine.OnAnswered(kRequest); }
-  SECTION("of a copy that was on its way") {
-    quarantine.OnCrash(kRequest, 2, kStart);
-    quarantine.OnAnswered(kRequest);
+  auto now = kStart;
+  for (int crash = 1; crash < 60; crash += 3) {
+    quarantine.OnCrash(kRequest, crash, now);
+    now += milliseconds(1);
+    quarantine.OnAnswered(kRequest, now);
+    now += milliseconds(1);
+    // Records of crashes before the answer that arrive after it.
+    CHECK_FALSE(quarantine.OnCrash(kRequest, crash + 1, now, milliseconds(2)));
+    quarantine.OnPeerRecords({{kRequest, crash + 2, milliseconds(2)}}, now);
+    quarantine.OnAnnounced(kRequest, 0, now, milliseconds(2));
+    CHECK_FALSE(quarantine.TimeLeft(kRequest, now));
+    now += seconds(1);
   }
-  // Popular requests are in flight at every crash.
-  CHECK_FALSE(quarantine.OnCrash(kRequest, 3, kStart));
-  quarantine.OnPeerRecords({{kRequest, 4}, {kRequest, 5}}, kStart);
-  quarantine.OnAnnounced(kRequest, 0, kStart);
+}
+
+TEST_CASE("a request that was answered before is the cause after four crashes",
+          "[request_quarantine]") {
+  // Guards against a request that workers of an old version have answered and
+  // that ends those of a new one for good.
+  RequestQuarantine quarantine({});
+  quarantine.OnAnswered(kRequest, kStart);
+  const auto now = kStart + seconds(10);
+  SECTION("seen by itself") {
+    for (int crash = 1; crash <= 4; ++crash) {
+      CHECK_FALSE(quarantine.TimeLeft(kRequest, now));
+      CHECK(quarantine.OnCrash(kRequest, crash, now));
+    }
+  }
+  SECTION("seen by others") {
+    CHECK(quarantine.OnPeerRecords({{kRequest, 1}}, now) ==
+          std::vector<std::string>{kRequest});
+    quarantine.OnPeerRecords({{kRequest, 2}}, now);
+    CHECK_FALSE(quarantine.TimeLeft(kRequest, now));
+    quarantine.OnPeerRecords({{kRequest, 3}, {kRequest, 4}}, now);
+  }
+  SECTION("judged by another gateway") {
+    quarantine.OnAnnounced(kRequest, 0, now, seconds(1));
+  }
+  CHECK(quarantine.TimeLeft(kRequest, now));
+  // An answer that another gateway had before the crashes clears nothing.
+  quarantine.OnPeerAnswered(kRequest, now - seconds(2));
+  CHECK(quarantine.TimeLeft(kRequest, now));
+  quarantine.OnPeerAnswered(kRequest, now + seconds(2));
+  CHECK_FALSE(quarantine.TimeLeft(kRequest, now + seconds(3)));
+}
+
+TEST_CASE("a copy that was on its way shows less than one that was sent later",
+          "[request_quarantine]") {
+  RequestQuarantine quarantine({});
+  quarantine.OnCrash(kRequest, 1, kStart);
+  quarantine.OnCrash(kRequest, 2, kStart);
+  CHECK(quarantine.TimeLeft(kRequest, kStart));
+  quarantine.OnAnswered(kRequest, kStart - milliseconds(1));
   CHECK_FALSE(quarantine.TimeLeft(kRequest, kStart));
+  quarantine.OnCrash(kRequest, 3, kStart);
+  CHECK_FALSE(quarantine.TimeLeft(kRequest, kStart));
+  quarantine.OnCrash(kRequest, 4, kStart);
+  CHECK(quarantine.TimeLeft(kRequest, kStart));
 }
 
 TEST_CASE("answered requests are forgotten in time", "[request_quarantine]") {
   RequestQuarantine quarantine({}, {.min_answered = 10});
-  quarantine.OnAnswered(kRequest);
-  for (int i = 0; i < 10; ++i) quarantine.OnAnswered(std::to_string(i));
+  const auto sent_at = kStart + seconds(1);
+  const auto answer = [&](const std::string& request) {
+    quarantine.OnAnswered(request, sent_at);
+  };
+  answer(kRequest);
+  for (int i = 0; i < 10; ++i) answer(std::to_string(i));
   CHECK_FALSE(quarantine.OnCrash(kRequest, 1, kStart));
-  for (int i = 10; i < 30; ++i) quarantine.OnAnswered(std::to_string(i));
+  for (int i = 10; i < 30; ++i) answer(std::to_string(i));
   CHECK(quarantine.OnCrash(kRequest, 1, kStart));
 }
 
@@ -186,7 +240,7 @@
   REQUIRE(quarantine.StartProbeClaim(kRequest, due));
   quarantine.OnProbeClaimed(kRequest, 2, due);
   SECTION("and its answer releases the request") {
-    quarantine.OnAnswered(kRequest);
+    quarantine.OnAnswered(kRequest, due);
     CHECK_FALSE(quarantine.TimeLeft(kRequest, due));
   }
   SECTION("once") {
@@ -274,16 +328,16 @@
        .announce_answered = [&](const std::string&) { ++announced; }});
   Quarantine(&quarantine);
   SECTION("at the gateway that ran it") {
-    quarantine.OnAnswered(kRequest);
-    quarantine.OnAnswered(kRequest);
+    quarantine.OnAnswered(kRequest, kProbedAt);
+    quarantine.OnAnswered(kRequest, kProbedAt);
     CHECK(announced == 1);
   }
   SECTION("at one that saw a crash and is told by a peer") {
-    quarantine.OnPeerAnswered(kRequest, kStart);
+    quarantine.OnPeerAnswered(kRequest, kProbedAt);
     CHECK(announced == 1);
   }
   SECTION("at those that read of it") {
-    quarantine.OnAnsweredAnnounced(kRequest);
+    quarantine.OnAnsweredAnnounced(kRequest, kProbedAt);
     CHECK(announced == 0);
   }
   CHECK(released == 1);
@@ -301,7 +355,7 @@
   RequestQuarantine quarantine(
       {.announce_answered = [&](const std::string&) { ++announced; },
        .is_announcer = [&](const std::string&) { return is_first_home; }});
-  quarantine.OnAnswered(kRequest);
+  quarantine.OnAnswered(kRequest, kStart + milliseconds(1));
   CHECK(announced == 0);
   quarantine.OnAnnounced(kRequest, 0, kStart);
   CHECK(announced == 1);
@@ -326,6 +380,14 @@
     for (const auto& [name, address] : m_members) Restart(name);
   }
 
+  /// Answers the request at some gateways, before anything else happens.
+  void AnswerBefore(double share) {
+    for (const auto& [name, gateway] : m_gateways) {
+      if (Chance(share)) gateway->OnAnswered(kRequest, m_now);
+    }
+    m_now += seconds(10);
+  }
+
   /// Repeats a request that ends each backend server that runs it, at random
   /// gateways.
   /// @return Times at which backend servers ended.
@@ -352,7 +414,7 @@
     for (const auto end = m_now + time; m_now < end;) {
       const std::string name = NextRepeat(longest_pause, restart_share);
       if (MayRun(name)) {
-        m_gateways.at(name)->OnAnswered(kRequest);
+        m_gateways.at(name)->OnAnswered(kRequest, m_now);
       } else if (m_now > recovered) {
         ++refused;
       }
@@ -434,7 +496,7 @@
   void Read(const std::string& name) {
     m_seen[name] = m_changes.size();
     if (m_is_answered) {
-      m_gateways.at(name)->OnAnsweredAnnounced(kRequest);
+      m_gateways.at(name)->OnAnsweredAnnounced(kRequest, m_now);
     } else {
       m_gateways.at(name)->OnAnnounced(kRequest, m_probes, m_now);
     }
@@ -525,6 +587,26 @@
   });
 }
 
+TEST_CASE("a request that was answered before is held off in every fleet",
+          "[request_quarantine][fuzz]") {
+  // Guards against a request that a release makes end backend servers.
+  rc::prop("answered at some gateways, lost messages, restarts", [] {
+    QuarantineFleet fleet(*rc::gen::inRange(1, 101), 0.1, false,
+                          *rc::gen::arbitrary<unsigned>());
+    fleet.AnswerBefore(*rc::gen::inRange(0, 11) / 10.0);
+    RC_ASSERT(EndedLate(fleet.Run(seconds(60), milliseconds(250), 0.05)) <=
+              kMostEndedLate);
+  });
+  rc::prop("slow repeats", [] {
+    QuarantineFleet fleet(*rc::gen::inRange(1, 22), 0.02, false,
+                          *rc::gen::arbitrary<unsigned>());
+    fleet.AnswerBefore(*rc::gen::inRange(0, 11) / 10.0);
+    const milliseconds longest_pause(*rc::gen::inRange(50, 5000));
+    RC_ASSERT(EndedLate(fleet.Run(seconds(120), longest_pause, 0)) <=
+              kMostEndedLate);
+  });
+}
+
 TEST_CASE("a request that others' crashes have quarantined is soon released",
           "[request_quarantine][fuzz]") {
   rc::prop("lost messages, restarts", [] {
--- a/tests/fakes/part_fleet.cc
+++ b/tests/fakes/part_fleet.cc
@@ -202,7 +202,7 @@
   if (!m_scenario.has_store) return;
   After(kStoreTime, [this, fingerprint] {
     for (const auto& [other, gateway] : m_gateways) {
-      gateway->OnAnsweredAnnounced(fingerprint);
+      gateway->OnAnsweredAnnounced(fingerprint, m_now);
     }
   });
 }
--- a/tests/platform/quarantine_entries_test.cc
+++ b/tests/platform/quarantine_entries_test.cc
@@ -93,7 +93,7 @@
   for (const auto& member : all.members) {
     if (!member->quarantine.TakeProbe(kRequest)) continue;
     ++probes;
-    member->quarantine.OnAnswered(kRequest);
+    member->quarantine.OnAnswered(kRequest, all.fleet.loop.Now());
   }
   CHECK(probes == 1);
   REQUIRE(all.RunUntilAll(false));
@@ -121,7 +121,7 @@
   REQUIRE(all.RunUntilAll(true));
   // Both before either has seen the other's change.
   all.members[1]->entries.Announce(kRequest);
-  all.members[2]->quarantine.OnAnswered(kRequest);
+  all.members[2]->quarantine.OnAnswered(kRequest, all.fleet.loop.Now());
   REQUIRE(all.RunUntilAll(false));
 }
 
@@ -155,7 +155,7 @@
   Members all;
   all.members[0]->SeeCrashes();
   REQUIRE(all.RunUntilAll(true));
-  all.members[1]->quarantine.OnAnswered(kRequest);
+  all.members[1]->quarantine.OnAnswered(kRequest, all.fleet.loop.Now());
   REQUIRE(all.RunUntilAll(false));
   Member& member = *all.members[2];
   member.entries.Announce(kRequest);
@@ -250,7 +250,7 @@
   all.members[0]->SeeCrashes();
   REQUIRE(all.RunUntilAll(true));
   all.store.TakeCopy();
-  all.members[1]->quarantine.OnAnswered(kRequest);
+  all.members[1]->quarantine.OnAnswered(kRequest, all.fleet.loop.Now());
   REQUIRE(all.RunUntilAll(false));
   Restore(&all);
   const auto is_answered = [&] {
