The crashes of a call and of its repeat count as two against a prompt part

Cause: crashes less than 50 ms apart count as one, since several backend servers that fail together have a cause outside of them. A request and its repeat crash two within some milliseconds.

Change: a crash counts by itself if it broke a call that was sent after the crash before it. Gateways tell each other when the calls were sent, in a field that earlier releases ignore.

--- a/src/wasabiwall/coordination/crash_records.h
+++ b/src/wasabiwall/coordination/crash_records.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -25,6 +26,9 @@
   std::chrono::milliseconds age{0};
   /// Whether the answer to the request was established.
   bool is_established = false;
+  /// Time since the latest of the calls that the crash broke was sent; nothing
+  /// if it is not known.
+  std::optional<std::chrono::milliseconds> sent_age = std::nullopt;
 };
 
 /// Limits of a CrashRecords table.
--- a/src/wasabiwall/coordination/prompt_part_evidence.cc
+++ b/src/wasabiwall/coordination/prompt_part_evidence.cc
@@ -35,7 +35,8 @@
       m_established(options.min_answered) {}
 
 void PromptPartEvidence::OnCrash(std::uint64_t part, std::int64_t crash,
-                                 TimePoint at, TimePoint now, int calls) {
+                                 TimePoint at, TimePoint now, int calls,
+                                 std::optional<TimePoint> sent_at) {
   const auto answered = AnsweredRequestSentAt(part);
   if (answered && *answered > at) return;
   if (now - at >= m_options.retention) return;
@@ -47,6 +48,7 @@
   const auto known = std::ranges::find(records, crash, &Record::crash);
   if (known != records.end()) {
     known->calls += calls;
+    known->sent_at = std::max(known->sent_at, sent_at);
     return;
   }
   std::erase_if(records,
@@ -54,7 +56,7 @@
   // The first and the last crash tell how long it has gone on.
   if (records.size() >= kMaxRecordsPerPart) records.pop_back();
   const auto later = std::ranges::upper_bound(records, at, {}, &Record::at);
-  records.insert(later, {crash, at, calls});
+  records.insert(later, {crash, at, calls, sent_at});
 }
 
 void PromptPartEvidence::MakeRoom(std::int64_t crash, TimePoint now) {
@@ -261,7 +263,12 @@
   int moments = 0;
   TimePoint counted;
   for (const Record& record : records) {
-    if (moments > 0 && record.at - counted < m_options.same_moment) continue;
+    const bool is_repeat =
+        record.sent_at && *record.sent_at + m_options.send_time_error > counted;
+    if (moments > 0 && !is_repeat &&
+        record.at - counted < m_options.same_moment) {
+      continue;
+    }
     ++moments;
     counted = record.at;
   }
--- a/src/wasabiwall/coordination/prompt_part_evidence.h
+++ b/src/wasabiwall/coordination/prompt_part_evidence.h
@@ -37,8 +37,12 @@
   /// Time after a crash in which verdicts may follow from waiting alone.
   std::chrono::milliseconds judgement_time{4000};
   /// Crashes this close together count as one, since a failure of several
-  /// backend servers has a cause outside of them.
+  /// backend servers has a cause outside of them; but not one that broke a call
+  /// which was sent after the other, as the repeat of a call is.
   std::chrono::milliseconds same_moment{50};
+  /// How much later than a crash such a call may seem to be sent by the clocks
+  /// and messages of several gateways.
+  std::chrono::milliseconds send_time_error{5};
   /// Largest number of parts with crashes.
   std::size_t max_parts = 8192;
   /// Number of answered parts that are remembered at least.
@@ -77,8 +81,10 @@
   /// @param calls Calls with the part that it broke before their answers were
   /// established; several reports of one crash add up. 0 if there were only
   /// others.
+  /// @param sent_at When the latest of these calls was sent, if it is known.
   void OnCrash(std::uint64_t part, std::int64_t crash, TimePoint at,
-               TimePoint now, int calls = 1);
+               TimePoint now, int calls = 1,
+               std::optional<TimePoint> sent_at = std::nullopt);
 
   /// Records an answered request with the part.
   /// @param sent_at When the request was sent to the backend server.
@@ -149,6 +155,8 @@
     std::int64_t crash = 0;
     TimePoint at;
     int calls = 0;
+    /// When the latest of the calls was sent, if it is known.
+    std::optional<TimePoint> sent_at;
   };
   /// Ordered by time.
   using Records = std::vector<Record>;
--- a/src/wasabiwall/coordination/request_quarantine.cc
+++ b/src/wasabiwall/coordination/request_quarantine.cc
@@ -52,13 +52,14 @@
 
 bool RequestQuarantine::OnCrash(const std::string& fingerprint,
                                 std::int64_t crash, TimePoint now,
-                                milliseconds age, int calls) {
+                                milliseconds age, int calls,
+                                std::optional<TimePoint> sent_at) {
   const auto part = PromptPartOf(fingerprint);
   if (!part && IsClearedOf(fingerprint, now - age)) return false;
   if (m_own_crashes.size() >= kMaxOwnCrashes) m_own_crashes.clear();
   m_own_crashes[fingerprint] = now;
   if (part) {
-    OnPartCrash(fingerprint, *part, crash, now - age, now, calls);
+    OnPartCrash(fingerprint, *part, crash, now - age, now, calls, sent_at);
   } else {
     if (!m_part_evidence.IsExplained(crash, now)) {
       m_records.Add(fingerprint, crash, now - age);
@@ -70,9 +71,10 @@
 
 void RequestQuarantine::OnPartCrash(const std::string& fingerprint,
                                     std::uint64_t part, std::int64_t crash,
-                                    TimePoint at, TimePoint now, int calls) {
+                                    TimePoint at, TimePoint now, int calls,
+                                    std::optional<TimePoint> sent_at) {
   if (calls > 0 && TimeLeft(fingerprint, now)) Attribute(part, {crash}, now);
-  m_part_evidence.OnCrash(part, crash, at, now, calls);
+  m_part_evidence.OnCrash(part, crash, at, now, calls, sent_at);
 }
 
 std::vector<std::string> RequestQuarantine::OnPeerRecords(
@@ -80,8 +82,11 @@
   std::vector<std::string> answered;
   for (const CrashRecord& record : records) {
     if (const auto part = PromptPartOf(record.fingerprint)) {
+      const auto sent_at = record.sent_age
+                               ? std::optional(now - *record.sent_age)
+                               : std::nullopt;
       OnPartCrash(record.fingerprint, *part, record.crash, now - record.age,
-                  now, record.is_established ? 0 : 1);
+                  now, record.is_established ? 0 : 1, sent_at);
       if (m_part_evidence.AnsweredRequestSentAt(*part)) {
         answered.push_back(record.fingerprint);
       }
--- a/src/wasabiwall/coordination/request_quarantine.h
+++ b/src/wasabiwall/coordination/request_quarantine.h
@@ -117,12 +117,13 @@
   /// @param age Time since then.
   /// @param calls Calls with the content that it broke before their answers
   /// went on, which is what a prompt part that is the cause does.
+  /// @param sent_at When the latest of these calls was sent, if it is known.
   /// @return Whether the content may be the cause, so that other gateways need
   /// the record.
   bool OnCrash(const std::string& fingerprint, std::int64_t crash,
                TimePoint now,
                std::chrono::milliseconds age = std::chrono::milliseconds(0),
-               int calls = 1);
+               int calls = 1, std::optional<TimePoint> sent_at = std::nullopt);
 
   /// Quarantines the prompt parts that the records make the likely causes. To
   /// be called a moment after a crash, when the records of it are complete.
@@ -276,7 +277,8 @@
   /// Quarantines the request if it has enough records.
   void Judge(const std::string& fingerprint, const char* source, TimePoint now);
   void OnPartCrash(const std::string& fingerprint, std::uint64_t part,
-                   std::int64_t crash, TimePoint at, TimePoint now, int calls);
+                   std::int64_t crash, TimePoint at, TimePoint now, int calls,
+                   std::optional<TimePoint> sent_at);
   void QuarantinePart(const LikelyCause& verdict, TimePoint now);
   Entry& Insert(const std::string& fingerprint, const QuarantineReason& reason,
                 TimePoint now);
--- a/src/wasabiwall/protocol/crash_message.cc
+++ b/src/wasabiwall/protocol/crash_message.cc
@@ -1,5 +1,6 @@
 #include "wasabiwall/protocol/crash_message.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace wasabiwall::protocol {
@@ -37,8 +38,11 @@
 }  // namespace
 
 std::string EncodeCrashMessage(const CrashMessage& message) {
-  const json fields = {NameOf(message.kind), message.crash, message.age.count(),
-                       message.fingerprints, message.caused_crashes};
+  std::vector<std::int64_t> sent_ages;
+  for (const auto age : message.sent_ages) sent_ages.push_back(age.count());
+  const json fields = {NameOf(message.kind),   message.crash,
+                       message.age.count(),    message.fingerprints,
+                       message.caused_crashes, sent_ages};
   std::string bytes;
   json::to_cbor(fields, bytes);
   return bytes;
@@ -61,10 +65,21 @@
     message.crash = fields.at(1).get<std::int64_t>();
     message.age = std::chrono::milliseconds(fields.at(2).get<std::int64_t>());
     message.fingerprints = fields.at(3).get<std::vector<std::string>>();
-    // Earlier releases do not send it.
+    // Earlier releases do not send all of the rest.
     if (fields.size() > 4) {
       message.caused_crashes = fields.at(4).get<std::vector<std::int64_t>>();
     }
+    if (fields.size() > 5) {
+      for (const auto age : fields.at(5).get<std::vector<std::int64_t>>()) {
+        message.sent_ages.emplace_back(age);
+      }
+    }
+    const auto count = message.sent_ages.size();
+    const bool has_future = std::ranges::any_of(
+        message.sent_ages, [](auto age) { return age.count() < 0; });
+    if (has_future || (count > 0 && count != message.fingerprints.size())) {
+      return std::nullopt;
+    }
     if (message.age < std::chrono::milliseconds(0) ||
         message.fingerprints.size() > kMaxCrashMessageRequests ||
         message.caused_crashes.size() > kMaxCausedCrashes) {
--- a/src/wasabiwall/protocol/crash_message.h
+++ b/src/wasabiwall/protocol/crash_message.h
@@ -49,6 +49,9 @@
   std::vector<std::string> fingerprints;
   /// Crashes that the prompt parts have caused.
   std::vector<std::int64_t> caused_crashes;
+  /// Of a crash: time since the latest call with the content was sent, in the
+  /// order of the fingerprints; empty if it is not known.
+  std::vector<std::chrono::milliseconds> sent_ages;
 };
 
 /// @return The message as CBOR.
--- a/src/wasabiwall/transport/crash_monitor.cc
+++ b/src/wasabiwall/transport/crash_monitor.cc
@@ -56,6 +56,13 @@
   std::unique_ptr<TcpConnection> connection;
 };
 
+void CrashMonitor::BrokenCalls::Add(const std::string& content, int calls,
+                                    coordination::TimePoint call_sent_at) {
+  fingerprints[content] += calls;
+  auto& latest = sent_at[content];
+  latest = std::max(latest, call_sent_at);
+}
+
 CrashMonitor::CrashMonitor(EventLoop* loop,
                            coordination::RequestQuarantine* quarantine,
                            std::string own_name, SendHook send)
@@ -82,13 +89,14 @@
 
 void CrashMonitor::OnConnectionBroken(
     const state::BackendServer& server,
-    const std::vector<std::string>& fingerprints, bool is_established) {
+    const std::vector<std::string>& fingerprints, bool is_established,
+    coordination::TimePoint sent_at) {
   auto& check = m_checks[server.id];
   const int calls = is_established ? 0 : 1;
   if (check) {
     ++check->calls.count;
     for (const auto& content : fingerprints) {
-      check->calls.fingerprints[content] += calls;
+      check->calls.Add(content, calls, sent_at);
     }
     return;
   }
@@ -103,7 +111,7 @@
                   .fingerprints = {},
                   .broken_at = m_loop->Now()};
   for (const auto& content : fingerprints) {
-    check->calls.fingerprints[content] += calls;
+    check->calls.Add(content, calls, sent_at);
   }
   const state::BackendServerId id = server.id;
   check->timer.Start(kCheckTimeout, [this, id] { OnChecked(id, true); });
@@ -138,7 +146,7 @@
   kept.broken_at = calls.broken_at;
   for (const auto& [fingerprint, count] : calls.fingerprints) {
     if (kept.fingerprints.size() >= kMaxKeptFingerprints) break;
-    kept.fingerprints[fingerprint] += count;
+    kept.Add(fingerprint, count, calls.sent_at.at(fingerprint));
   }
 }
 
@@ -165,8 +173,9 @@
   std::size_t suspects = 0;
   for (const auto& [fingerprint, count] : calls.fingerprints) {
     if (calls.count > 1) m_quarantine->OnAmbiguousCrash(fingerprint, now);
-    if (!m_quarantine->OnCrash(fingerprint, crash.crash, now, crash.age,
-                               count)) {
+    const auto sent_at = calls.sent_at.at(fingerprint);
+    if (!m_quarantine->OnCrash(fingerprint, crash.crash, now, crash.age, count,
+                               sent_at)) {
       continue;
     }
     ++suspects;
@@ -178,6 +187,7 @@
     const int times = is_part ? std::min(count, protocol::kMaxCallsPerPart) : 1;
     crash.fingerprints.insert(crash.fingerprints.end(),
                               static_cast<std::size_t>(times), fingerprint);
+    crash.sent_ages.resize(crash.fingerprints.size(), AgeOf(sent_at));
   }
   LogWarn("backend_crashed",
           {{"backend", calls.server.id.value},
@@ -305,24 +315,29 @@
 }
 
 void CrashMonitor::SendToHomes(const protocol::CrashMessage& message) {
-  std::map<std::string, std::vector<std::string>> by_home;
-  for (const std::string& fingerprint : message.fingerprints) {
-    const std::uint64_t key = state::FastHash(fingerprint);
+  // Positions in the message.
+  std::map<std::string, std::vector<std::size_t>> by_home;
+  for (std::size_t i = 0; i < message.fingerprints.size(); ++i) {
+    const std::uint64_t key = state::FastHash(message.fingerprints[i]);
     for (const std::string& home :
          coordination::RendezvousHomes(*m_members, key, kHomes)) {
-      if (home != m_own_name) by_home[home].push_back(fingerprint);
+      if (home != m_own_name) by_home[home].push_back(i);
     }
   }
-  for (const auto& [home, fingerprints] : by_home) {
-    protocol::CrashMessage part{
-        .kind = message.kind, .crash = message.crash, .age = message.age};
-    for (const std::string& fingerprint : fingerprints) {
-      part.fingerprints.push_back(fingerprint);
+  const protocol::CrashMessage empty{
+      .kind = message.kind, .crash = message.crash, .age = message.age};
+  for (const auto& [home, positions] : by_home) {
+    protocol::CrashMessage part = empty;
+    for (const std::size_t i : positions) {
+      part.fingerprints.push_back(message.fingerprints[i]);
+      if (!message.sent_ages.empty()) {
+        part.sent_ages.push_back(message.sent_ages[i]);
+      }
       if (part.fingerprints.size() < protocol::kMaxCrashMessageRequests) {
         continue;
       }
       m_send(m_members->at(home), part);
-      part.fingerprints.clear();
+      part = empty;
     }
     if (!part.fingerprints.empty()) m_send(m_members->at(home), part);
   }
@@ -359,10 +374,14 @@
   }
   std::vector<coordination::CrashRecord> records;
   records.reserve(message.fingerprints.size());
-  for (const std::string& fingerprint : message.fingerprints) {
+  const bool is_established =
+      message.kind == protocol::CrashMessage::Kind::kCrashEstablished;
+  for (std::size_t i = 0; i < message.fingerprints.size(); ++i) {
     records.push_back(
-        {fingerprint, message.crash, message.age,
-         message.kind == protocol::CrashMessage::Kind::kCrashEstablished});
+        {message.fingerprints[i], message.crash, message.age, is_established});
+    if (!message.sent_ages.empty()) {
+      records.back().sent_age = message.sent_ages[i];
+    }
   }
   AnswerMessages answers;
   for (const std::string& fingerprint :
--- a/src/wasabiwall/transport/crash_monitor.h
+++ b/src/wasabiwall/transport/crash_monitor.h
@@ -56,9 +56,10 @@
   /// run a call.
   /// @param fingerprints The call's request and the parts of its prompt.
   /// @param is_established Whether the answer to the call was established.
+  /// @param sent_at When the call was sent to the backend server.
   void OnConnectionBroken(const state::BackendServer& server,
                           const std::vector<std::string>& fingerprints,
-                          bool is_established);
+                          bool is_established, coordination::TimePoint sent_at);
 
   /// Tells the judges of a prompt part of an established answer.
   void TellEstablished(const std::string& fingerprint,
@@ -100,7 +101,14 @@
     /// Contents of the calls, with the number of calls whose answers were
     /// not established.
     std::map<std::string, int> fingerprints;
+    /// When the latest call with each content was sent.
+    std::map<std::string, coordination::TimePoint> sent_at;
     coordination::TimePoint broken_at;
+
+    /// Adds the contents of a call.
+    /// @param calls 1, or 0 if its answer was established.
+    void Add(const std::string& content, int calls,
+             coordination::TimePoint call_sent_at);
   };
 
   void OnChecked(const state::BackendServerId& id, bool has_ended);
--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -370,7 +370,8 @@
     return;
   }
   if (truncation != nullptr) {
-    m_quarantine.OnBroken(attempt.Server(), attempt.IsEstablished());
+    m_quarantine.OnBroken(attempt.Server(), attempt.IsEstablished(),
+                          attempt.SentAt());
     attempt.Rollout().OnBrokenOff();
     if (m_quarantine.IsSuspect()) attempt.Rollout().Ignore();
     attempt.End(HealthSignal::kFailed);
@@ -414,7 +415,8 @@
   const bool stale = !invalid_status && attempt.IsStale();
   attempt.CountResponse(invalid_status ? "invalid_status"
                                        : "connection_broken");
-  m_quarantine.OnBroken(attempt.Server(), attempt.IsEstablished());
+  m_quarantine.OnBroken(attempt.Server(), attempt.IsEstablished(),
+                        attempt.SentAt());
   if (m_quarantine.IsSuspect()) attempt.Rollout().Ignore();
   attempt.End(stale ? HealthSignal::kRefused : HealthSignal::kFailed);
   RetryOrFail(attempt, false,
--- a/src/wasabiwall/transport/quarantine_guard.cc
+++ b/src/wasabiwall/transport/quarantine_guard.cc
@@ -117,13 +117,14 @@
 }
 
 void QuarantineGuard::OnBroken(const state::BackendServer& server,
-                               bool is_established) {
+                               bool is_established,
+                               coordination::TimePoint sent_at) {
   std::vector<std::string> fingerprints{m_fingerprint};
   for (const std::uint64_t part : m_prompt_parts) {
     fingerprints.push_back(coordination::FingerprintOfPromptPart(part));
   }
   m_context->crash_monitor.OnConnectionBroken(server, fingerprints,
-                                              is_established);
+                                              is_established, sent_at);
 }
 
 void QuarantineGuard::OnEstablished(coordination::TimePoint sent_at) {
--- a/src/wasabiwall/transport/quarantine_guard.h
+++ b/src/wasabiwall/transport/quarantine_guard.h
@@ -45,7 +45,9 @@
 
   /// Records that the connection broke while the call may have run.
   /// @param is_established Whether the answer was established.
-  void OnBroken(const state::BackendServer& server, bool is_established);
+  /// @param sent_at When the request was sent to the backend server.
+  void OnBroken(const state::BackendServer& server, bool is_established,
+                coordination::TimePoint sent_at);
 
   /// Records that the answer is established.
   /// @param sent_at When the request was sent to the backend server.
--- a/tests/coordination/prompt_part_evidence_test.cc
+++ b/tests/coordination/prompt_part_evidence_test.cc
@@ -57,6 +57,36 @@
   CHECK_FALSE(evidence.IsSuspect(kPart, last));
 }
 
+TEST_CASE("the crashes of a call and of its repeat are two",
+          "[prompt_part_evidence]") {
+  // Guards against a part that an old version has answered and that ends two
+  // backend servers with each request: it took ten crashes to be held off.
+  PromptPartEvidence evidence;
+  evidence.OnAnswered(kPart, kStart - seconds(10));
+  const auto crash_pair = [&](int crash, TimePoint at) {
+    constexpr milliseconds answer_begins{8};
+    evidence.OnCrash(kPart, crash, at, at, 1, at - answer_begins);
+    const TimePoint repeat_ends = at + answer_begins;
+    evidence.OnCrash(kPart, crash + 1, repeat_ends, repeat_ends, 1, at);
+  };
+  const TimePoint third = kStart + seconds(8);
+  crash_pair(1, kStart);
+  crash_pair(3, kStart + seconds(4));
+  CHECK_FALSE(evidence.IsSuspect(kPart, third - milliseconds(1)));
+  crash_pair(5, third);
+  CHECK(evidence.IsSuspect(kPart, third + milliseconds(20)));
+}
+
+TEST_CASE("calls that were sent before servers end together are one crash",
+          "[prompt_part_evidence]") {
+  PromptPartEvidence evidence;
+  for (int crash = 1; crash <= 8; ++crash) {
+    const TimePoint at = kStart + milliseconds(5 * crash);
+    evidence.OnCrash(kPart, crash, at, at, 1, kStart - milliseconds(20));
+  }
+  CHECK_FALSE(evidence.IsSuspect(kPart, kStart + seconds(1)));
+}
+
 TEST_CASE("an answer to a request sent after a crash clears the part of it",
           "[prompt_part_evidence]") {
   PromptPartEvidence evidence;
--- a/tests/fakes/part_fleet.cc
+++ b/tests/fakes/part_fleet.cc
@@ -279,7 +279,7 @@
 
 void PartFleet::Record(const std::string& name,
                        const std::map<std::string, int>& calls,
-                       std::int64_t crash) {
+                       const SentTimes& sent_times, std::int64_t crash) {
   RequestQuarantine& gateway = *m_gateways.at(name);
   JudgeSoon(name);
   std::vector<std::string> contents;
@@ -295,8 +295,10 @@
     });
   }
   for (const auto& [fingerprint, count] : calls) {
-    gateway.OnCrash(fingerprint, crash, m_now, milliseconds(0), count);
-    SendRecord(name, fingerprint, crash, count);
+    const TimePoint call_sent_at = sent_times.at(fingerprint);
+    gateway.OnCrash(fingerprint, crash, m_now, milliseconds(0), count,
+                    call_sent_at);
+    SendRecord(name, fingerprint, crash, count, call_sent_at);
     const auto sent_at = gateway.AnsweredRequestSentAt(fingerprint);
     if (!sent_at) continue;
     const std::string content = fingerprint;
@@ -308,7 +310,7 @@
 
 void PartFleet::SendRecord(const std::string& from,
                            const std::string& fingerprint, std::int64_t crash,
-                           int calls) {
+                           int calls, TimePoint sent_at) {
   const TimePoint at = m_now;
   for (const auto& home : HomesOf(fingerprint, kHomes)) {
     if (home == from) continue;
@@ -317,7 +319,8 @@
       constexpr int most_reported = 4;
       const std::vector<CrashRecord> records(
           static_cast<std::size_t>(std::clamp(calls, 1, most_reported)),
-          {fingerprint, crash, age, calls == 0});
+          {fingerprint, crash, age, calls == 0,
+           std::chrono::duration_cast<milliseconds>(m_now - sent_at)});
       const auto answered = gateway->OnPeerRecords(records, m_now);
       JudgeSoon(home);
       if (answered.empty()) return;
@@ -434,6 +437,7 @@
   After(kRestartTime, [&server] { server.is_up = true; });
   const auto broken = std::exchange(server.calls, {});
   std::map<std::string, std::map<std::string, int>> contents;
+  std::map<std::string, SentTimes> sent_times;
   std::map<std::string, int> calls;
   for (const auto& call : broken) {
     ++calls[call->gateway];
@@ -441,10 +445,13 @@
     for (const std::uint64_t part : call->parts) {
       contents[call->gateway][FingerprintOfPromptPart(part)] +=
           is_established ? 0 : 1;
+      TimePoint& latest =
+          sent_times[call->gateway][FingerprintOfPromptPart(part)];
+      latest = std::max(latest, call->sent_at);
     }
   }
   for (const auto& [name, counts] : contents) {
-    Record(name, counts, crash);
+    Record(name, counts, sent_times.at(name), crash);
     if (calls.at(name) == 1) continue;
     for (const auto& [fingerprint, count] : counts) {
       m_gateways.at(name)->OnAmbiguousCrash(fingerprint, m_now);
--- a/tests/fakes/part_fleet.h
+++ b/tests/fakes/part_fleet.h
@@ -105,6 +105,8 @@
     std::vector<std::shared_ptr<Call>> calls;
   };
 
+  /// By content.
+  using SentTimes = std::map<std::string, TimePoint>;
   using Message = std::function<void(coordination::RequestQuarantine*)>;
 
   bool Chance(double share);
@@ -135,10 +137,11 @@
   /// Records at a gateway that a backend server ended.
   /// @param calls Number of calls of each content whose answers were not
   /// established.
+  /// @param sent_times When the latest call with each content was sent.
   void Record(const std::string& name, const std::map<std::string, int>& calls,
-              std::int64_t crash);
+              const SentTimes& sent_times, std::int64_t crash);
   void SendRecord(const std::string& from, const std::string& fingerprint,
-                  std::int64_t crash, int calls);
+                  std::int64_t crash, int calls, TimePoint sent_at);
 
   // Callers and backend servers.
   void Arrive();
--- a/tests/gateway/crash_cause_test.cc
+++ b/tests/gateway/crash_cause_test.cc
@@ -94,8 +94,8 @@
     for (const std::uint64_t part : parts) {
       fingerprints.push_back(FingerprintOfPromptPart(part));
     }
-    gateway->context.crash_monitor.OnConnectionBroken(server, fingerprints,
-                                                      is_established);
+    gateway->context.crash_monitor.OnConnectionBroken(
+        server, fingerprints, is_established, gateway->loop.Now());
   }
 
   GatewayFixture m_first;
--- a/tests/gateway/crashing_request_test.cc
+++ b/tests/gateway/crashing_request_test.cc
@@ -256,8 +256,8 @@
         fleet.AddBackend(id, [](const ScriptedBackend::Received&) {});
     const state::BackendServer server{.id = state::BackendServerId(id),
                                       .address = backend.Address()};
-    fleet.context.crash_monitor.OnConnectionBroken(server, {fingerprint},
-                                                   false);
+    fleet.context.crash_monitor.OnConnectionBroken(server, {fingerprint}, false,
+                                                   fleet.loop.Now());
     fleet.context.ForgetBackendServer(server.id);
     fleet.RunFor(milliseconds(20));
   }
@@ -289,7 +289,8 @@
       coordination::FingerprintOf({"", "GET", "host", "/once/x", ""});
   const state::BackendServer b0{.id = state::BackendServerId("b0"),
                                 .address = "127.0.0.1:1"};
-  second.context.crash_monitor.OnConnectionBroken(b0, {fingerprint}, false);
+  second.context.crash_monitor.OnConnectionBroken(b0, {fingerprint}, false,
+                                                  second.loop.Now());
   const auto end = second.loop.Now() + milliseconds(50);
   second.RunUntil([&] {
     uv_run(first.loop.Handle(), UV_RUN_NOWAIT);
@@ -297,7 +298,8 @@
   });
   const state::BackendServer b1{.id = state::BackendServerId("b1"),
                                 .address = "127.0.0.1:1"};
-  second.context.crash_monitor.OnConnectionBroken(b1, {fingerprint}, false);
+  second.context.crash_monitor.OnConnectionBroken(b1, {fingerprint}, false,
+                                                  second.loop.Now());
   second.RunFor(milliseconds(50));
   CHECK_FALSE(
       second.context.quarantine.TimeLeft(fingerprint, second.loop.Now()));
--- a/tests/protocol/crash_message_test.cc
+++ b/tests/protocol/crash_message_test.cc
@@ -11,6 +11,7 @@
 CrashMessage MakeMessage(std::size_t requests) {
   CrashMessage message{.crash = -7, .age = std::chrono::milliseconds(12)};
   message.fingerprints.assign(requests, std::string(32, 'f'));
+  message.sent_ages.assign(requests, std::chrono::minutes(10));
   return message;
 }
 
@@ -25,6 +26,7 @@
   if (message.kind == CrashMessage::Kind::kQuarantined ||
       message.kind == CrashMessage::Kind::kAttributed) {
     message.fingerprints.resize(1);
+    message.sent_ages.clear();
     message.caused_crashes.assign(kMaxCausedCrashes, -7);
   }
   const std::string bytes = EncodeCrashMessage(message);
@@ -36,6 +38,7 @@
   CHECK(decoded->age == message.age);
   CHECK(decoded->fingerprints == message.fingerprints);
   CHECK(decoded->caused_crashes == message.caused_crashes);
+  CHECK(decoded->sent_ages == message.sent_ages);
 }
 
 TEST_CASE("malformed crash messages are rejected", "[crash_message]") {
@@ -49,6 +52,12 @@
   CrashMessage many_crashes = MakeMessage(1);
   many_crashes.caused_crashes.assign(kMaxCausedCrashes + 1, 1);
   CHECK_FALSE(DecodeCrashMessage(EncodeCrashMessage(many_crashes)));
+  CrashMessage uneven = MakeMessage(2);
+  uneven.sent_ages.pop_back();
+  CHECK_FALSE(DecodeCrashMessage(EncodeCrashMessage(uneven)));
+  CrashMessage unsent = MakeMessage(1);
+  unsent.sent_ages.front() = std::chrono::milliseconds(-1);
+  CHECK_FALSE(DecodeCrashMessage(EncodeCrashMessage(unsent)));
   CrashMessage future = MakeMessage(1);
   future.age = std::chrono::milliseconds(-1);
   CHECK_FALSE(DecodeCrashMessage(EncodeCrashMessage(future)));
