Space around field values is no part of them; targets in absolute form

Cause: http-parser leaves the space after a value to its user, and targets were taken as paths.

Change: the parser drops that space. A target in absolute form becomes its path, and its host goes before the Host field (RFC 9112, 3.2.2).

Evidence: the six rows of the new test pass; the code before was not run with it, the review has one request each.

--- a/src/wasabiwall/transport/http1_parser.cc
+++ b/src/wasabiwall/transport/http1_parser.cc
@@ -43,6 +43,8 @@
                                             : BodyFraming::kConnectionClose;
 }
 
+bool IsSpace(char c) { return c == ' ' || c == '\t'; }
+
 }  // namespace
 
 Http1Parser::Http1Parser(Kind kind, Handlers handlers)
@@ -100,12 +102,25 @@
     if (name_end == std::string::npos) return;
     const auto value_end = text.find(kFieldEnd, name_end + 1);
     if (value_end == std::string::npos) return;
+    // The space around a value is no part of it.
+    auto value_size = value_end - name_end - 1;
+    while (value_size > 0 && IsSpace(text[name_end + value_size])) --value_size;
     m_head.headers.Add(text.substr(begin, name_end - begin),
-                       text.substr(name_end + 1, value_end - name_end - 1));
+                       text.substr(name_end + 1, value_size));
     begin = value_end + 1;
   }
 }
 
+void Http1Parser::ToOriginForm() {
+  constexpr std::string_view scheme = "http://";
+  if (!m_head.target.starts_with(scheme)) return;
+  const auto path = m_head.target.find('/', scheme.size());
+  m_head.headers.Remove("Host");
+  m_head.headers.Add("Host",
+                     m_head.target.substr(scheme.size(), path - scheme.size()));
+  m_head.target = path == std::string::npos ? "/" : m_head.target.substr(path);
+}
+
 bool Http1Parser::FinishHead() {
   BuildFields();
   m_head_complete = true;
@@ -120,6 +135,7 @@
   }
   const bool version_1_1 = m_parser.http_major == 1 && m_parser.http_minor == 1;
   if (m_parser.method == HTTP_CONNECT || !version_1_1) return false;
+  ToOriginForm();
   m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
   return true;
 }
--- a/src/wasabiwall/transport/http1_parser.h
+++ b/src/wasabiwall/transport/http1_parser.h
@@ -71,6 +71,9 @@
 
  private:
   static int OnHeadersComplete(http_parser* parser);
+  /// Replaces a request target in absolute form by its path, and the Host field
+  /// by its host, which is what the target says of both.
+  void ToOriginForm();
   bool FinishHead();
   /// Makes the list of fields from their text.
   void BuildFields();
--- a/tests/gateway/request_framing_test.cc
+++ b/tests/gateway/request_framing_test.cc
@@ -35,6 +35,43 @@
   CHECK(backend.Requests().front().body == "abcde");
 }
 
+TEST_CASE("requests that are written in unusual ways reach their route") {
+  // Guards against space that is taken for a part of a value, and against a
+  // target in absolute form, which servers must take.
+  const auto [name, request] = GENERATE(table<std::string, std::string>({
+      {"space after the host",
+       "GET /safe/x HTTP/1.1\r\nHost: host \t \r\nAttempt: a1\r\n\r\n"},
+      {"space before the host",
+       "GET /safe/x HTTP/1.1\r\nHost: \t host\r\nAttempt: a1\r\n\r\n"},
+      {"space after the identifier",
+       "GET /safe/x HTTP/1.1\r\nHost: host\r\nAttempt: a1  \r\n\r\n"},
+      {"only space in another field",
+       "GET /safe/x HTTP/1.1\r\nHost: host\r\nEmpty: \t \r\nAttempt: a1"
+       "\r\n\r\n"},
+      {"a target in absolute form",
+       "GET http://host/safe/x HTTP/1.1\r\nHost: host\r\nAttempt: a1"
+       "\r\n\r\n"},
+      {"one that overrides the Host field",
+       "GET http://host/safe/x HTTP/1.1\r\nHost: other\r\nAttempt: a1"
+       "\r\n\r\n"},
+  }));
+  INFO(name);
+  GatewayFixture fixture;
+  const ScriptedBackend& backend =
+      fixture.AddBackend("b", [](const ScriptedBackend::Received& call) {
+        call.session->Write(PlainAnswer("a1 ", 200, "x"));
+      });
+  TestClient& client = fixture.Connect();
+  client.Send(request);
+  REQUIRE(fixture.RunUntil([&] { return client.Status() != 0; }));
+  CHECK(client.Status() == 200);
+  REQUIRE(backend.Requests().size() == 1);
+  const auto& head = backend.Requests().front().head;
+  CHECK(head.target == "/safe/x");
+  CHECK(*head.headers.Find("Host") == "host");
+  CHECK(*head.headers.Find("Attempt") == "a1");
+}
+
 TEST_CASE("bodies of requests that find no room are refused before they come") {
   constexpr int callers = 20;
   constexpr std::size_t body_bytes = 256U << 10U;
