A refusal that a backend server does not explain is no promise of the gateway

Cause: a worker's 408, 421, 429 or 503 without its statement that the call has not run was passed on.

Change: for a call that must not run twice such a status becomes a 502 of the gateway, without the worker's seal. Other calls get it as it is.

--- a/src/wasabiwall/transport/exchange.cc
+++ b/src/wasabiwall/transport/exchange.cc
@@ -457,22 +457,12 @@
   return true;
 }
 
-void Exchange::AbortAttempt(HealthSignal signal) {
-  CancelSecond();
-  if (m_attempt) m_attempt->Abort(signal);
-}
-
 void Exchange::CancelSecond() {
   m_hedge.Disarm();
   const auto hedge = std::exchange(m_second_attempt, nullptr);
   if (hedge) hedge->Abort(HealthSignal::kRefused);
 }
 
-bool Exchange::TakeRetryToken() {
-  return m_counts.sends == 0 ||
-         m_context->RetryBudgetFor(m_call.service->id).Take();
-}
-
 void Exchange::RetryOrFail(const Attempt& attempt, bool not_run, ErrorKind kind,
                            const char* reason) {
   if (DropIfSecond(attempt)) return;
@@ -507,6 +497,12 @@
 }
 
 void Exchange::WriteBufferedReply(const ReplyReader& reply) {
+  // Callers send a call again that has not run; only what the backend server
+  // says of it shows that, and it has said nothing.
+  if (!m_call.route->IsIdempotent() && PromisesNotRun(reply.Head().status)) {
+    Fail({ErrorKind::kBackendServerFailed, "unexplained_refusal", {}});
+    return;
+  }
   WriteHead(reply, reply.Length());
   if (m_ended) return;
   m_response.Write(reply.Body());
--- a/src/wasabiwall/transport/exchange.h
+++ b/src/wasabiwall/transport/exchange.h
@@ -126,7 +126,10 @@
   /// @return Whether it was started.
   bool StartMove();
   /// Aborts the attempt that is running, if there is one.
-  void AbortAttempt(coordination::HealthSignal signal);
+  void AbortAttempt(coordination::HealthSignal signal) {
+    CancelSecond();
+    if (m_attempt) m_attempt->Abort(signal);
+  }
 
   // A second attempt beside the first one.
   void OnHedgeDue();
@@ -143,7 +146,10 @@
                    protocol::ErrorKind kind, const char* reason);
   /// Takes a retry from the service's budget; a call that has not been sent yet
   /// needs none.
-  bool TakeRetryToken();
+  bool TakeRetryToken() {
+    return m_counts.sends == 0 ||
+           m_context->RetryBudgetFor(m_call.service->id).Take();
+  }
 
   // Response to the caller.
   /// Writes the head of the backend server's response.
--- a/src/wasabiwall/transport/local_reply.cc
+++ b/src/wasabiwall/transport/local_reply.cc
@@ -1,5 +1,7 @@
 #include "wasabiwall/transport/local_reply.h"
 
+#include <algorithm>
+#include <array>
 #include <chrono>
 
 namespace wasabiwall::transport {
@@ -13,6 +15,11 @@
 
 }  // namespace
 
+bool PromisesNotRun(int status) {
+  constexpr std::array promises{408, 421, 429, 503};
+  return std::ranges::find(promises, status) != promises.end();
+}
+
 LocalReply LocalReplyFor(const protocol::Error& error) {
   const protocol::ErrorRow& row = protocol::RowOf(error.kind);
   LocalReply reply;
--- a/src/wasabiwall/transport/local_reply.h
+++ b/src/wasabiwall/transport/local_reply.h
@@ -18,6 +18,10 @@
 /// certainly not run.
 LocalReply LocalReplyFor(const protocol::Error& error);
 
+/// @return Whether a status promises that the request has not run and never
+/// will.
+bool PromisesNotRun(int status);
+
 /// @return An encoded response head, without the hop-by-hop headers of the
 /// connection that it came on.
 /// @param length Length of the body; without one, the body is chunked.
--- a/tests/gateway/refusal_test.cc
+++ b/tests/gateway/refusal_test.cc
@@ -235,6 +235,30 @@
   CHECK(busy.Status() == 200);
 }
 
+TEST_CASE("a refusal that a backend server does not explain is no promise") {
+  // Guards against callers that send a call again which has run: these statuses
+  // promise that it has not, and only the backend server can say so.
+  const int status = GENERATE(408, 421, 429, 503);
+  CAPTURE(status);
+  GatewayFixture fixture;
+  fixture.AddBackend("b", [status](const ScriptedBackend::Received& call) {
+    call.session->Write(PlainAnswer(*call.head.headers.Find("Attempt"), status,
+                                    "ran", "Retry-After: 1\r\n"));
+  });
+  SECTION("of a call that must not run twice") {
+    TestClient& client = fixture.Call("/once/x", "a1");
+    REQUIRE(fixture.RunUntil([&] { return client.Status() != 0; }));
+    CHECK(client.Status() == 502);
+    CHECK_FALSE(client.Has("Retry-After"));
+    CHECK_FALSE(client.Has("ran"));
+  }
+  SECTION("of one that may, it is passed on") {
+    TestClient& client = fixture.Call("/safe/x", "a1");
+    REQUIRE(fixture.RunUntil([&] { return client.Status() != 0; }));
+    CHECK(client.Status() == status);
+  }
+}
+
 TEST_CASE("unknown routes are answered with 404, malformed requests with 400") {
   GatewayFixture fixture;
   TestClient& unknown = fixture.Call("/none/x", "a1");
