A fleet that has just appeared is not taken for its first few gateways

Cause: the first count of gateways was in effect at once, so that the first to register took the shared limits for themselves.

Fleets of more than eight that appear at once are still underestimated for that moment.

--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -261,6 +261,7 @@
   const int count = static_cast<int>(addresses.size());
   const int before = m_process_counts.Registered();
   if (count == before) return;
+  if (!m_first_counted_at) m_first_counted_at = now;
   m_process_counts.Set(count, now);
   LogInfo("processes_counted", {{"count", std::to_string(count)},
                                 {"before", std::to_string(before)},
@@ -404,8 +405,12 @@
 }
 
 int GatewayContext::ProcessCount() const {
-  const int count = m_process_counts.Highest(loop->Now());
-  return count == 0 ? kAssumedProcessCount : count;
+  const auto now = loop->Now();
+  const int count = m_process_counts.Highest(now);
+  const bool is_settled =
+      count > 0 && m_first_counted_at &&
+      now >= *m_first_counted_at + options.fleet_settle_time;
+  return is_settled ? count : std::max(count, kAssumedProcessCount);
 }
 
 coordination::RetryBudget& GatewayContext::RetryBudgetFor(
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -62,6 +62,10 @@
   double retry_burst = 50;
   /// Extra work that hedged requests may cause, of all gateways.
   hedging::HedgeLimits hedge_limits;
+  /// Time after the first count of gateways in which more may register that
+  /// have started at the same moment. Until then the shared limits are divided
+  /// by no fewer than are assumed before the first count.
+  std::chrono::milliseconds fleet_settle_time{0};
   /// How the registry's entries expire and return about an outage.
   state::LapseTimes lapse_times;
   /// File descriptors that the process may have open.
@@ -241,6 +245,8 @@
   std::int64_t m_gateway_list_revision = 0;
   bool m_makes_room_soon = false;
   coordination::ProcessCountHistory m_process_counts;
+  /// When the first count of gateways was set.
+  std::optional<coordination::TimePoint> m_first_counted_at;
   /// Process count that the limits of the retry budgets follow from.
   int m_budgeted_process_count = 0;
 };
--- a/tests/gateway/process_count_test.cc
+++ b/tests/gateway/process_count_test.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "fakes/gateway_fixture.h"
 #include "wasabiwall/coordination/process_count_history.h"
 
 namespace wasabiwall::coordination {
@@ -78,5 +79,32 @@
   }
 }
 
+TEST_CASE("a fleet that has just appeared is not taken for a few gateways") {
+  // Guards against gateways that start together, as after a loss of power: the
+  // first ones took the whole of shared limits.
+  constexpr milliseconds settle_time{300};
+  auto options = fakes::GatewayFixture::DefaultOptions();
+  options.fleet_settle_time = settle_time;
+  fakes::GatewayFixture gateway(options);
+  const int assumed = gateway.context.ProcessCount();
+  CHECK(assumed > 2);
+  const auto set_gateways = [&](int count) {
+    ProcessAddresses addresses;
+    for (int i = 0; i < count; ++i) addresses["g" + std::to_string(i)] = "";
+    gateway.context.SetGateways(addresses);
+  };
+  set_gateways(2);
+  CHECK(gateway.context.ProcessCount() == assumed);
+  set_gateways(assumed + 12);
+  CHECK(gateway.context.ProcessCount() == assumed + 12);
+  gateway.RunFor(settle_time);
+  CHECK(gateway.context.ProcessCount() == assumed + 12);
+  SECTION("a small one gets its shares once it has settled") {
+    fakes::GatewayFixture alone(options);
+    alone.RunFor(settle_time + milliseconds(50));
+    CHECK(alone.context.ProcessCount() == 1);
+  }
+}
+
 }  // namespace
 }  // namespace wasabiwall::coordination
