--- a/tests/platform/cold_after_evacuation_test.cc
+++ b/tests/platform/cold_after_evacuation_test.cc
@@ -64,6 +64,7 @@
   std::size_t SendCalls() {
     const std::size_t before = backend.Requests().size();
     std::vector<fakes::TestClient*> clients;
+    clients.reserve(kCalls);
     for (int i = 0; i < kCalls; ++i) {
       clients.push_back(&gateway.Call("/x/1", "a" + std::to_string(++m_calls)));
     }
