--- a/tests/platform/gateway_entry_test.cc
+++ b/tests/platform/gateway_entry_test.cc
@@ -73,6 +73,18 @@
     REQUIRE(RunUntil(&loop, [this] { return store.Has(kEntry); }));
   }
 
+  /// Ends the process; its handle is closed by the loop.
+  ~RegisteredGateway() {
+    if (has_ended) return;
+    child.StopForGood();
+    RunUntil(&loop, [this] { return has_ended; });
+    constexpr milliseconds close_time{10};
+    const auto end = loop.Now() + close_time;
+    RunUntil(&loop, [&] { return loop.Now() >= end; });
+  }
+  RegisteredGateway(const RegisteredGateway&) = delete;
+  RegisteredGateway& operator=(const RegisteredGateway&) = delete;
+
   void RunFor(milliseconds time) {
     const auto end = loop.Now() + time;
     REQUIRE(RunUntil(&loop, [&] { return loop.Now() >= end; }));
