A request that was answered before is not held off by crashes at one moment

Four backend servers had ended within 89 ms while copies of it were in flight, and since answers no longer clear a request for good, four crashes without an answer since held it off.

Change: the first of the four crashes must be a second old. A copy of a popular request is answered in that time; one that ends the backend servers of a new version is not.

--- a/src/wasabiwall/coordination/request_quarantine.cc
+++ b/src/wasabiwall/coordination/request_quarantine.cc
@@ -111,6 +111,8 @@
   if (crashes.size() < needed) return;
   const bool is_known = TimeLeft(fingerprint, now).has_value();
   const auto first = std::ranges::max_element(crashes, {}, &CrashRecord::age);
+  const bool was_answered = AnsweredRequestSentAt(fingerprint).has_value();
+  if (was_answered && first->age < m_options.wait_if_answered_before) return;
   Entry& entry = Insert(fingerprint,
                         {.source = source,
                          .crashes = crashes.size(),
--- a/src/wasabiwall/coordination/request_quarantine.h
+++ b/src/wasabiwall/coordination/request_quarantine.h
@@ -30,6 +30,9 @@
   /// before: two calls with a repeat each. One that is popular is in flight at
   /// most crashes and usually answered between two of them.
   int crashes_if_answered_before = 4;
+  /// Time since the first of these crashes, in which a copy of a popular
+  /// request is usually answered although many backend servers ended at once.
+  std::chrono::milliseconds wait_if_answered_before{1000};
   /// Time until the first probe: longer than the answers of copies that were in
   /// flight, and the records of the same crashes, usually take.
   std::chrono::milliseconds first_probe_delay = std::chrono::seconds(2);
