ProcessCountHistory decides how a fleet that has just appeared is counted

The rule that no fewer gateways are in effect at first than are assumed stood in GatewayContext, beside the class that decides all else of the count. It moves there, so that its test needs no gateway and no time of the clock. It covers one more case: a fleet of which none is registered any more.

--- a/src/wasabiwall/coordination/process_count_history.cc
+++ b/src/wasabiwall/coordination/process_count_history.cc
@@ -5,6 +5,7 @@
 namespace wasabiwall::coordination {
 
 void ProcessCountHistory::Set(int count, TimePoint now) {
+  if (!m_first_set_at && count > 0) m_first_set_at = now;
   while (!m_dropped.empty() && (m_dropped.front().in_effect_until <= now)) {
     m_dropped.pop_front();
   }
@@ -18,6 +19,14 @@
   m_registered = count;
 }
 
+int ProcessCountHistory::InEffect(TimePoint now) const {
+  const int highest = Highest(now);
+  const bool is_settled = m_first_set_at &&
+                          now >= *m_first_set_at + m_beginning.settle_time &&
+                          highest > 0;
+  return is_settled ? highest : std::max(highest, m_beginning.assumed);
+}
+
 int ProcessCountHistory::Highest(TimePoint now) const {
   const auto in_effect = std::ranges::find_if(
       m_dropped,
--- a/src/wasabiwall/transport/gateway_context.cc
+++ b/src/wasabiwall/transport/gateway_context.cc
@@ -230,7 +230,9 @@
                 options.failure_domain, options.load_factor),
       rollouts(MakeRollouts()),
       m_load_timer(event_loop),
-      m_process_counts(kProcessCountRetention) {}
+      m_process_counts(kProcessCountRetention,
+                       {.assumed = kAssumedProcessCount,
+                        .settle_time = options.fleet_settle_time}) {}
 
 void GatewayContext::ApplyConfig(
     std::shared_ptr<const state::ServiceConfig> config) {
@@ -261,7 +263,6 @@
   const int count = static_cast<int>(addresses.size());
   const int before = m_process_counts.Registered();
   if (count == before) return;
-  if (!m_first_counted_at) m_first_counted_at = now;
   m_process_counts.Set(count, now);
   LogInfo("processes_counted", {{"count", std::to_string(count)},
                                 {"before", std::to_string(before)},
@@ -405,12 +406,7 @@
 }
 
 int GatewayContext::ProcessCount() const {
-  const auto now = loop->Now();
-  const int count = m_process_counts.Highest(now);
-  const bool is_settled =
-      count > 0 && m_first_counted_at &&
-      now >= *m_first_counted_at + options.fleet_settle_time;
-  return is_settled ? count : std::max(count, kAssumedProcessCount);
+  return m_process_counts.InEffect(loop->Now());
 }
 
 coordination::RetryBudget& GatewayContext::RetryBudgetFor(
--- a/src/wasabiwall/transport/gateway_context.h
+++ b/src/wasabiwall/transport/gateway_context.h
@@ -245,8 +245,6 @@
   std::int64_t m_gateway_list_revision = 0;
   bool m_makes_room_soon = false;
   coordination::ProcessCountHistory m_process_counts;
-  /// When the first count of gateways was set.
-  std::optional<coordination::TimePoint> m_first_counted_at;
   /// Process count that the limits of the retry budgets follow from.
   int m_budgeted_process_count = 0;
 };
--- a/tests/gateway/process_count_test.cc
+++ b/tests/gateway/process_count_test.cc
@@ -6,7 +6,6 @@
 #include <utility>
 #include <vector>
 
-#include "fakes/gateway_fixture.h"
 #include "wasabiwall/coordination/process_count_history.h"
 
 namespace wasabiwall::coordination {
@@ -29,10 +28,10 @@
     history.Set(left, drop + milliseconds(100 * (4 - left)));
   }
   CHECK(history.Registered() == 1);
-  CHECK(history.Highest(drop + milliseconds(300)) == 4);
-  CHECK(history.Highest(drop + seconds(20)) == 4);
-  CHECK(history.Highest(drop + milliseconds(20100)) == 3);
-  CHECK(history.Highest(drop + milliseconds(20300)) == 1);
+  CHECK(history.InEffect(drop + milliseconds(300)) == 4);
+  CHECK(history.InEffect(drop + seconds(20)) == 4);
+  CHECK(history.InEffect(drop + milliseconds(20100)) == 3);
+  CHECK(history.InEffect(drop + milliseconds(20300)) == 1);
 }
 
 TEST_CASE("a count that is set again without a change is not extended") {
@@ -40,18 +39,18 @@
   history.Set(4, kStart);
   history.Set(3, kStart + seconds(100));
   for (int i = 0; i < 19; ++i) history.Set(3, kStart + seconds(101 + i));
-  CHECK(history.Highest(kStart + seconds(119)) == 4);
-  CHECK(history.Highest(kStart + seconds(120)) == 3);
+  CHECK(history.InEffect(kStart + seconds(119)) == 4);
+  CHECK(history.InEffect(kStart + seconds(120)) == 3);
 }
 
 TEST_CASE("a count that rises above those before is in effect at once") {
   ProcessCountHistory history(kRetention);
-  CHECK(history.Highest(kStart) == 0);
+  CHECK(history.InEffect(kStart) == 0);
   history.Set(4, kStart);
   history.Set(1, kStart + seconds(1));
   history.Set(9, kStart + seconds(2));
-  CHECK(history.Highest(kStart + seconds(2)) == 9);
-  CHECK(history.Highest(kStart + seconds(60)) == 9);
+  CHECK(history.InEffect(kStart + seconds(2)) == 9);
+  CHECK(history.InEffect(kStart + seconds(60)) == 9);
 }
 
 TEST_CASE(
@@ -74,7 +73,7 @@
           highest = std::max(highest, sets[i].second);
         }
       }
-      REQUIRE(history.Highest(asked) == highest);
+      REQUIRE(history.InEffect(asked) == highest);
     }
   }
 }
@@ -82,27 +81,28 @@
 TEST_CASE("a fleet that has just appeared is not taken for a few gateways") {
   // Guards against gateways that start together, as after a loss of power: the
   // first ones took the whole of shared limits.
-  constexpr milliseconds settle_time{300};
-  auto options = fakes::GatewayFixture::DefaultOptions();
-  options.fleet_settle_time = settle_time;
-  fakes::GatewayFixture gateway(options);
-  const int assumed = gateway.context.ProcessCount();
-  CHECK(assumed > 2);
-  const auto set_gateways = [&](int count) {
-    ProcessAddresses addresses;
-    for (int i = 0; i < count; ++i) addresses["g" + std::to_string(i)] = "";
-    gateway.context.SetGateways(addresses);
-  };
-  set_gateways(2);
-  CHECK(gateway.context.ProcessCount() == assumed);
-  set_gateways(assumed + 12);
-  CHECK(gateway.context.ProcessCount() == assumed + 12);
-  gateway.RunFor(settle_time);
-  CHECK(gateway.context.ProcessCount() == assumed + 12);
+  constexpr int assumed = 8;
+  constexpr seconds settle_time{3};
+  ProcessCountHistory history(kRetention,
+                              {.assumed = assumed, .settle_time = settle_time});
+  CHECK(history.InEffect(kStart) == assumed);
+  const TimePoint first = kStart + seconds(60);
+  history.Set(0, kStart);
+  history.Set(2, first);
+  CHECK(history.InEffect(first) == assumed);
   SECTION("a small one gets its shares once it has settled") {
-    fakes::GatewayFixture alone(options);
-    alone.RunFor(settle_time + milliseconds(50));
-    CHECK(alone.context.ProcessCount() == 1);
+    CHECK(history.InEffect(first + settle_time - milliseconds(1)) == assumed);
+    CHECK(history.InEffect(first + settle_time) == 2);
+  }
+  SECTION("a large one counts as it is known") {
+    history.Set(20, first + milliseconds(300));
+    CHECK(history.InEffect(first + milliseconds(300)) == 20);
+    CHECK(history.InEffect(first + settle_time) == 20);
+  }
+  SECTION("one that is not registered any more is taken for the assumed one") {
+    history.Set(0, first + seconds(10));
+    CHECK(history.InEffect(first + seconds(11)) == 2);
+    CHECK(history.InEffect(first + seconds(31)) == assumed);
   }
 }
 
