--- a/src/wasabiwall/transport/call_move.h
+++ b/src/wasabiwall/transport/call_move.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <utility>
 #include <vector>
 
 #include "wasabiwall/transport/attempt.h"
--- a/src/wasabiwall/transport/http1_message.cc
+++ b/src/wasabiwall/transport/http1_message.cc
@@ -28,14 +28,14 @@
   return text.capacity() > inline_capacity ? text.capacity() : 0;
 }
 
-std::string_view Trim(std::string_view text) {
+}  // namespace
+
+std::string_view TrimSpace(std::string_view text) {
   const auto first = text.find_first_not_of(" \t");
   if (first == std::string_view::npos) return {};
   return text.substr(first, text.find_last_not_of(" \t") - first + 1);
 }
 
-}  // namespace
-
 bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
   return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
@@ -110,7 +110,7 @@
     std::string_view rest = value;
     while (!rest.empty()) {
       const auto comma = rest.find(',');
-      names.Insert(Trim(rest.substr(0, comma)));
+      names.Insert(TrimSpace(rest.substr(0, comma)));
       if (comma == std::string_view::npos) break;
       rest.remove_prefix(comma + 1);
     }
--- a/src/wasabiwall/transport/http1_message.h
+++ b/src/wasabiwall/transport/http1_message.h
@@ -8,6 +8,9 @@
 
 namespace wasabiwall::transport {
 
+/// @return The text without the space around it.
+std::string_view TrimSpace(std::string_view text);
+
 /// Compares two header names, ignoring case.
 bool EqualsIgnoringCase(std::string_view a, std::string_view b);
 
--- a/src/wasabiwall/transport/http1_parser.cc
+++ b/src/wasabiwall/transport/http1_parser.cc
@@ -43,8 +43,6 @@
                                             : BodyFraming::kConnectionClose;
 }
 
-bool IsSpace(char c) { return c == ' ' || c == '\t'; }
-
 }  // namespace
 
 Http1Parser::Http1Parser(Kind kind, Handlers handlers)
@@ -102,11 +100,10 @@
     if (name_end == std::string::npos) return;
     const auto value_end = text.find(kFieldEnd, name_end + 1);
     if (value_end == std::string::npos) return;
-    // The space around a value is no part of it.
-    auto value_size = value_end - name_end - 1;
-    while (value_size > 0 && IsSpace(text[name_end + value_size])) --value_size;
+    const std::string_view value =
+        std::string_view(text).substr(name_end + 1, value_end - name_end - 1);
     m_head.headers.Add(text.substr(begin, name_end - begin),
-                       text.substr(name_end + 1, value_size));
+                       std::string(TrimSpace(value)));
     begin = value_end + 1;
   }
 }
