--- a/tests/gateway/queue_test.cc
+++ b/tests/gateway/queue_test.cc
@@ -74,6 +74,7 @@
 
 TEST_CASE(
     "a call whose response has begun goes first, also into a full queue") {
+  // Guards against a begun response that is truncated behind new calls.
   QueueFixture fixture;
   fixture.Add("urgent", 0);
   fixture.Add("new", 1);
--- a/tests/gateway/silent_stream_test.cc
+++ b/tests/gateway/silent_stream_test.cc
@@ -106,6 +106,8 @@
 };
 
 TEST_CASE("a silent stream is not given up while no other engine has room") {
+  // Guards against a stream that is aborted before another place is found, and
+  // then cut for want of one.
   TwoEngines engines;
   TestClient& other = engines.StartStream("busy");
   TestClient& silent = engines.StartStream("silent");
@@ -127,6 +129,7 @@
 }
 
 TEST_CASE("a silent stream moves once another engine has room for it") {
+  // Guards against a stalled stream that stays where it is for good.
   TwoEngines engines;
   engines.StartStream("busy");
   TestClient& silent = engines.StartStream("silent");
@@ -150,6 +153,7 @@
 }
 
 TEST_CASE("a stream that goes on after a silence is not moved later") {
+  // Guards against a wait for room that outlives the silence.
   TwoEngines engines;
   engines.StartStream("busy");
   TestClient& silent = engines.StartStream("silent");
@@ -206,6 +210,7 @@
 }
 
 TEST_CASE("a silent stream is sent again after a refusal") {
+  // Guards against a refusal that ends the search for another place.
   TwoEngines engines;
   const MovedStream stream(&engines);
   stream.second->Write(PlainAnswer("a", 503, "", "Not-Run: 1\r\n"));
@@ -218,6 +223,7 @@
 }
 
 TEST_CASE("each event of a moved stream reaches its caller once") {
+  // Guards against the events of two runs in one stream.
   TwoEngines engines;
   const MovedStream stream(&engines);
   const std::string rest = EventChunk(2, "two") + EventChunk(3, "last") +
@@ -282,6 +288,7 @@
 }
 
 TEST_CASE("a slow plain call is not given up while no other engine has room") {
+  // Guards against a call that is sent again to the same engine, or refused.
   TwoEngines engines;
   engines.Start("/once/x", "busy");
   TestClient& slow = engines.Start("/safe/x", "slow");
@@ -295,6 +302,8 @@
 }
 
 TEST_CASE("a stream that breaks off waits for room until its deadline") {
+  // Guards against a response that is truncated as soon as a call that has not
+  // begun would be refused.
   TwoEngines engines;
   engines.StartStream("busy");
   TestClient& cut = engines.StartStream("cut");
