Tests of a process that was frozen, and of the count at other gateways

One process thaws after another of its name has been started, with a lease that has ended: they end with one owner and at most 16 writes. Another gateway counts a process all the while that late writes hit its entry, also if their leases end at once.

--- a/tests/platform/gateway_entry_test.cc
+++ b/tests/platform/gateway_entry_test.cc
@@ -5,6 +5,8 @@
 #include <cstdlib>
 #include <filesystem>
 
+#include "fakes/followed_store.h"
+#include "fakes/gateway_fixture.h"
 #include "fakes/test_port.h"
 #include "platform_names.h"
 #include "process_registration.h"
@@ -209,6 +211,81 @@
   CHECK(RunUntil(&loop, [&] { return store.Value(kEntry) == next; }));
 }
 
+TEST_CASE("a process that was frozen causes no storm of writes") {
+  // Guards against a process that thaws after another one of its name has been
+  // started, with a lease that has ended meanwhile.
+  transport::EventLoop loop;
+  transport::EventLoop frozen_loop;
+  StoreEmulator store(&loop, 1);
+  int writes = 0;
+  store.SetWriteListener(
+      [&](const std::string&, const std::string&, std::int64_t) { ++writes; });
+  bool is_frozen = false;
+  const auto run_for = [&](milliseconds time) {
+    const auto end = loop.Now() + time;
+    REQUIRE(RunUntil(&loop, [&] {
+      if (!is_frozen) uv_run(frozen_loop.Handle(), UV_RUN_NOWAIT);
+      return loop.Now() >= end;
+    }));
+  };
+  EntryKeeper frozen(&frozen_loop, &store, "frozen");
+  run_for(milliseconds(500));
+  REQUIRE(store.Value(kEntry) == "frozen");
+  is_frozen = true;
+  StoreClient operators(&loop, store.Address());
+  operators.EndLease({.era = 1, .id = store.LeasesGranted()},
+                     [](const auto&) {});
+  EntryKeeper successor(&loop, &store, "successor");
+  run_for(milliseconds(500));
+  REQUIRE(store.Value(kEntry) == "successor");
+  is_frozen = false;
+  const int writes_before = writes;
+  constexpr milliseconds contest{7000};
+  run_for(contest);
+  constexpr int most_writes = 16;
+  CHECK(writes - writes_before <= most_writes);
+  CHECK(store.Has(kEntry));
+  const int writes_after = writes;
+  run_for(milliseconds(1500));
+  CHECK(writes == writes_after);
+}
+
+TEST_CASE(
+    "others count a process all the while that late writes hit its entry") {
+  // Guards against a moment at which shared limits are divided by one process
+  // too few, also if the lease of the late write ends at once.
+  fakes::GatewayFixture other;
+  StoreEmulator store(&other.loop, 1);
+  const fakes::FollowedStore followed(&other, store.Address());
+  REQUIRE(followed.RunUntilLoaded());
+  store.Put(std::string(names::kProcessPrefix) + "edge-1", "other");
+  EntryKeeper keeper(&other.loop, &store, "address");
+  StoreClient former(&other.loop, store.Address());
+  constexpr int processes = 2;
+  REQUIRE(other.RunUntil([&] {
+    return store.Has(kEntry) && other.context.ProcessCount() == processes;
+  }));
+  const bool ends_lease = GENERATE(false, true);
+  int fewest = processes;
+  constexpr int late_writes = 4;
+  for (int i = 0; i < late_writes; ++i) {
+    former.GrantLease(milliseconds(1000), [&](const auto& lease) {
+      former.Put({.key = kEntry, .value = "former", .lease = *lease},
+                 [&, held = *lease](const auto&) {
+                   if (ends_lease) former.EndLease(held, [](const auto&) {});
+                 });
+    });
+    const auto end = other.loop.Now() + milliseconds(900);
+    other.RunUntil([&] {
+      fewest = std::min(fewest, other.context.ProcessCount());
+      return other.loop.Now() >= end;
+    });
+  }
+  CHECK(fewest == processes);
+  CHECK(other.RunUntil([&] { return store.Value(kEntry) == "address"; }));
+  keeper.Stop();
+}
+
 TEST_CASE("a process keeps its entry through a series of late writes") {
   // Guards against restarts in a row whose writes are carried out late.
   transport::EventLoop loop;
