--- a/tests/platform/quarantine_entries_test.cc
+++ b/tests/platform/quarantine_entries_test.cc
@@ -125,6 +125,30 @@
   REQUIRE(all.RunUntilAll(false));
 }
 
+TEST_CASE("the probe of a claim whose answer is lost is run") {
+  // Guards against a claim that counts in the store and that no gateway knows
+  // of: the request was held off for ten more minutes.
+  Members all;
+  all.members[0]->SeeCrashes();
+  REQUIRE(all.RunUntilAll(true));
+  // Before and after the claim is given up.
+  all.store.SetWriteDelay(
+      GENERATE(milliseconds(1), milliseconds(300), milliseconds(1600)));
+  bool done = false;
+  Member& member = *all.members[1];
+  REQUIRE(member.entries.ClaimProbe(kRequest, [&] { done = true; }));
+  REQUIRE(all.fleet.RunUntil([&] { return done; }));
+  all.store.SetWriteDelay(milliseconds(0));
+  bool is_taken = false;
+  CHECK(all.fleet.RunUntil([&] {
+    is_taken = is_taken || member.quarantine.TakeProbe(kRequest);
+    return is_taken;
+  }));
+  for (const auto& other : all.members) {
+    CHECK_FALSE(other->quarantine.TakeProbe(kRequest));
+  }
+}
+
 TEST_CASE("a claim that is overtaken by another's is given up") {
   GatewayFixture fleet;
   soak::StoreEmulator store(&fleet.loop, 1);
