Bytes that arrived before a write failed are read before the connection ends

Cause: libuv reports a write that fails at once before it polls for bytes to read, and the connection ended with that report.

Change: the connection ends with the read that finds no more bytes, as broken. If it is not read, or only to be closed, it ends at once as before.

--- a/src/wasabiwall/transport/tcp_connection.cc
+++ b/src/wasabiwall/transport/tcp_connection.cc
@@ -64,6 +64,9 @@
   bool closing = false;
   bool close_after_writes = false;
   bool reading = false;
+  /// Whether a write has failed and the connection ends with the next read that
+  /// finds no more bytes.
+  bool write_failed = false;
   /// Size of the write that libuv carries out, and the memory that holds it.
   std::size_t in_flight_bytes = 0;
   std::size_t in_flight_memory = 0;
@@ -133,7 +136,8 @@
   void OnRead(ssize_t size, const char* data) {
     if (size == 0 || closing) return;
     if (size < 0) {
-      const bool in_order = size == UV_EOF && !HasSocketError();
+      const bool in_order =
+          size == UV_EOF && !write_failed && !HasSocketError();
       End(in_order ? ConnectionEnd::kClosed : ConnectionEnd::kBroken);
       return;
     }
@@ -157,7 +161,7 @@
   }
 
   void Write(std::string data) {
-    if (closing || data.empty()) return;
+    if (closing || write_failed || data.empty()) return;
     if (in_flight_bytes > 0) {
       // One write at a time: a write of its own costs some 300 bytes, several
       // times the size of a small response or event.
@@ -205,6 +209,17 @@
     return left + backlog.size();
   }
 
+  void OnWriteFailed() {
+    // The peer may have sent bytes before it ended the connection, such as an
+    // early response, and libuv reports a failed write before it reads them.
+    if (reading && !close_after_writes) {
+      write_failed = true;
+      backlog = {};
+      return;
+    }
+    End(ConnectionEnd::kBroken);
+  }
+
   void OnWritten(int status) {
     in_flight_bytes = 0;
     in_flight_memory = 0;
@@ -213,7 +228,7 @@
       return;
     }
     if (status != 0) {
-      End(ConnectionEnd::kBroken);
+      OnWriteFailed();
       return;
     }
     if (!backlog.empty()) {
