--- a/src/wasabiwall/transport/http1_parser.cc
+++ b/src/wasabiwall/transport/http1_parser.cc
@@ -100,8 +100,8 @@
     if (name_end == std::string::npos) return;
     const auto value_end = text.find(kFieldEnd, name_end + 1);
     if (value_end == std::string::npos) return;
-    const std::string_view value =
-        std::string_view(text).substr(name_end + 1, value_end - name_end - 1);
+    const std::string_view value(text.data() + name_end + 1,
+                                 value_end - name_end - 1);
     m_head.headers.Add(text.substr(begin, name_end - begin),
                        std::string(TrimSpace(value)));
     begin = value_end + 1;
