A crash whose cause has not been told yet says nothing against that cause

Callers would have been refused until an answer is established.

Cause: a part that explains two of three crashes of another counts as taken wrongly, and explains none then. The record of a crash and what made it come in separate messages, some milliseconds apart, and judgements come at a fixed period, so at any time after the last crash: one between the two messages convicted the shared part.

Change: a crash that nothing explains counts in that comparison only 100 ms after the gateway knew of it, the time that JudgeSoon had meant for messages. Verdicts on parts of which nothing is explained come as early as before.

--- a/src/wasabiwall/coordination/prompt_part_evidence.cc
+++ b/src/wasabiwall/coordination/prompt_part_evidence.cc
@@ -56,7 +56,12 @@
   // The first and the last crash tell how long it has gone on.
   if (records.size() >= kMaxRecordsPerPart) records.pop_back();
   const auto later = std::ranges::upper_bound(records, at, {}, &Record::at);
-  records.insert(later, {crash, at, calls, sent_at});
+  records.insert(later, {.crash = crash,
+                         .at = at,
+                         .known_at = now,
+                         .calls = calls,
+                         .sent_at = sent_at});
+  m_last_record_at = now;
 }
 
 void PromptPartEvidence::MakeRoom(std::int64_t crash, TimePoint now) {
@@ -128,6 +133,15 @@
   return current;
 }
 
+std::size_t PromptPartEvidence::CountSettled(const Records& records,
+                                             TimePoint now) const {
+  const auto count = std::ranges::count_if(records, [&](const Record& record) {
+    return now - record.known_at >= m_options.settle_time ||
+           IsExplained(record.crash, now);
+  });
+  return static_cast<std::size_t>(count);
+}
+
 PromptPartEvidence::Records PromptPartEvidence::Unexplained(
     Records records, TimePoint now) const {
   std::erase_if(records, [&](const Record& record) {
@@ -145,7 +159,7 @@
       ++explained[cause];
     }
   }
-  const auto crashes = records.size();
+  const auto crashes = CountSettled(records, now);
   std::erase_if(explained, [&](const auto& entry) {
     const auto& [cause, count] = entry;
     return cause != part &&
--- a/src/wasabiwall/coordination/prompt_part_evidence.h
+++ b/src/wasabiwall/coordination/prompt_part_evidence.h
@@ -34,6 +34,9 @@
   /// the time from twice the calls on.
   int popular_calls = 4;
   std::chrono::milliseconds wait_if_popular{500};
+  /// Time in which other gateways tell what they know of a crash, since this
+  /// gateway knows of it. That nothing explains it says nothing before.
+  std::chrono::milliseconds settle_time{100};
   /// Time after a crash in which verdicts may follow from waiting alone.
   std::chrono::milliseconds judgement_time{4000};
   /// Crashes this close together count as one, since a failure of several
@@ -103,7 +106,8 @@
   /// @return Whether a crash is so recent that waiting may bring a verdict.
   bool IsJudgementOpen(TimePoint now) const {
     return !m_records.empty() &&
-           now - m_last_change_at < m_options.judgement_time;
+           (now - m_last_change_at < m_options.judgement_time ||
+            now - m_last_record_at < m_options.settle_time);
   }
 
   /// @return Whether there is enough against the part to take it for a cause.
@@ -154,6 +158,8 @@
   struct Record {
     std::int64_t crash = 0;
     TimePoint at;
+    /// Since when this gateway knows of it.
+    TimePoint known_at;
     int calls = 0;
     /// When the latest of the calls was sent, if it is known.
     std::optional<TimePoint> sent_at;
@@ -166,11 +172,14 @@
   }
   /// @return Records of the part that have not expired.
   Records CurrentOf(std::uint64_t part, TimePoint now) const;
+  /// @return Number of the records that are explained or that other gateways
+  /// had the time to explain.
+  std::size_t CountSettled(const Records& records, TimePoint now) const;
   /// @return Those of the records that nothing explains.
   Records Unexplained(Records records, TimePoint now) const;
   /// @return Those of a part's records that no other part explains which
-  /// explains most of them. A part of which that cannot be said may have been
-  /// taken for a cause wrongly.
+  /// explains most of them that are settled. A part of which that cannot be
+  /// said may have been taken for a cause wrongly.
   Records NotExplainedTogether(std::uint64_t part, Records records,
                                TimePoint now) const;
   /// @return Number of different moments of the crashes.
@@ -204,6 +213,8 @@
   quarantine::CrashExplanations m_explanations;
   /// When the last crash happened, or the first judgement after a belief ended.
   TimePoint m_last_change_at;
+  /// When the last record was added.
+  TimePoint m_last_record_at;
   bool m_has_withdrawn = false;
   /// Send times of the latest answered requests with a part.
   quarantine::RecentTimes m_answered;
--- a/tests/coordination/attributed_crash_test.cc
+++ b/tests/coordination/attributed_crash_test.cc
@@ -109,6 +109,35 @@
   CHECK_FALSE(gateway.IsHeldOff(kTemplate));
 }
 
+// A judgement that was due between the record of a crash and the word of
+// another gateway, some milliseconds later, held off the part of all requests.
+TEST_CASE("a verdict waits for what other gateways say of the last crash",
+          "[attributed_crash]") {
+  const std::string cause = FingerprintOfPromptPart(kCause);
+  const std::string shared = FingerprintOfPromptPart(kTemplate);
+  RequestQuarantine quarantine({});
+  TimePoint now = kStart;
+  constexpr std::int64_t last = 3;
+  for (std::int64_t crash = 1; crash < last; ++crash, now += kInterval) {
+    quarantine.OnCrash(shared, crash, now);
+    quarantine.OnCauseFound(cause, {crash}, now);
+  }
+  quarantine.OnCrash(shared, last, now);
+  const bool is_told = GENERATE(true, false);
+  CAPTURE(is_told);
+  const auto delay = milliseconds(GENERATE(1, 5, 99));
+  CAPTURE(delay.count());
+  quarantine.JudgePromptParts(now + delay);
+  CHECK_FALSE(quarantine.TimeLeft(shared, now + delay));
+  if (is_told) {
+    quarantine.OnCauseFound(cause, {1, 2, last}, now + delay);
+  }
+  // A cause that leaves a crash unexplained may have been taken wrongly.
+  const TimePoint settled = now + milliseconds(100);
+  quarantine.JudgePromptParts(settled);
+  CHECK(quarantine.TimeLeft(shared, settled).has_value() == !is_told);
+}
+
 TEST_CASE("crashes of a part that turns out sound count for others again",
           "[attributed_crash]") {
   // The part was in flight in fewer calls than the cause, at the same crashes.
