A loop that ends drops the tasks that have not run before it closes

Callers see nothing of it; a process leaves such memory as it ends.

Cause: the end of a call posts a task that holds the caller's connection. EventLoop's destructor closed the loop and destroyed the tasks afterwards, so their timers were closed on a loop that ran no more. It happens where the loop is not run between the end of a call and its own end: the fixture runs it for 5 ms, in which a process without processor time does not run it at all.

Change: the destructor drops the tasks first and runs the callbacks of what they close.

Measured: the new test counts 2 holders before, 1 after.

--- a/src/wasabiwall/transport/event_loop.cc
+++ b/src/wasabiwall/transport/event_loop.cc
@@ -41,6 +41,8 @@
 EventLoop::~EventLoop() {
   m_closing = true;
   while (m_background_tasks > 0) uv_run(&m_loop, UV_RUN_ONCE);
+  // What tasks hold closes its handles, and may post again.
+  while (!m_posted.empty()) std::exchange(m_posted, {}).clear();
   uv_close(reinterpret_cast<uv_handle_t*>(&m_idle), nullptr);
   // Runs the close callbacks of handles that were closed before.
   uv_run(&m_loop, UV_RUN_NOWAIT);
--- a/tests/gateway/event_loop_test.cc
+++ b/tests/gateway/event_loop_test.cc
@@ -37,5 +37,17 @@
   CHECK(weak.expired());
 }
 
+// Timers of callers' connections were closed on a loop that had ended.
+TEST_CASE("a loop that ends closes the timers of tasks that have not run") {
+  const auto held = std::make_shared<int>(1);
+  {
+    EventLoop loop;
+    auto timer = std::make_shared<Timer>(&loop);
+    timer->Start(hours(1), [held] {});
+    loop.Post([timer] {});
+  }
+  CHECK(held.use_count() == 1);
+}
+
 }  // namespace
 }  // namespace wasabiwall::transport
