--- a/tests/coordination/prompt_part_evidence_test.cc
+++ b/tests/coordination/prompt_part_evidence_test.cc
@@ -194,6 +194,17 @@
   }
 }
 
+// The judgement after a late record came before the record was settled, and no
+// other one followed.
+TEST_CASE("a judgement is open until a late record is settled",
+          "[prompt_part_evidence]") {
+  PromptPartEvidence evidence;
+  const TimePoint now = kStart + minutes(1);
+  evidence.OnCrash(kPart, 1, kStart, now);
+  CHECK(evidence.IsJudgementOpen(now + milliseconds(99)));
+  CHECK_FALSE(evidence.IsJudgementOpen(now + milliseconds(100)));
+}
+
 // Parts of long streams were convicted before any of the streams was complete.
 TEST_CASE("an established answer makes a part a suspect of last resort",
           "[prompt_part_evidence]") {
