--- a/src/wasabiwall/coordination/admission_queue.h
+++ b/src/wasabiwall/coordination/admission_queue.h
@@ -14,8 +14,7 @@
 
 /// Priority queue of calls that wait for a backend server: the most urgent
 /// first, those whose response has begun before others, in order of arrival
-/// among equals. Does no I/O. Not safe for
-/// concurrent use.
+/// among equals. Does no I/O. Not safe for concurrent use.
 class AdmissionQueue {
  public:
   /// Identifies a waiting call.
