Scripted backend servers that crash leave their port to no other process

Cause: the port of a server that had crashed was free, and another process of the machine, such as a test beside it, could listen on it before the gateway's check. The check found the server alive, so the crash was kept until its entry goes, which the test does not play. On the users' machines an engine's port is its own; a server that is back at once has a test of its own.

Change: the fake keeps the port bound, without listening, from the crash on.

The new test of the fake is red without the change.

--- a/tests/fakes/scripted_backend.cc
+++ b/tests/fakes/scripted_backend.cc
@@ -31,7 +31,11 @@
 ScriptedBackend::~ScriptedBackend() { Crash(); }
 
 void ScriptedBackend::Crash() {
-  m_listener.reset();
+  if (m_listener) {
+    const int port = m_listener->Port();
+    m_listener.reset();
+    m_reserved_port = std::make_unique<ReservedPort>(port);
+  }
   for (const auto& session : m_sessions) session->Reset();
 }
 
--- a/tests/fakes/scripted_backend.h
+++ b/tests/fakes/scripted_backend.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "fakes/reserved_port.h"
 #include "wasabiwall/transport/http1_parser.h"
 #include "wasabiwall/transport/tcp_connection.h"
 
@@ -68,7 +69,8 @@
   /// @return Connections accepted so far.
   int Accepted() const { return static_cast<int>(m_sessions.size()); }
 
-  /// Stops listening and resets all connections.
+  /// Stops listening and resets all connections. No other process gets the
+  /// port, where a check would find it alive.
   void Crash();
 
  private:
@@ -77,6 +79,7 @@
   transport::EventLoop* m_loop;
   Script m_script;
   std::unique_ptr<transport::TcpListener> m_listener;
+  std::unique_ptr<ReservedPort> m_reserved_port;
   std::vector<std::shared_ptr<Session>> m_sessions;
   std::vector<Received> m_requests;
 };
--- a/tests/gateway/scripted_backend_test.cc
+++ b/tests/gateway/scripted_backend_test.cc
@@ -1,6 +1,12 @@
 #include "fakes/scripted_backend.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
+#include <cerrno>
 
 #include "fakes/gateway_fixture.h"
 
@@ -28,5 +34,25 @@
   CHECK(calls == 1);
 }
 
+// A process of another test got the port, and the gateway's check found the
+// backend server alive.
+TEST_CASE("a backend server that has crashed leaves its port to nobody") {
+  transport::EventLoop loop;
+  ScriptedBackend backend(&loop, nullptr);
+  const auto at = transport::ParseAddress(backend.Address());
+  backend.Crash();
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(static_cast<std::uint16_t>(at->port));
+  const auto* generic = reinterpret_cast<const sockaddr*>(&address);
+  const int other = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  CHECK(bind(other, generic, sizeof(address)) != 0);
+  CHECK(errno == EADDRINUSE);
+  CHECK(connect(other, generic, sizeof(address)) != 0);
+  CHECK(errno == ECONNREFUSED);
+  close(other);
+}
+
 }  // namespace
 }  // namespace wasabiwall::fakes
