--- a/tests/clients/crowd.cc
+++ b/tests/clients/crowd.cc
@@ -1,8 +1,6 @@
 #include "clients/crowd.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
-#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -13,6 +11,8 @@
 #include <memory>
 #include <utility>
 
+#include "fakes/loopback_address.h"
+
 namespace wasabiwall::clients {
 namespace {
 
@@ -51,10 +51,7 @@
              sizeof(kReceiveBufferBytes));
   setsockopt(client.socket, IPPROTO_TCP, TCP_MAXSEG, &kSegmentBytes,
              sizeof(kSegmentBytes));
-  sockaddr_in target{};
-  target.sin_family = AF_INET;
-  target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  target.sin_port = htons(m_port);
+  const sockaddr_in target = fakes::LoopbackAddress(m_port);
   const int result =
       connect(client.socket, reinterpret_cast<const sockaddr*>(&target),
               sizeof(target));
--- a/tests/fakes/early_responder.cc
+++ b/tests/fakes/early_responder.cc
@@ -11,6 +11,8 @@
 #include <utility>
 #include <vector>
 
+#include "fakes/loopback_address.h"
+
 namespace wasabiwall::fakes {
 namespace {
 
@@ -25,9 +27,7 @@
   // A small window, so that a long upload cannot be written before the answer.
   const int window = 16384;
   setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window));
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  sockaddr_in address = LoopbackAddress();
   socklen_t size = sizeof(address);
   constexpr int backlog = 16;
   if (bind(m_listener, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
--- a/tests/fakes/silent_listener.cc
+++ b/tests/fakes/silent_listener.cc
@@ -1,13 +1,13 @@
 #include "fakes/silent_listener.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <cerrno>
 #include <stdexcept>
 
+#include "fakes/loopback_address.h"
+
 namespace wasabiwall::fakes {
 namespace {
 
@@ -22,9 +22,7 @@
 
 SilentListener::SilentListener()
     : m_listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  sockaddr_in address = LoopbackAddress();
   socklen_t length = sizeof(address);
   if (bind(m_listener, Generic(&address), length) != 0 ||
       listen(m_listener, 0) != 0 ||
--- a/tests/gateway/scripted_backend_test.cc
+++ b/tests/gateway/scripted_backend_test.cc
@@ -1,7 +1,5 @@
 #include "fakes/scripted_backend.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -9,6 +7,7 @@
 #include <cerrno>
 
 #include "fakes/gateway_fixture.h"
+#include "fakes/loopback_address.h"
 
 namespace wasabiwall::fakes {
 namespace {
@@ -41,10 +40,7 @@
   ScriptedBackend backend(&loop, nullptr);
   const auto at = transport::ParseAddress(backend.Address());
   backend.Crash();
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  address.sin_port = htons(static_cast<std::uint16_t>(at->port));
+  const sockaddr_in address = LoopbackAddress(at->port);
   const auto* generic = reinterpret_cast<const sockaddr*>(&address);
   const int other = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   CHECK(bind(other, generic, sizeof(address)) != 0);
